--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# `make test` and `make demo` do all their set-up themselves.
+BUILD ?= build
+SEED ?= 20261203
+
+.PHONY: all setup build test demo bench fuzz format lint
+all: build
+
+setup:
+	tools/setup
+
+build: setup
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo
+	cmake --build $(BUILD)
+
+test: build
+	tools/run-tests $(BUILD)
+
+demo: build
+	tools/demo $(BUILD)/app
+
+bench: build
+	tools/bench $(BUILD)/app $(SEED)
+
+fuzz: setup
+	tools/fuzz
+
+format:
+	tools/check-format
+
+lint: setup
+	tools/check-lint $(BUILD)
--- /dev/null
+++ b/include/rhubarbwharf/agent/fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/**
+ * @brief Wires the modules for an agent.
+ */
+namespace rhubarbwharf::agent {} // namespace rhubarbwharf::agent
--- /dev/null
+++ b/include/rhubarbwharf/distribution/fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/**
+ * @brief Manifests, chunk tables, and who fetches what from whom.
+ */
+namespace rhubarbwharf::distribution {} // namespace rhubarbwharf::distribution
--- /dev/null
+++ b/include/rhubarbwharf/membership/fwd.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/**
+ * @brief Who is live, leaving or suspected, as one process sees it.
+ */
+namespace rhubarbwharf::membership {} // namespace rhubarbwharf::membership
--- /dev/null
+++ b/include/rhubarbwharf/ticket/fwd.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+/**
+ * @brief Desired state: in each scope the highest ticket wins.
+ */
+namespace rhubarbwharf::ticket {
+
+struct scope_state;
+struct scope_entry;
+struct submission;
+struct desired_state;
+struct change;
+struct ticket;
+struct verdict;
+
+} // namespace rhubarbwharf::ticket
