--- a/include/rhubarbwharf/net/bus.hpp
+++ b/include/rhubarbwharf/net/bus.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include <rhubarbwharf/core/code.hpp>
+#include <rhubarbwharf/core/time.hpp>
 #include <rhubarbwharf/net/fwd.hpp>
 #include <rhubarbwharf/net/http.hpp>
 
@@ -18,6 +19,8 @@
     std::size_t m_message_bytes{8U * 1024U * 1024U};
     /*! @brief Messages that may wait for one peer. */
     int m_queue_messages{4096};
+    /*! @brief Time between heartbeats to a peer; one that does not answer within it is taken for dead. */
+    duration m_heartbeat{std::chrono::seconds{10}};
 };
 
 /**
--- /dev/null
+++ b/src/net/call.cpp
@@ -0,0 +1,273 @@
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include "net/client.hpp"
+
+namespace rhubarbwharf::net::internal {
+
+namespace http = beast::http;
+
+constexpr unsigned http_1_1 = 11U;
+constexpr std::uint32_t most_header_bytes = 64U * 1024U;
+
+namespace {
+
+auto append_request(out_buffer& out, const endpoint& server, http_request&& request) -> void {
+    http::request<http::empty_body> message{};
+    message.version(http_1_1);
+    message.method_string(request.m_method);
+    message.target(request.m_target);
+    message.set(http::field::host, to_string(server));
+    for (const auto& field : request.m_headers) {
+        const auto known = http::string_to_field(field.m_name);
+        if (known != http::field::host && known != http::field::content_length &&
+            known != http::field::transfer_encoding && known != http::field::connection) {
+            message.insert(field.m_name, field.m_value);
+        }
+    }
+    if (!request.m_body.empty() || message.method() == http::verb::post || message.method() == http::verb::put) {
+        message.content_length(request.m_body.size());
+    }
+    http::request_serializer<http::empty_body> serializer{message};
+    serializer.split(true);
+    boost::system::error_code failure{};
+    serializer.next(failure, [&out](boost::system::error_code&, const auto& buffers) { out.append_buffers(buffers); });
+    out.append_body(std::move(request.m_body));
+}
+
+} // namespace
+
+client_call::client_call(std::shared_ptr<client_state> owner, endpoint server, const call_limits limits,
+                         call_handlers handlers)
+    : m_owner{std::move(owner)}, m_server{std::move(server)}, m_limits{limits}, m_handlers{std::move(handlers)} {}
+
+auto client_call::start(http_request request) -> void {
+    const auto now = steady_now();
+    m_total_deadline = now + m_limits.m_total_time;
+    m_idle_deadline = now + m_limits.m_idle_time;
+    m_is_head_request = request.m_method == "HEAD";
+    append_request(m_request, m_server, std::move(request));
+    m_request_bytes = m_request.size();
+    if (!m_owner->m_sweeping_calls) {
+        m_owner->sweep();
+    }
+    if (auto kept = m_owner->take(m_server)) {
+        begin(std::move(kept), true);
+    } else {
+        connect();
+    }
+}
+
+auto client_call::connect() -> void {
+    boost::system::error_code failure{};
+    const auto address = asio::ip::make_address(m_server.m_address, failure);
+    if (failure) {
+        end_later(code::connection_failed);
+        return;
+    }
+    m_idle_deadline = steady_now() + m_limits.m_connect_time;
+    m_connection = std::make_shared<connection>(m_owner->m_context);
+    m_connection->m_socket.async_connect({address, m_server.m_port}, [self = shared_from_this(), on = m_connection](
+                                                                         const boost::system::error_code refused) {
+        if (self->m_ended || self->m_connection != on) {
+            return;
+        }
+        if (refused) {
+            self->end(code::connection_failed);
+            return;
+        }
+        boost::system::error_code ignored{};
+        on->m_socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+        on->m_socket.non_blocking(true, ignored);
+        self->begin(on, false);
+    });
+}
+
+auto client_call::begin(shared_connection ready, const bool kept) -> void {
+    m_connection = std::move(ready);
+    m_is_kept = kept;
+    begin_response();
+    write();
+}
+
+auto client_call::begin_response() -> void {
+    m_parser.emplace(*this);
+    m_parser->eager(true);
+    m_parser->skip(m_is_head_request);
+    m_parser->header_limit(most_header_bytes);
+    m_parser->body_limit(boost::none);
+}
+
+auto client_call::write() -> void {
+    m_sent = sent::some;
+    m_idle_deadline = steady_now() + m_limits.m_idle_time;
+    m_connection->m_socket.async_write_some(
+        m_request.data(), [self = shared_from_this(), on = m_connection](const boost::system::error_code failure,
+                                                                         const std::size_t count) {
+            self->on_written(on, failure, count);
+        });
+}
+
+auto client_call::on_written(const shared_connection& on, const boost::system::error_code failure,
+                             const std::size_t count) -> void {
+    if (m_ended || m_connection != on) {
+        return;
+    }
+    const auto untouched = m_request.size() == m_request_bytes && count == 0U;
+    if (failure && untouched) {
+        m_sent = sent::nothing;
+        if (m_is_kept) {
+            connect();
+        } else {
+            end(code::connection_failed);
+        }
+        return;
+    }
+    m_request.consume(count);
+    if (!failure && m_request.size() > 0U) {
+        write();
+    }
+    m_may_read = true;
+    read();
+}
+
+auto client_call::read() -> void {
+    if (m_reading || m_parsing || m_paused || m_ended || !m_may_read) {
+        return;
+    }
+    m_reading = true;
+    m_connection->m_socket.async_read_some(
+        m_connection->m_input.prepare(m_read_bytes),
+        [self = shared_from_this(), on = m_connection](const boost::system::error_code failure,
+                                                       const std::size_t count) { self->on_read(on, failure, count); });
+}
+
+auto client_call::on_read(const shared_connection& on, const boost::system::error_code failure, const std::size_t count)
+    -> void {
+    m_reading = false;
+    if (m_ended || m_connection != on) {
+        return;
+    }
+    if (failure) {
+        fail();
+        return;
+    }
+    m_idle_deadline = steady_now() + m_limits.m_idle_time;
+    on->m_input.commit(count);
+    m_read_bytes = next_read_bytes(m_read_bytes, count);
+    parse();
+}
+
+auto client_call::parse() -> void {
+    const auto on = m_connection;
+    boost::system::error_code failure{};
+    m_parsing = true;
+    while (on->m_input.size() > 0U && !failure && !m_ended) {
+        if (m_parser->is_done() && m_parser->is_interim()) {
+            begin_response();
+        }
+        if (m_parser->is_done()) {
+            break;
+        }
+        on->m_input.consume(m_parser->put(on->m_input.data(), failure));
+    }
+    m_parsing = false;
+    if (m_ended) {
+        return;
+    }
+    if (m_parser->is_done() && !m_parser->is_interim()) {
+        finish();
+    } else if (failure && failure != http::error::need_more) {
+        fail();
+    } else {
+        read();
+    }
+}
+
+auto client_call::fail() -> void {
+    end(m_head_seen ? code::cut_stream : code::connection_failed);
+}
+
+auto client_call::finish() -> void {
+    const auto on = m_connection;
+    const auto whole_exchange = m_request.size() == 0U && on->m_input.size() == 0U;
+    if (whole_exchange && !m_parser->need_eof() && m_parser->keep_alive()) {
+        m_connection = nullptr;
+        m_owner->keep(m_server, on);
+    }
+    end(code::ok);
+}
+
+auto client_call::on_head(const http_response& head) -> void {
+    m_head_seen = true;
+    if (!m_ended && m_handlers.m_on_head) {
+        m_handlers.m_on_head(head);
+    }
+}
+
+auto client_call::on_part(const std::string_view part) -> void {
+    if (!m_ended && m_handlers.m_on_part) {
+        m_handlers.m_on_part(part);
+    }
+}
+
+auto client_call::cancel() -> void {
+    if (!m_ended) {
+        end_later(code::cancelled);
+    }
+}
+
+auto client_call::pause(const bool paused) -> void {
+    m_paused = paused;
+    if (!paused && m_may_read && !m_ended) {
+        m_idle_deadline = steady_now() + m_limits.m_idle_time;
+        read();
+    }
+}
+
+auto client_call::check(const time_point now) -> void {
+    if (!m_ended && (now >= m_total_deadline || (!m_paused && now >= m_idle_deadline))) {
+        end(code::timed_out);
+    }
+}
+
+auto client_call::drop() -> void {
+    m_ended = true;
+    m_handlers = {};
+    release();
+}
+
+auto client_call::release() -> void {
+    const auto on = std::exchange(m_connection, nullptr);
+    if (on) {
+        boost::system::error_code ignored{};
+        on->m_socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+        on->m_socket.close(ignored);
+    }
+}
+
+auto client_call::end(const code value) -> void {
+    const auto self = shared_from_this();
+    m_ended = true;
+    release();
+    m_owner->m_calls.erase(self);
+    const auto handlers = std::exchange(m_handlers, {});
+    if (handlers.m_on_end) {
+        handlers.m_on_end({value, m_sent});
+    }
+}
+
+auto client_call::end_later(const code value) -> void {
+    m_ended = true;
+    release();
+    asio::post(m_owner->m_context, [self = shared_from_this(), value] {
+        if (!self->m_owner->m_closed) {
+            self->end(value);
+        }
+    });
+}
+
+} // namespace rhubarbwharf::net::internal
--- /dev/null
+++ b/src/net/client.cpp
@@ -0,0 +1,143 @@
+#include <rhubarbwharf/net/loop.hpp>
+
+#include "net/client.hpp"
+
+namespace rhubarbwharf::net {
+
+namespace internal {
+
+constexpr auto sweep_period = std::chrono::milliseconds{20};
+constexpr auto quiet_sweep_period = std::chrono::seconds{1};
+constexpr auto most_kept_time = std::chrono::seconds{20};
+constexpr std::size_t most_kept_connections = 256U;
+constexpr std::size_t most_fetched_bytes = 256U * 1024U * 1024U;
+
+namespace {
+
+[[nodiscard]] auto is_sound(connection& kept) -> bool {
+    char byte{};
+    boost::system::error_code failure{};
+    kept.m_socket.receive(asio::buffer(&byte, sizeof(byte)), tcp_socket::message_peek, failure);
+    return failure == asio::error::would_block;
+}
+
+} // namespace
+
+auto client_state::take(const endpoint& server) -> std::shared_ptr<connection> {
+    const auto found = m_idle.find({server.m_address, server.m_port});
+    while (found != m_idle.end() && !found->second.empty()) {
+        auto kept = std::move(found->second.back());
+        found->second.pop_back();
+        if (is_sound(*kept)) {
+            return kept;
+        }
+    }
+    return nullptr;
+}
+
+auto client_state::keep(const endpoint& server, std::shared_ptr<connection> kept) -> void {
+    auto& idle = m_idle[{server.m_address, server.m_port}];
+    if (m_closed || idle.size() >= most_kept_connections) {
+        return;
+    }
+    kept->m_idle_since = steady_now();
+    kept->m_input.clear();
+    kept->m_input.shrink_to_fit();
+    idle.push_back(std::move(kept));
+}
+
+auto client_state::drop_idle(const time_point now) -> void {
+    const auto is_old = [now](const std::shared_ptr<connection>& kept) {
+        return now - kept->m_idle_since >= most_kept_time || !is_sound(*kept);
+    };
+    for (auto& [server, idle] : m_idle) {
+        std::erase_if(idle, is_old);
+    }
+    std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+auto client_state::sweep() -> void {
+    m_sweeping = !m_closed && !(m_calls.empty() && m_idle.empty());
+    m_sweeping_calls = !m_calls.empty();
+    if (!m_sweeping) {
+        return;
+    }
+    if (m_sweeping_calls) {
+        m_sweep.expires_after(sweep_period);
+    } else {
+        m_sweep.expires_after(quiet_sweep_period);
+    }
+    m_sweep.async_wait([self = shared_from_this()](const boost::system::error_code failure) {
+        if (!failure && !self->m_closed) {
+            self->check(steady_now());
+            self->sweep();
+        }
+    });
+}
+
+auto client_state::check(const time_point now) -> void {
+    const std::vector<std::shared_ptr<client_call>> calls{m_calls.begin(), m_calls.end()};
+    for (const auto& each : calls) {
+        each->check(now);
+    }
+    if (now >= m_next_drop) {
+        m_next_drop = now + quiet_sweep_period;
+        drop_idle(now);
+    }
+}
+
+} // namespace internal
+
+struct http_client::state : internal::client_state {
+    using client_state::client_state;
+};
+
+http_client::http_client(loop& owner) : m_state{std::make_shared<state>(owner.context())} {}
+
+http_client::~http_client() {
+    m_state->m_closed = true;
+    m_state->m_sweep.cancel();
+    const auto calls = std::move(m_state->m_calls);
+    m_state->m_calls.clear();
+    for (const auto& each : calls) {
+        each->drop();
+    }
+    m_state->m_idle.clear();
+}
+
+auto http_client::send(const endpoint& server, http_request request, const call_limits limits, call_handlers handlers)
+    -> std::shared_ptr<call> {
+    auto made = std::make_shared<internal::client_call>(m_state, server, limits, std::move(handlers));
+    m_state->m_calls.insert(made);
+    made->start(std::move(request));
+    return made;
+}
+
+auto http_client::fetch(const endpoint& server, http_request request, const call_limits limits, fetched done)
+    -> std::shared_ptr<call> {
+    struct collected {
+        http_response m_response{};
+        std::weak_ptr<call> m_call{};
+    };
+
+    auto into = std::make_shared<collected>();
+    call_handlers handlers{};
+    handlers.m_on_head = [into](const http_response& head) {
+        into->m_response = head;
+    };
+    handlers.m_on_part = [into](const std::string_view part) {
+        if (into->m_response.m_body.size() + part.size() <= internal::most_fetched_bytes) {
+            into->m_response.m_body.append(part);
+        } else if (const auto running = into->m_call.lock()) {
+            running->cancel();
+        }
+    };
+    handlers.m_on_end = [into, done = std::move(done)](const call_end& end) {
+        done(end, std::move(into->m_response));
+    };
+    auto made = send(server, std::move(request), limits, std::move(handlers));
+    into->m_call = made;
+    return made;
+}
+
+} // namespace rhubarbwharf::net
--- /dev/null
+++ b/src/net/client.hpp
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <rhubarbwharf/net/http.hpp>
+
+#include "net/socket.hpp"
+
+namespace rhubarbwharf::net::internal {
+
+class client_call;
+
+/*! @brief One connection of a client; used by one call at a time. */
+struct connection {
+    explicit connection(asio::io_context& context) : m_socket{context} {}
+
+    tcp_socket m_socket;
+    beast::flat_buffer m_input{};
+    time_point m_idle_since{};
+};
+
+/*! @brief What the calls of one client share. */
+struct client_state : std::enable_shared_from_this<client_state> {
+    using server_key = std::pair<std::string, std::uint16_t>;
+
+    explicit client_state(asio::io_context& context) : m_context{context}, m_sweep{context} {}
+
+    asio::io_context& m_context;
+    asio::steady_timer m_sweep;
+    std::map<server_key, std::vector<std::shared_ptr<connection>>> m_idle{};
+    std::unordered_set<std::shared_ptr<client_call>> m_calls{};
+    time_point m_next_drop{};
+    bool m_sweeping{};
+    bool m_sweeping_calls{};
+    bool m_closed{};
+
+    /*! @brief Takes a kept connection that is still sound. @param server The server. @return It, or nothing. */
+    [[nodiscard]] auto take(const endpoint& server) -> std::shared_ptr<connection>;
+
+    /*! @brief Keeps a connection for later calls. @param server The server. @param kept The connection. */
+    auto keep(const endpoint& server, std::shared_ptr<connection> kept) -> void;
+
+    /*! @brief Looks for calls past their deadline and connections kept too long, while there are any. */
+    auto sweep() -> void;
+
+    /*! @brief Ends calls past their deadline and drops old connections. @param now The time. */
+    auto check(time_point now) -> void;
+
+    /*! @brief Closes connections that have been idle too long. @param now The time. */
+    auto drop_idle(time_point now) -> void;
+};
+
+/*! @brief Reads a response and hands its parts on without a copy. */
+class response_parser final : public beast::http::basic_parser<false> {
+public:
+    /*! @brief Makes a parser. @param owner The call that gets the parts; outlives the parser. */
+    explicit response_parser(client_call& owner) : m_owner{owner} {}
+
+    response_parser(const response_parser&) = delete;
+    response_parser(response_parser&&) = delete;
+    auto operator=(const response_parser&) -> response_parser& = delete;
+    auto operator=(response_parser&&) -> response_parser& = delete;
+    ~response_parser() override = default;
+
+    /*! @brief Tells whether the message is an interim one (status 1xx). @return Whether it is. */
+    [[nodiscard]] auto is_interim() const noexcept -> bool;
+
+private:
+    using text = beast::string_view;
+    using error_code = boost::system::error_code;
+
+    auto on_request_impl(beast::http::verb verb, text method, text target, int version, error_code& failure)
+        -> void override;
+    auto on_response_impl(int status, text reason, int version, error_code& failure) -> void override;
+    auto on_field_impl(beast::http::field known, text name, text value, error_code& failure) -> void override;
+    auto on_header_impl(error_code& failure) -> void override;
+    auto on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& failure) -> void override;
+    auto on_body_impl(text part, error_code& failure) -> std::size_t override;
+    auto on_chunk_header_impl(std::uint64_t size, text extensions, error_code& failure) -> void override;
+    auto on_chunk_body_impl(std::uint64_t left, text part, error_code& failure) -> std::size_t override;
+    auto on_finish_impl(error_code& failure) -> void override;
+
+    client_call& m_owner;
+    http_response m_head{};
+};
+
+/*! @brief One call of a client, kept alive by its client and its operations until it has ended. */
+class client_call final : public call, public std::enable_shared_from_this<client_call> {
+public:
+    client_call(std::shared_ptr<client_state> owner, endpoint server, call_limits limits, call_handlers handlers);
+
+    /*! @brief Sends the request. @param request The request. */
+    auto start(http_request request) -> void;
+
+    auto cancel() -> void override;
+    auto pause(bool paused) -> void override;
+
+    /*! @brief Ends the call if a deadline has passed. @param now The time. */
+    auto check(time_point now) -> void;
+
+    /*! @brief Drops the call without a word to its handlers. */
+    auto drop() -> void;
+
+    /*! @brief Hands the head on. @param head Status and headers. */
+    auto on_head(const http_response& head) -> void;
+
+    /*! @brief Hands a part on. @param part Its bytes. */
+    auto on_part(std::string_view part) -> void;
+
+private:
+    using shared_connection = std::shared_ptr<connection>;
+
+    auto connect() -> void;
+    auto begin(shared_connection ready, bool kept) -> void;
+    auto begin_response() -> void;
+    auto write() -> void;
+    auto on_written(const shared_connection& on, boost::system::error_code failure, std::size_t count) -> void;
+    auto read() -> void;
+    auto on_read(const shared_connection& on, boost::system::error_code failure, std::size_t count) -> void;
+    auto parse() -> void;
+    auto fail() -> void;
+    auto finish() -> void;
+    auto end(code value) -> void;
+    auto end_later(code value) -> void;
+    auto release() -> void;
+
+    std::shared_ptr<client_state> m_owner;
+    endpoint m_server{};
+    call_limits m_limits{};
+    call_handlers m_handlers{};
+    shared_connection m_connection{};
+    std::optional<response_parser> m_parser{};
+    out_buffer m_request{};
+    std::size_t m_request_bytes{};
+    std::size_t m_read_bytes{first_read_bytes};
+    time_point m_total_deadline{};
+    time_point m_idle_deadline{};
+    sent m_sent{sent::nothing};
+    bool m_is_head_request{};
+    bool m_is_kept{};
+    bool m_may_read{};
+    bool m_reading{};
+    bool m_parsing{};
+    bool m_head_seen{};
+    bool m_paused{};
+    bool m_ended{};
+};
+
+} // namespace rhubarbwharf::net::internal
--- /dev/null
+++ b/src/net/response.cpp
@@ -0,0 +1,57 @@
+#include <boost/beast/http/error.hpp>
+
+#include "net/client.hpp"
+
+namespace rhubarbwharf::net::internal {
+
+constexpr unsigned first_final_status = 200U;
+
+auto response_parser::is_interim() const noexcept -> bool {
+    return m_head.m_status < first_final_status;
+}
+
+auto response_parser::on_request_impl(beast::http::verb, text, text, int, error_code& failure) -> void {
+    failure = beast::http::error::bad_version;
+}
+
+auto response_parser::on_response_impl(const int status, text, int, error_code& failure) -> void {
+    failure = {};
+    m_head.m_status = static_cast<std::uint16_t>(status);
+}
+
+auto response_parser::on_field_impl(beast::http::field, const text name, const text value, error_code& failure)
+    -> void {
+    failure = {};
+    m_head.m_headers.push_back({std::string{name.data(), name.size()}, std::string{value.data(), value.size()}});
+}
+
+auto response_parser::on_header_impl(error_code& failure) -> void {
+    failure = {};
+    if (!is_interim()) {
+        m_owner.on_head(m_head);
+    }
+}
+
+auto response_parser::on_body_init_impl(const boost::optional<std::uint64_t>&, error_code& failure) -> void {
+    failure = {};
+}
+
+auto response_parser::on_body_impl(const text part, error_code& failure) -> std::size_t {
+    failure = {};
+    m_owner.on_part({part.data(), part.size()});
+    return part.size();
+}
+
+auto response_parser::on_chunk_header_impl(std::uint64_t, text, error_code& failure) -> void {
+    failure = {};
+}
+
+auto response_parser::on_chunk_body_impl(std::uint64_t, const text part, error_code& failure) -> std::size_t {
+    return on_body_impl(part, failure);
+}
+
+auto response_parser::on_finish_impl(error_code& failure) -> void {
+    failure = {};
+}
+
+} // namespace rhubarbwharf::net::internal
