--- a/include/rhubarbwharf/net/bus.hpp
+++ b/include/rhubarbwharf/net/bus.hpp
@@ -16,7 +16,7 @@
 /*! @brief Limits of the bus of one process. */
 struct bus_limits {
     /*! @brief Largest message taken; a sender of a larger one is cut off. */
-    std::size_t m_message_bytes{8U * 1024U * 1024U};
+    std::size_t m_message_bytes{std::size_t{8} * 1024U * 1024U};
     /*! @brief Messages that may wait for one peer. */
     int m_queue_messages{4096};
     /*! @brief Time between heartbeats to a peer; one that does not answer within it is taken for dead. */
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -67,15 +67,15 @@
 
 /*! @brief Limits of one HTTP listener. */
 struct http_limits {
-    std::size_t m_header_bytes{16U * 1024U};
-    std::size_t m_body_bytes{4U * 1024U * 1024U};
+    std::size_t m_header_bytes{std::size_t{16} * 1024U};
+    std::size_t m_body_bytes{std::size_t{4} * 1024U * 1024U};
     std::size_t m_connections{4096};
     /*! @brief Time within which a request must have arrived whole. */
     duration m_request_time{std::chrono::seconds{10}};
     /*! @brief Time that an idle connection is kept. */
     duration m_idle_time{std::chrono::seconds{60}};
     /*! @brief Bytes that may wait for a slow reader before its connection is cut. */
-    std::size_t m_send_queue_bytes{1024U * 1024U};
+    std::size_t m_send_queue_bytes{std::size_t{1024} * 1024U};
 };
 
 /**
--- a/src/net/bus.cpp
+++ b/src/net/bus.cpp
@@ -11,7 +11,8 @@
 
 bus::bus(loop& owner, std::string name, const bus_limits limits, handler on_message)
     : m_state{std::make_unique<state>()} {
-    m_state->m_core = std::make_shared<internal::bus_core>(owner.context(), name, limits, std::move(on_message));
+    m_state->m_core =
+        std::make_shared<internal::bus_core>(owner.context(), std::move(name), limits, std::move(on_message));
     m_state->m_core->start();
 }
 
--- a/src/net/bus_core.cpp
+++ b/src/net/bus_core.cpp
@@ -36,13 +36,14 @@
 watched_socket::watched_socket(zmq::context_t& context, asio::io_context& executor)
     : m_socket{context, zmq::socket_type::router}, m_descriptor{executor, m_socket.get(zmq::sockopt::fd)} {}
 
-bus_core::bus_core(asio::io_context& executor, const std::string& name, const bus_limits limits,
-                   bus::handler on_message)
-    : m_executor{executor}, m_limits{limits}, m_on_message{std::move(on_message)}, m_context{io_threads},
-      m_listener{m_context, executor}, m_connector{m_context, executor}, m_flush_timer{executor} {
-    ensure(!name.empty() && name.size() <= most_name_bytes && name.front() != '\0', "a peer's name is 1 to 255 bytes");
-    configure(m_listener.m_socket, name);
-    configure(m_connector.m_socket, name);
+bus_core::bus_core(asio::io_context& executor, std::string name, const bus_limits limits, bus::handler on_message)
+    : m_executor{executor}, m_name{std::move(name)}, m_limits{limits}, m_on_message{std::move(on_message)},
+      m_context{io_threads}, m_listener{m_context, executor}, m_connector{m_context, executor}, m_flush_timer{
+                                                                                                    executor} {
+    ensure(!m_name.empty() && m_name.size() <= most_name_bytes && m_name.front() != '\0',
+           "a peer's name is 1 to 255 bytes");
+    configure(m_listener.m_socket);
+    configure(m_connector.m_socket);
     const auto heartbeat = to_milliseconds(m_limits.m_heartbeat);
     m_connector.m_socket.set(zmq::sockopt::heartbeat_ivl, heartbeat);
     m_connector.m_socket.set(zmq::sockopt::heartbeat_timeout, heartbeat);
@@ -50,8 +51,8 @@
     m_connector.m_socket.set(zmq::sockopt::immediate, on);
 }
 
-auto bus_core::configure(zmq::socket_t& socket, const std::string& name) const -> void {
-    socket.set(zmq::sockopt::routing_id, name);
+auto bus_core::configure(zmq::socket_t& socket) const -> void {
+    socket.set(zmq::sockopt::routing_id, m_name);
     socket.set(zmq::sockopt::router_mandatory, on);
     socket.set(zmq::sockopt::router_handover, on);
     socket.set(zmq::sockopt::linger, off);
--- a/src/net/bus_core.hpp
+++ b/src/net/bus_core.hpp
@@ -36,7 +36,7 @@
 /*! @brief State of a bus, kept alive by its pending operations. */
 class bus_core : public std::enable_shared_from_this<bus_core> {
 public:
-    bus_core(asio::io_context& executor, const std::string& name, bus_limits limits, bus::handler on_message);
+    bus_core(asio::io_context& executor, std::string name, bus_limits limits, bus::handler on_message);
 
     /*! @brief Starts to wait for messages. */
     auto start() -> void;
@@ -54,7 +54,7 @@
     std::uint16_t m_port{};
 
 private:
-    auto configure(zmq::socket_t& socket, const std::string& name) const -> void;
+    auto configure(zmq::socket_t& socket) const -> void;
     auto wait(watched_socket& watched) -> void;
     auto drain_later() -> void;
     auto drain() -> void;
@@ -67,6 +67,7 @@
     auto flush_later() -> void;
 
     asio::io_context& m_executor;
+    std::string m_name{};
     bus_limits m_limits{};
     bus::handler m_on_message{};
     zmq::context_t m_context;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -10,7 +10,7 @@
 constexpr auto quiet_sweep_period = std::chrono::seconds{1};
 constexpr auto most_kept_time = std::chrono::seconds{20};
 constexpr std::size_t most_kept_connections = 256U;
-constexpr std::size_t most_fetched_bytes = 256U * 1024U * 1024U;
+constexpr std::size_t most_fetched_bytes = std::size_t{256} * 1024U * 1024U;
 
 namespace {
 
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -37,7 +37,7 @@
 
     /*! @brief Adds a body, without a copy where it is large. @param body The body. */
     auto append_body(std::string&& body) -> void {
-        constexpr std::size_t least_moved_bytes = 16U * 1024U;
+        constexpr std::size_t least_moved_bytes = std::size_t{16} * 1024U;
         if (m_body.empty() && body.size() >= least_moved_bytes) {
             m_body = std::move(body);
         } else {
@@ -59,7 +59,7 @@
 
     /*! @brief Drops all bytes, and large memory with them. */
     auto clear() noexcept -> void {
-        constexpr std::size_t most_kept_bytes = 64U * 1024U;
+        constexpr std::size_t most_kept_bytes = std::size_t{64} * 1024U;
         m_taken = 0U;
         m_body = std::string{};
         if (m_text.capacity() > most_kept_bytes) {
@@ -81,11 +81,11 @@
  * @return The next size.
  */
 [[nodiscard]] constexpr auto next_read_bytes(const std::size_t last, const std::size_t filled) noexcept -> std::size_t {
-    constexpr std::size_t most_bytes = 256U * 1024U;
+    constexpr std::size_t most_bytes = std::size_t{256} * 1024U;
     return filled == last ? std::min(last * 2U, most_bytes) : last;
 }
 
 /*! @brief Size of the first read on a connection. */
-constexpr std::size_t first_read_bytes = 4U * 1024U;
+constexpr std::size_t first_read_bytes = std::size_t{4} * 1024U;
 
 } // namespace rhubarbwharf::net::internal
