Add the operators' command line

Cause: tickets, dumps, drains and checks of settings need a program of their own. Ruled out: a new id for each try (a lost answer would then count as a second ticket). Measured: 6 cases pass against a fake admin listener, one of them with a lost answer.

--- /dev/null
+++ b/src/command/admin.cpp
@@ -0,0 +1,46 @@
+#include <command/admin.hpp>
+
+#include <rhubarbwharf/net/loop.hpp>
+
+namespace rhubarbwharf::command::internal {
+
+namespace {
+
+constexpr auto answer_time = std::chrono::seconds{10};
+
+[[nodiscard]] auto make_request(const admin& target, const std::string_view method, const std::string_view path,
+                                std::string body) -> net::http_request {
+    net::http_request request{};
+    request.m_method = method;
+    request.m_target = path;
+    request.m_headers.push_back({"Accept", "application/json"});
+    if (!target.m_key.empty()) {
+        request.m_headers.push_back({"Authorization", "Bearer " + target.m_key});
+    }
+    if (!body.empty()) {
+        request.m_headers.push_back({"Content-Type", "application/json"});
+    }
+    request.m_body = std::move(body);
+    return request;
+}
+
+} // namespace
+
+auto ask(const admin& target, const std::string_view method, const std::string_view path, std::string body)
+    -> std::optional<net::http_response> {
+    net::loop loop{};
+    net::http_client client{loop};
+    std::optional<net::http_response> answer{};
+    const auto done = [&loop, &answer](const net::call_end& end, net::http_response response) {
+        if (end.m_code == code::ok) {
+            answer = std::move(response);
+        }
+        loop.stop();
+    };
+    const net::call_limits limits{.m_total_time = answer_time, .m_idle_time = answer_time};
+    client.fetch(target.m_server, make_request(target, method, path, std::move(body)), limits, done);
+    loop.run();
+    return answer;
+}
+
+} // namespace rhubarbwharf::command::internal
--- /dev/null
+++ b/test/command/run.cpp
@@ -0,0 +1,132 @@
+#include <array>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <rhubarbwharf/command/run.hpp>
+#include <rhubarbwharf/net/http.hpp>
+#include <rhubarbwharf/net/loop.hpp>
+
+namespace {
+
+namespace command = rhubarbwharf::command;
+namespace net = rhubarbwharf::net;
+
+/*! @brief What one command line gave. */
+struct given {
+    command::status m_status{};
+    std::string m_out{};
+    std::string m_progress{};
+};
+
+[[nodiscard]] auto run(std::vector<const char*> words) -> given {
+    words.insert(words.begin(), "rhubarbwharf");
+    std::ostringstream out{};
+    std::ostringstream progress{};
+    const auto status = command::run(words, out, progress);
+    return {status, out.str(), progress.str()};
+}
+
+/*! @brief An admin listener that answers from a list, each line once, the last one again and again. */
+class fake_admin {
+public:
+    explicit fake_admin(std::vector<net::http_response> answers) : m_answers{std::move(answers)} {
+        REQUIRE(m_server.listen({"127.0.0.1", 0}) == rhubarbwharf::code::ok);
+        m_thread = std::thread{[this] {
+            m_loop.run();
+        }};
+    }
+
+    ~fake_admin() {
+        m_loop.stop();
+        m_thread.join();
+    }
+
+    fake_admin(const fake_admin&) = delete;
+    fake_admin(fake_admin&&) = delete;
+    auto operator=(const fake_admin&) -> fake_admin& = delete;
+    auto operator=(fake_admin&&) -> fake_admin& = delete;
+
+    [[nodiscard]] auto address() const -> std::string { return "127.0.0.1:" + std::to_string(m_server.port()); }
+
+    [[nodiscard]] auto bodies() const -> const std::vector<std::string>& { return m_bodies; }
+
+private:
+    auto answer(const net::http_request& request, net::responder& responder) -> void {
+        m_bodies.push_back(request.m_body);
+        const auto next = m_answers.front();
+        if (m_answers.size() > 1U) {
+            m_answers.erase(m_answers.begin());
+        }
+        next.m_status == 0U ? responder.abort() : responder.respond(next);
+    }
+
+    std::vector<net::http_response> m_answers;
+    std::vector<std::string> m_bodies{};
+    net::loop m_loop{};
+    net::http_server m_server{
+        m_loop, {}, [this](const net::http_request& request, const std::shared_ptr<net::responder>& responder) {
+            answer(request, *responder);
+        }};
+    std::thread m_thread{};
+};
+
+constexpr const char* order_file = RHUBARBWHARF_SOURCE_DIR "/config/example-ticket.json";
+
+} // namespace
+
+TEST_CASE("help, version and tables go to standard output with status 0") {
+    CHECK(run({"--help"}).m_out.find("ticket submit") != std::string::npos);
+    CHECK(run({"--version"}).m_out.starts_with("rhubarbwharf "));
+    CHECK(run({"codes"}).m_out.find("303 outcome_unknown") != std::string::npos);
+    CHECK(run({"reference"}).m_out.starts_with("# Settings"));
+}
+
+TEST_CASE("a faulty command line ends with status 2 and a reason") {
+    CHECK(run({}).m_status == command::status::usage);
+    CHECK(run({"dance"}).m_status == command::status::usage);
+    CHECK(run({"--admin", "nowhere", "status"}).m_status == command::status::usage);
+    CHECK(run({"--output", "xml", "status"}).m_status == command::status::usage);
+    CHECK(run({"ticket", "submit", "/nonexistent"}).m_status == command::status::usage);
+    CHECK(run({"check-config", "/nonexistent"}).m_progress.find("settings_unreadable") != std::string::npos);
+}
+
+TEST_CASE("a submission whose answer is lost is sent again under the same id") {
+    const net::http_response lost{.m_status = 0U};
+    const net::http_response accepted{.m_status = 200U, .m_body = R"({"number":4,"repeated":true})"};
+    const fake_admin admin{{lost, accepted}};
+    const auto address = admin.address();
+    const auto outcome = run({"--admin", address.c_str(), "--output", "json", "ticket", "submit", order_file});
+    CHECK(outcome.m_status == command::status::done);
+    REQUIRE(admin.bodies().size() == 2U);
+    CHECK(admin.bodies()[0] == admin.bodies()[1]);
+    CHECK(admin.bodies()[0].find("submission") != std::string::npos);
+}
+
+TEST_CASE("a conflict has its own status") {
+    const net::http_response conflict{.m_status = 409U, .m_body = R"({"code":400,"winner":9})"};
+    const fake_admin admin{{conflict}};
+    const auto address = admin.address();
+    const auto outcome = run({"--admin", address.c_str(), "ticket", "submit", order_file});
+    CHECK(outcome.m_status == command::status::conflict);
+    CHECK(outcome.m_progress.find("\"winner\":9") != std::string::npos);
+}
+
+TEST_CASE("--wait follows a ticket until it is in force everywhere") {
+    const net::http_response accepted{.m_status = 200U, .m_body = R"({"number":4})"};
+    const net::http_response behind{.m_status = 200U,
+                                    .m_body = R"({"in_force":false,"instances":3,"behind":["e2","e3"]})"};
+    const net::http_response there{.m_status = 200U, .m_body = R"({"in_force":true,"instances":3,"behind":[]})"};
+    const fake_admin admin{{accepted, behind, there}};
+    const auto address = admin.address();
+    const auto outcome = run({"--admin", address.c_str(), "ticket", "submit", order_file, "--wait"});
+    CHECK(outcome.m_status == command::status::done);
+    CHECK(outcome.m_progress.find("in force on 1 of 3 instances; behind: e2, e3") != std::string::npos);
+    CHECK(outcome.m_out == "in force everywhere\n");
+}
+
+TEST_CASE("a process that is not there ends with status 5") {
+    CHECK(run({"--admin", "127.0.0.1:1", "status"}).m_status == command::status::unreachable);
+}
