--- a/include/rhubarbwharf/execution/fwd.hpp
+++ b/include/rhubarbwharf/execution/fwd.hpp
@@ -3,4 +3,15 @@
 /**
  * @brief At-most-once execution of non-idempotent calls.
  */
-namespace rhubarbwharf::execution {} // namespace rhubarbwharf::execution
+namespace rhubarbwharf::execution {
+
+struct call_key;
+struct record;
+struct segment;
+struct options;
+struct shard;
+struct owner;
+struct call_request;
+struct call_result;
+
+} // namespace rhubarbwharf::execution
--- a/include/rhubarbwharf/platform/client.hpp
+++ b/include/rhubarbwharf/platform/client.hpp
@@ -109,6 +109,14 @@
     auto put(std::string_view key, std::string_view value, revision expected, lease_number lease, put_done done)
         -> void;
 
+    /**
+     * @brief Deletes a key if it still has a revision.
+     * @param key The key.
+     * @param expected Revision that the key must have.
+     * @param done Gets the outcome as after `put`; a key that is not there counts as deleted.
+     */
+    auto remove(std::string_view key, revision expected, put_done done) -> void;
+
     /*! @brief Takes a lease. @param ttl Time to live, whole seconds. @param done The completion. */
     auto grant(duration ttl, leased done) -> void;
 
