Add the agent: gate, admission, relay, control and planned stop

Decisions (gate, turn, admission, event scanner) are free functions over plain tables; the rest carries them out. Non-idempotent calls are not yet journalled.

--- /dev/null
+++ b/src/agent/admission.cpp
@@ -0,0 +1,127 @@
+#include <agent/admission.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <rhubarbwharf/core/assert.hpp>
+
+namespace rhubarbwharf::agent {
+
+namespace internal {
+
+constexpr duration overload_retry_time = std::chrono::milliseconds{500};
+constexpr duration closed_retry_time = std::chrono::seconds{1};
+
+[[nodiscard]] auto remember(admission& table, const attempt_id& id, const attempt_fate fate, const time_point now)
+    -> bool {
+    if (const auto found = table.m_fates.find(id); found != table.m_fates.end()) {
+        found->second = fate;
+        return true;
+    }
+    if (table.m_fates.size() >= table.m_memory_limit) {
+        return false;
+    }
+    table.m_fates.emplace(id, fate);
+    table.m_until.emplace_back(now + deadline_max, id);
+    return true;
+}
+
+[[nodiscard]] auto turn_away(admission& table, const attempt_id& id, const code reason, const time_point now)
+    -> admission_verdict {
+    const auto is_known = remember(table, id, attempt_fate::refused, now);
+    const auto wait = reason == code::overloaded ? overload_retry_time : closed_retry_time;
+    return {admission_verdict::kind::refuse, reason, is_known, wait};
+}
+
+[[nodiscard]] auto meet_again(const attempt_fate fate) -> admission_verdict {
+    if (fate == attempt_fate::accepted) {
+        return {admission_verdict::kind::drop, code::in_progress, false, duration::zero()};
+    }
+    return {admission_verdict::kind::refuse, code::refused_late, true, duration::zero()};
+}
+
+[[nodiscard]] auto is_more_urgent(const waiting_attempt& left, const waiting_attempt& right) -> bool {
+    return std::tuple{right.m_priority, left.m_deadline} < std::tuple{left.m_priority, right.m_deadline};
+}
+
+} // namespace internal
+
+auto offer(admission& table, const waiting_attempt& attempt, const code gate_code, const time_point now)
+    -> admission_verdict {
+    if (const auto found = table.m_fates.find(attempt.m_id); found != table.m_fates.end()) {
+        return internal::meet_again(found->second);
+    }
+    if (gate_code != code::ok) {
+        return internal::turn_away(table, attempt.m_id, gate_code, now);
+    }
+    if (attempt.m_deadline <= now) {
+        return internal::turn_away(table, attempt.m_id, code::deadline_passed, now);
+    }
+    const auto has_room = table.m_running < table.m_capacity && table.m_waiting.empty();
+    if (!has_room && table.m_waiting.size() >= table.m_queue_limit) {
+        return internal::turn_away(table, attempt.m_id, code::overloaded, now);
+    }
+    if (!internal::remember(table, attempt.m_id, attempt_fate::accepted, now)) {
+        return {admission_verdict::kind::refuse, code::overloaded, false, internal::overload_retry_time};
+    }
+    if (has_room) {
+        ++table.m_running;
+        return {admission_verdict::kind::run, code::ok, false, duration::zero()};
+    }
+    table.m_waiting.push_back(attempt);
+    return {admission_verdict::kind::wait, code::ok, false, duration::zero()};
+}
+
+auto refuse(admission& table, const attempt_id& id, const time_point now) -> bool {
+    return internal::remember(table, id, attempt_fate::refused, now);
+}
+
+auto leave(admission& table) -> void {
+    ensure(table.m_running > 0, "an attempt that leaves was running");
+    --table.m_running;
+}
+
+auto next(admission& table, const time_point now) -> std::optional<attempt_id> {
+    if (table.m_running >= table.m_capacity) {
+        return std::nullopt;
+    }
+    const auto chosen = std::ranges::min_element(table.m_waiting, internal::is_more_urgent);
+    if (chosen == table.m_waiting.end() || chosen->m_deadline <= now) {
+        return std::nullopt;
+    }
+    const auto id = chosen->m_id;
+    table.m_waiting.erase(chosen);
+    ++table.m_running;
+    ensure(table.m_running <= table.m_capacity, "no more attempts run than the backend server has room for");
+    return id;
+}
+
+auto withdraw(admission& table, const attempt_id& id) -> bool {
+    return std::erase_if(table.m_waiting, [&](const auto& waiting) { return waiting.m_id == id; }) > 0;
+}
+
+auto expire(admission& table, const time_point now) -> std::vector<attempt_id> {
+    while (!table.m_until.empty() && table.m_until.front().first <= now) {
+        table.m_fates.erase(table.m_until.front().second);
+        table.m_until.pop_front();
+    }
+    std::vector<attempt_id> late{};
+    std::erase_if(table.m_waiting, [&](const auto& waiting) {
+        const auto is_late = waiting.m_deadline <= now;
+        if (is_late) {
+            late.push_back(waiting.m_id);
+        }
+        return is_late;
+    });
+    return late;
+}
+
+auto withdraw_all(admission& table) -> std::vector<attempt_id> {
+    std::vector<attempt_id> all{};
+    std::ranges::transform(table.m_waiting, std::back_inserter(all), &waiting_attempt::m_id);
+    table.m_waiting.clear();
+    return all;
+}
+
+} // namespace rhubarbwharf::agent
--- /dev/null
+++ b/src/agent/control.cpp
@@ -0,0 +1,245 @@
+#include <agent/daemon.hpp>
+
+#include <algorithm>
+
+#include <agent/desired.hpp>
+#include <rhubarbwharf/net/log.hpp>
+
+namespace rhubarbwharf::agent {
+
+namespace internal {
+
+constexpr std::uint32_t list_periods_kept = 10;
+
+auto take_state(daemon& self, const std::string_view peer, const wire::StatePush& push) -> void {
+    const auto taken = ticket::merge(self.m_desired, entries_of(push));
+    if (taken > 0) {
+        self.m_counters.add("agent_scopes_taken_total", static_cast<double>(taken));
+        apply_desired(self);
+    }
+    const auto theirs = digest_from_bytes(push.digest());
+    if (!push.whole() && theirs && *theirs != ticket::fingerprint(self.m_desired)) {
+        auto pull = envelope(self);
+        pull.mutable_state_pull();
+        send(self, peer, pull);
+    }
+}
+
+auto compare_state(daemon& self, const std::string_view peer, const wire::StateDigest& theirs) -> void {
+    const auto digest = digest_from_bytes(theirs.digest());
+    if (!digest || *digest == ticket::fingerprint(self.m_desired)) {
+        return;
+    }
+    auto pull = envelope(self);
+    pull.mutable_state_pull();
+    send(self, peer, pull);
+}
+
+auto give_state(daemon& self, const std::string_view peer) -> void {
+    auto push = envelope(self);
+    *push.mutable_state_push() = push_of(self.m_desired);
+    send(self, peer, push);
+}
+
+auto take_members(daemon& self, const std::string_view peer, const wire::Members& members) -> void {
+    auto& list = self.m_lists[std::string{peer}];
+    list.m_heard = steady_now();
+    list.m_members.assign(members.members().begin(), members.members().end());
+    apply_members(self);
+}
+
+[[nodiscard]] auto is_further(const wire::Member& left, const wire::Member& right) -> bool {
+    const auto serves = [](const auto& member) {
+        return member.phase() == wire::PHASE_SERVING;
+    };
+    return std::pair{left.ticket(), serves(left)} > std::pair{right.ticket(), serves(right)};
+}
+
+[[nodiscard]] auto union_of(const daemon& self) -> std::unordered_map<std::string, wire::Member> {
+    std::unordered_map<std::string, wire::Member> all{};
+    for (const auto& [entry, list] : self.m_lists) {
+        for (const auto& member : list.m_members) {
+            const auto [place, is_new] = all.try_emplace(member.instance(), member);
+            if (!is_new && is_further(member, place->second)) {
+                place->second = member;
+            }
+        }
+    }
+    all.erase(self.m_settings.m_instance);
+    return all;
+}
+
+[[nodiscard]] auto peer_of(const wire::Member& member) -> exchange::peer {
+    exchange::peer peer{};
+    peer.m_instance = member.instance();
+    peer.m_region = member.region();
+    peer.m_group = member.group();
+    peer.m_bus = net::parse_endpoint(member.bus_address()).value_or(net::endpoint{});
+    peer.m_bulk = net::parse_endpoint(member.bulk_address()).value_or(net::endpoint{});
+    peer.m_leaving = member.leaving();
+    return peer;
+}
+
+auto forget_old_lists(daemon& self) -> void {
+    const auto kept = std::chrono::milliseconds{self.m_settings.m_routing.m_report_ms} * list_periods_kept;
+    const auto now = steady_now();
+    std::erase_if(self.m_lists, [&](const auto& item) { return item.second.m_heard + kept < now; });
+}
+
+auto fill_place(const daemon& self, wire::Report& out) -> void {
+    out.set_region(self.m_settings.m_region);
+    out.set_data_centre(self.m_settings.m_data_centre);
+    out.set_group(self.m_settings.m_backend.m_group);
+    out.set_plain_service(self.m_settings.m_backend.m_plain_service);
+    out.set_bus_address(self.m_settings.m_listen.m_bus);
+    out.set_bulk_address(self.m_settings.m_listen.m_bulk);
+}
+
+auto fill_version(const daemon& self, wire::Report& out) -> void {
+    if (self.m_gate.m_phase != phase::serving) {
+        return;
+    }
+    out.set_model(self.m_gate.m_confirmed.m_model);
+    if (self.m_gate.m_confirmed.m_manifest != digest{}) {
+        out.set_manifest(std::string{as_bytes(self.m_gate.m_confirmed.m_manifest)});
+    }
+    out.set_adapter(self.m_gate.m_confirmed.m_adapter);
+    out.set_ticket(self.m_gate.m_ticket.value());
+}
+
+auto fill_load(const daemon& self, wire::Report& out) -> void {
+    out.set_running(static_cast<std::uint32_t>(self.m_admission.m_running));
+    out.set_waiting(static_cast<std::uint32_t>(self.m_admission.m_waiting.size()));
+    out.set_capacity(static_cast<std::uint32_t>(self.m_admission.m_capacity));
+    out.set_engine_crashes(self.m_engine.m_crashes);
+    for (const auto prefix : self.m_engine.m_cached_prefixes) {
+        out.add_cached_prefixes(prefix);
+    }
+}
+
+auto fill_fetch(const daemon& self, wire::Report& out) -> void {
+    out.set_ready(self.m_is_ready);
+    if (!needs_load(self.m_gate)) {
+        return;
+    }
+    const auto held = self.m_exchange.state(self.m_gate.m_target->m_version.m_manifest);
+    out.set_chunks_held(held.m_held);
+    out.set_chunks_total(held.m_total);
+}
+
+auto send_in_force(daemon& self) -> void {
+    auto message = envelope(self);
+    auto& out = *message.mutable_in_force();
+    out.set_ticket(ticket::highest(self.m_desired).value());
+    const auto digest = ticket::fingerprint(self.m_desired);
+    out.set_digest(std::string{as_bytes(digest)});
+    if (self.m_gate.m_target && self.m_gate.m_ticket < self.m_gate.m_target->m_ticket) {
+        out.add_scopes_behind("group:" + self.m_settings.m_backend.m_group);
+    }
+    send_to_entries(self, message);
+}
+
+auto send_hello(daemon& self) -> void {
+    auto message = envelope(self);
+    auto& out = *message.mutable_hello();
+    out.set_role(wire::ROLE_AGENT);
+    out.set_region(self.m_settings.m_region);
+    out.set_data_centre(self.m_settings.m_data_centre);
+    out.set_bus_address(self.m_settings.m_listen.m_bus);
+    send_to_entries(self, message);
+}
+
+} // namespace internal
+
+auto apply_members(daemon& self) -> void {
+    internal::forget_old_lists(self);
+    std::vector<exchange::peer> peers{};
+    std::vector<member> group{};
+    for (const auto& [instance, seen] : internal::union_of(self)) {
+        peers.push_back(internal::peer_of(seen));
+        if (seen.group() == self.m_settings.m_backend.m_group) {
+            group.push_back({instance, static_cast<phase>(seen.phase()), ticket_number{seen.ticket()}, seen.ready(),
+                             seen.leaving()});
+        }
+    }
+    self.m_members = std::move(group);
+    self.m_exchange.set_peers(peers);
+}
+
+auto apply_desired(daemon& self) -> void {
+    const auto* const group = ticket::find(self.m_desired, "group:" + self.m_settings.m_backend.m_group);
+    const auto* const own = ticket::find(self.m_desired, "instance:" + self.m_settings.m_instance);
+    if (group == nullptr && own == nullptr) {
+        return;
+    }
+    target wanted{};
+    if (group != nullptr) {
+        wanted.m_version = {
+            group->m_state.m_model, group->m_state.m_manifest, {}, group->m_state.m_adapter, group->m_state.m_role};
+        wanted.m_ticket = group->m_ticket;
+        wanted.m_group_ticket = group->m_ticket;
+        wanted.m_traffic = group->m_state.m_traffic;
+    }
+    if (own != nullptr) {
+        wanted.m_ticket = std::max(wanted.m_ticket, own->m_ticket);
+        wanted.m_traffic = wanted.m_traffic && own->m_state.m_traffic;
+    }
+    if (want(self.m_gate, wanted)) {
+        self.m_is_ready = false;
+        activate(self);
+    }
+}
+
+auto report(daemon& self) -> void {
+    if (self.m_sequence == 0) {
+        internal::send_hello(self);
+    }
+    auto message = envelope(self);
+    auto& out = *message.mutable_report();
+    out.set_sequence(++self.m_sequence);
+    const auto shown = self.m_is_stopping ? phase::draining : self.m_gate.m_phase;
+    out.set_phase(static_cast<wire::Phase>(shown));
+    internal::fill_place(self, out);
+    internal::fill_version(self, out);
+    internal::fill_load(self, out);
+    internal::fill_fetch(self, out);
+    self.m_engine.m_cached_prefixes.clear();
+    self.m_reported = self.m_gate.m_phase;
+    send_to_entries(self, message);
+    internal::send_in_force(self);
+}
+
+auto on_frame(daemon& self, const std::string_view peer, const std::string_view bytes) -> void {
+    wire::Envelope message{};
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        self.m_counters.add("agent_frames_dropped_total", 1.0, "malformed_frame");
+        return;
+    }
+    if (message.protocol() != protocol_version) {
+        self.m_counters.add("agent_frames_dropped_total", 1.0, "wrong_protocol");
+        return;
+    }
+    switch (message.body_case()) {
+    case wire::Envelope::kDispatch:
+        return on_dispatch(self, peer, message);
+    case wire::Envelope::kCancel:
+        return on_cancel(self, peer, message);
+    case wire::Envelope::kStatePush:
+        return internal::take_state(self, peer, message.state_push());
+    case wire::Envelope::kStateDigest:
+        return internal::compare_state(self, peer, message.state_digest());
+    case wire::Envelope::kStatePull:
+        return internal::give_state(self, peer);
+    case wire::Envelope::kMembers:
+        return internal::take_members(self, peer, message.members());
+    case wire::Envelope::kHaveMap:
+        return self.m_exchange.on_message(peer, message);
+    case wire::Envelope::kHello:
+        internal::send_hello(self);
+        return report(self);
+    default:
+        self.m_counters.add("agent_frames_dropped_total", 1.0, "unexpected");
+    }
+}
+
+} // namespace rhubarbwharf::agent
--- /dev/null
+++ b/src/agent/daemon.cpp
@@ -0,0 +1,154 @@
+#include <agent/daemon.hpp>
+
+#include <algorithm>
+#include <random>
+
+#include <rhubarbwharf/net/log.hpp>
+
+namespace rhubarbwharf::agent {
+
+namespace internal {
+
+constexpr duration activate_period = std::chrono::milliseconds{50};
+constexpr std::uint32_t bulk_body_bytes = 4096;
+constexpr unsigned word_bits = 32;
+
+[[nodiscard]] auto draw_incarnation() -> std::uint64_t {
+    std::random_device device{};
+    return (std::uint64_t{device()} << word_bits) | device();
+}
+
+[[nodiscard]] auto bus_limits_of(const config::limit_settings& limits) -> net::bus_limits {
+    return {limits.m_message_bytes, static_cast<int>(limits.m_queue_messages)};
+}
+
+[[nodiscard]] auto http_limits_of(const config::limit_settings& limits, const std::uint32_t body_bytes)
+    -> net::http_limits {
+    net::http_limits chosen{};
+    chosen.m_header_bytes = limits.m_header_bytes;
+    chosen.m_body_bytes = body_bytes;
+    chosen.m_connections = limits.m_connections;
+    chosen.m_request_time = std::chrono::milliseconds{limits.m_request_ms};
+    chosen.m_idle_time = std::chrono::milliseconds{limits.m_idle_ms};
+    chosen.m_send_queue_bytes = limits.m_send_queue_bytes;
+    return chosen;
+}
+
+[[nodiscard]] auto client_settings_of(const config::platform_settings& settings) -> platform::client_settings {
+    platform::client_settings chosen{};
+    for (const auto& address : settings.m_addresses) {
+        if (const auto server = net::parse_endpoint(address)) {
+            chosen.m_servers.push_back(*server);
+        }
+    }
+    chosen.m_reads_per_second = settings.m_reads_per_second;
+    chosen.m_writes_per_second = settings.m_writes_per_second;
+    chosen.m_call_time = std::chrono::milliseconds{settings.m_call_ms};
+    return chosen;
+}
+
+auto connect_entries(daemon& self) -> void {
+    for (const auto& entry : self.m_settings.m_entries) {
+        if (const auto where = net::parse_endpoint(entry.m_bus)) {
+            self.m_bus.connect(entry.m_instance, *where);
+        }
+    }
+}
+
+[[nodiscard]] auto listen(daemon& self) -> code {
+    const auto& addresses = self.m_settings.m_listen;
+    const auto bus = net::parse_endpoint(addresses.m_bus);
+    const auto bulk = net::parse_endpoint(addresses.m_bulk);
+    const auto admin = net::parse_endpoint(addresses.m_admin);
+    if (!bus || !bulk || !admin) {
+        return code::settings_range;
+    }
+    for (const auto outcome : {self.m_bus.listen(*bus), self.m_bulk.listen(*bulk), self.m_admin.listen(*admin)}) {
+        if (outcome != code::ok) {
+            return outcome;
+        }
+    }
+    return code::ok;
+}
+
+} // namespace internal
+
+daemon::daemon(const config::settings& settings)
+    : m_settings{settings},
+      m_incarnation{internal::draw_incarnation()}, m_http{m_loop}, m_bus{m_loop, settings.m_instance,
+                                                                         internal::bus_limits_of(settings.m_limits),
+                                                                         [this](const auto peer, const auto bytes) {
+                                                                             on_frame(*this, peer, bytes);
+                                                                         }},
+      m_platform{m_loop, m_http, internal::client_settings_of(settings.m_platform)},
+      m_exchange{m_loop,
+                 m_http,
+                 m_counters,
+                 m_settings,
+                 [this](const auto peer, const auto& message) {
+                     auto framed = message;
+                     framed.set_protocol(protocol_version);
+                     framed.set_incarnation(m_incarnation);
+                     send(*this, peer, framed);
+                 },
+                 [this](const digest&) {
+                     activate(*this);
+                 }},
+      m_bulk{m_loop, internal::http_limits_of(settings.m_limits, internal::bulk_body_bytes),
+             [this](auto request, auto answer) {
+                 m_exchange.serve(std::move(request), std::move(answer));
+             }},
+      m_admin{m_loop, internal::http_limits_of(settings.m_limits, settings.m_limits.m_body_bytes),
+              [this](const auto& request, const auto& answer) {
+                  serve_admin(*this, request, *answer);
+              }} {
+    m_backend = net::parse_endpoint(settings.m_backend.m_address).value_or(net::endpoint{});
+    m_gate.m_plain_service = settings.m_backend.m_plain_service;
+    m_admission.m_capacity = settings.m_backend.m_capacity;
+    m_admission.m_queue_limit = settings.m_backend.m_queue;
+}
+
+auto envelope(const daemon& self) -> wire::Envelope {
+    wire::Envelope message{};
+    message.set_protocol(protocol_version);
+    message.set_incarnation(self.m_incarnation);
+    return message;
+}
+
+auto send(daemon& self, const std::string_view peer, const wire::Envelope& message) -> bool {
+    const auto outcome = self.m_bus.send(peer, message.SerializeAsString());
+    if (outcome != code::ok) {
+        self.m_counters.add("agent_sends_failed_total", 1.0, describe(outcome).m_name);
+    }
+    return outcome == code::ok;
+}
+
+auto send_to_entries(daemon& self, const wire::Envelope& message) -> void {
+    const auto bytes = message.SerializeAsString();
+    for (const auto& entry : self.m_settings.m_entries) {
+        if (self.m_bus.send(entry.m_instance, bytes) != code::ok) {
+            self.m_counters.add("agent_sends_failed_total", 1.0, "to_entries");
+        }
+    }
+}
+
+auto start(daemon& self) -> code {
+    const auto outcome = internal::listen(self);
+    if (outcome != code::ok) {
+        return outcome;
+    }
+    internal::connect_entries(self);
+    take_epoch(self);
+    send_probe(self);
+    self.m_loop.every(std::chrono::milliseconds{self.m_settings.m_backend.m_probe_ms}, [&self] { send_probe(self); });
+    self.m_loop.every(std::chrono::milliseconds{self.m_settings.m_routing.m_report_ms}, [&self] { report(self); });
+    self.m_loop.every(internal::activate_period, [&self] {
+        activate(self);
+        serve_queue(self);
+    });
+    self.m_loop.on_stop_signal([&self](const int signals) { stop(self, signals); });
+    report(self);
+    return code::ok;
+}
+
+} // namespace rhubarbwharf::agent
