--- /dev/null
+++ b/app/rhubarbwharf-standin/tokens.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <boost/json.hpp>
+
+#include <rhubarbwharf/core/digest.hpp>
+
+namespace rhubarbwharf::standin {
+
+/*! @brief Digits of the content digest that an answer carries as its `system_fingerprint`. */
+inline constexpr std::size_t fingerprint_digits = 16;
+
+/*! @brief Tokens of an answer where the request sets no `max_tokens`. */
+inline constexpr std::uint32_t default_tokens = 16;
+
+/**
+ * @brief Returns the prompt of a request: `prompt`, or the contents of all `messages` with line feeds between.
+ * @param request The request's JSON.
+ * @return The prompt.
+ */
+[[nodiscard]] inline auto prompt_of(const boost::json::object& request) -> std::string {
+    if (const auto* prompt = request.if_contains("prompt"); prompt != nullptr && prompt->is_string()) {
+        return std::string{prompt->get_string()};
+    }
+    std::string text{};
+    const auto* messages = request.if_contains("messages");
+    if (messages == nullptr || !messages->is_array()) {
+        return text;
+    }
+    for (const auto& message : messages->get_array()) {
+        const auto* content = message.is_object() ? message.get_object().if_contains("content") : nullptr;
+        if (content != nullptr && content->is_string()) {
+            text.append(text.empty() ? "" : "\n").append(content->get_string());
+        }
+    }
+    return text;
+}
+
+/**
+ * @brief Returns one token of an answer.
+ * @param prompt The prompt.
+ * @param fingerprint The first digits of the digest of the content that is loaded.
+ * @param index Index of the token in the answer, from 0.
+ * @return The token, with a blank at its end.
+ */
+[[nodiscard]] inline auto token_at(const std::string_view prompt, const std::string_view fingerprint,
+                                   const std::uint64_t index) -> std::string {
+    constexpr std::string_view letters = "bcdfghjklmnpqrst";
+    constexpr auto length = 5;
+    auto value = mix(mix(stable_hash(prompt), stable_hash(fingerprint)), index);
+    std::string token{};
+    for (auto place = 0; place < length; ++place) {
+        token.push_back(letters[value & 0x0fU]);
+        value >>= 4U;
+    }
+    token.push_back(' ');
+    return token;
+}
+
+} // namespace rhubarbwharf::standin
