--- /dev/null
+++ b/test/process/process.cpp
@@ -0,0 +1,201 @@
+#include "process.hpp"
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace rhubarbwharf::process {
+
+namespace internal {
+
+constexpr std::chrono::milliseconds poll_period{20};
+constexpr auto still_running = 1000;
+
+[[nodiscard]] auto spawn(const std::string& program, const std::vector<std::string>& words, const std::string& log)
+    -> pid_t {
+    std::vector<std::string> copies{program};
+    copies.insert(copies.end(), words.begin(), words.end());
+    std::vector<char*> pointers{};
+    pointers.reserve(copies.size() + 1U);
+    for (auto& word : copies) {
+        pointers.push_back(word.data());
+    }
+    pointers.push_back(nullptr);
+    posix_spawn_file_actions_t actions{};
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    pid_t pid{};
+    const auto failed = posix_spawn(&pid, program.c_str(), &actions, nullptr, pointers.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failed != 0) {
+        throw std::runtime_error{"can't start " + program};
+    }
+    return pid;
+}
+
+} // namespace internal
+
+auto wait_until(const std::function<bool()>& holds) -> bool {
+    const auto end = std::chrono::steady_clock::now() + longest_wait;
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(internal::poll_period);
+    }
+    return true;
+}
+
+folder::folder() {
+    auto pattern = (std::filesystem::temp_directory_path() / "rhubarbwharf-test-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error{"can't make a folder"};
+    }
+    m_path = pattern;
+}
+
+folder::~folder() {
+    if (std::getenv("RHUBARBWHARF_KEEP") != nullptr) {
+        return;
+    }
+    std::error_code ignored{};
+    std::filesystem::remove_all(m_path, ignored);
+}
+
+auto folder::path(const std::string_view name) const -> std::string {
+    return (m_path / name).string();
+}
+
+auto folder::write(const std::string_view name, const std::string_view text) const -> std::string {
+    std::ofstream{path(name)} << text;
+    return path(name);
+}
+
+child::child(const std::string& program, const std::vector<std::string>& words, std::string log)
+    : m_log{std::move(log)}, m_pid{internal::spawn(program, words, m_log)} {}
+
+child::~child() {
+    if (is_running()) {
+        send(SIGCONT);
+        send(SIGKILL);
+        waitpid(m_pid, &m_status, 0);
+    }
+}
+
+auto child::send(const int signal) const -> void {
+    if (!m_ended) {
+        kill(m_pid, signal);
+    }
+}
+
+auto child::is_running() -> bool {
+    if (!m_ended) {
+        m_ended = waitpid(m_pid, &m_status, WNOHANG) == m_pid;
+    }
+    return !m_ended;
+}
+
+auto child::wait() -> int {
+    if (!wait_until([this] { return !is_running(); })) {
+        return internal::still_running;
+    }
+    return WIFEXITED(m_status) ? WEXITSTATUS(m_status) : -WTERMSIG(m_status);
+}
+
+auto child::output() const -> std::string {
+    std::ostringstream text{};
+    text << std::ifstream{m_log}.rdbuf();
+    return text.str();
+}
+
+auto child::where() const -> net::endpoint {
+    constexpr std::string_view mark = "listening ";
+    std::string line{};
+    const auto found = wait_until([this, &line, mark] {
+        const auto text = output();
+        const auto place = text.rfind(mark);
+        const auto end = place == std::string::npos ? place : text.find('\n', place);
+        if (end == std::string::npos) {
+            return false;
+        }
+        line = text.substr(place + mark.size(), end - place - mark.size());
+        return true;
+    });
+    if (!found) {
+        throw std::runtime_error{"a child does not listen: " + output()};
+    }
+    return net::parse_endpoint(line).value();
+}
+
+caller::caller()
+    : m_thread{[this] {
+          m_loop.run();
+      }} {}
+
+caller::~caller() {
+    m_loop.stop();
+    m_thread.join();
+}
+
+auto caller::start(const net::endpoint& server, net::http_request request) -> std::future<answer> {
+    const auto promised = std::make_shared<std::promise<answer>>();
+    m_loop.post([this, server, request = std::move(request), promised] {
+        net::call_limits limits{};
+        limits.m_total_time = longest_wait;
+        limits.m_idle_time = longest_wait;
+        m_http.fetch(server, request, limits, [promised](const net::call_end& end, net::http_response response) {
+            promised->set_value({end, std::move(response)});
+        });
+    });
+    return promised->get_future();
+}
+
+auto caller::get(const net::endpoint& server, const std::string_view target) -> answer {
+    net::http_request request{};
+    request.m_target = target;
+    return start(server, std::move(request)).get();
+}
+
+auto caller::post(const net::endpoint& server, const std::string_view target, const std::string_view body,
+                  std::vector<net::header> headers) -> answer {
+    net::http_request request{};
+    request.m_method = "POST";
+    request.m_target = target;
+    request.m_body = body;
+    request.m_headers = std::move(headers);
+    return start(server, std::move(request)).get();
+}
+
+auto free_port() -> std::uint16_t {
+    const auto socket_number = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const general = reinterpret_cast<sockaddr*>(&address);
+    const auto bound = ::bind(socket_number, general, size) == 0 && ::getsockname(socket_number, general, &size) == 0;
+    ::close(socket_number);
+    if (!bound) {
+        throw std::runtime_error{"no port is free"};
+    }
+    return ntohs(address.sin_port);
+}
+
+auto program_path(const std::string_view name) -> std::string {
+    const auto* const bin = std::getenv("RHUBARBWHARF_BIN");
+    return (std::filesystem::path{bin == nullptr ? "." : bin} / name).string();
+}
+
+} // namespace rhubarbwharf::process
