--- a/include/rhubarbwharf/platform/client.hpp
+++ b/include/rhubarbwharf/platform/client.hpp
@@ -46,6 +46,8 @@
     double m_reads_per_second{20.0};
     double m_writes_per_second{10.0};
     duration m_call_time{std::chrono::seconds{2}};
+    /*! @brief Seed of the jitter and of the first server; 0 draws one. */
+    std::uint64_t m_seed{};
 };
 
 /*! @brief Calls made so far, by kind. */
--- a/test/net/fixture.hpp
+++ b/test/net/fixture.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 
+#include <rhubarbwharf/core/assert.hpp>
 #include <rhubarbwharf/net/http.hpp>
 #include <rhubarbwharf/net/loop.hpp>
 
@@ -15,6 +16,11 @@
     return {local_address, port};
 }
 
+/*! @brief Makes a server listen on a free port of this machine. @param server The server. */
+inline auto ensure_listening(http_server& server) -> void {
+    ensure(server.listen(local(0U)) == code::ok, "a test's server listens");
+}
+
 /**
  * @brief Runs a loop until a condition holds.
  * @param owner The loop.
