--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -1,3 +1,5 @@
+#include <netinet/tcp.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
@@ -15,6 +17,22 @@
 
 namespace {
 
+constexpr int keep_idle_seconds = 5;
+constexpr int keep_interval_seconds = 2;
+constexpr int keep_probes = 3;
+
+/*! @brief Sends parts at once, and has the kernel find out about a server that has gone silently. */
+auto prepare(tcp_socket& socket) -> void {
+    boost::system::error_code ignored{};
+    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    socket.set_option(asio::socket_base::keep_alive{true}, ignored);
+    const auto handle = socket.native_handle();
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &keep_idle_seconds, sizeof(int));
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keep_interval_seconds, sizeof(int));
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &keep_probes, sizeof(int));
+    socket.non_blocking(true, ignored);
+}
+
 auto append_request(out_buffer& out, const endpoint& server, http_request&& request) -> void {
     http::request<http::empty_body> message{};
     message.version(http_1_1);
@@ -79,9 +97,7 @@
             self->end(code::connection_failed);
             return;
         }
-        boost::system::error_code ignored{};
-        on->m_socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-        on->m_socket.non_blocking(true, ignored);
+        prepare(on->m_socket);
         self->begin(on, false);
     });
 }
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -15,15 +15,18 @@
     return std::mt19937_64{seed != 0U ? seed : std::random_device{}()};
 }
 
+[[nodiscard]] auto first_server(std::mt19937_64& random, const std::size_t count) -> std::size_t {
+    ensure(count > 0U, "the platform's service has a server");
+    return random() % count;
+}
+
 } // namespace
 
 service::service(net::loop& owner, net::http_client& http, client_settings settings)
     : m_loop{owner}, m_http{http}, m_settings{std::move(settings)}, m_random{make_random(m_settings.m_seed)},
-      m_reads{make_bucket(m_settings.m_reads_per_second, steady_now())}, m_writes{
-                                                                             make_bucket(m_settings.m_writes_per_second,
-                                                                                         steady_now())} {
-    ensure(!m_settings.m_servers.empty(), "the platform's service has a server");
-    m_server = m_random() % m_settings.m_servers.size();
+      m_reads{make_bucket(m_settings.m_reads_per_second, steady_now())},
+      m_writes{make_bucket(m_settings.m_writes_per_second, steady_now())}, m_server{first_server(
+                                                                               m_random, m_settings.m_servers.size())} {
 }
 
 auto service::server() const -> const net::endpoint& {
--- a/test/net/bus.cpp
+++ b/test/net/bus.cpp
@@ -2,7 +2,7 @@
 
 #include <rhubarbwharf/net/bus.hpp>
 
-#include "net/fixture.hpp"
+#include "net/raw.hpp"
 
 using namespace rhubarbwharf;
 using namespace rhubarbwharf::net;
@@ -72,3 +72,93 @@
     REQUIRE(run_until(
         owner, [&] { return at_second.m_messages.size() == messages + 1U && at_first.m_messages.size() == messages; }));
 }
+
+TEST_CASE("a peer that is replaced gets the messages sent from then on") {
+    loop owner{};
+    received at_first{};
+    received at_old{};
+    received at_new{};
+    bus first{owner, "first", {}, at_first.handler()};
+    auto old = std::make_unique<bus>(owner, "second", bus_limits{}, at_old.handler());
+    REQUIRE(old->listen(local(0U)) == code::ok);
+    first.connect("second", local(old->port()));
+    REQUIRE(first.send("second", "to the old one") == code::ok);
+    REQUIRE(run_until(owner, [&] { return at_old.m_messages.size() == 1U; }));
+    old.reset();
+    REQUIRE(run_until(owner, [&] { return first.send("second", "to nobody") == code::connection_failed; }));
+    bus replaced{owner, "second", {}, at_new.handler()};
+    REQUIRE(replaced.listen(local(0U)) == code::ok);
+    first.connect("second", local(replaced.port()));
+    REQUIRE(first.send("second", "to the new one") == code::ok);
+    REQUIRE(run_until(owner, [&] { return at_new.m_messages.size() == 1U; }));
+    CHECK(at_new.m_messages[0U].second == "to the new one");
+}
+
+TEST_CASE("a peer that comes back at its address is reached again, also by the listening side") {
+    loop owner{};
+    received at_first{};
+    received at_second{};
+    auto first = std::make_unique<bus>(owner, "first", bus_limits{}, at_first.handler());
+    auto second = std::make_unique<bus>(owner, "second", bus_limits{}, at_second.handler());
+    REQUIRE(second->listen(local(0U)) == code::ok);
+    const auto where = local(second->port());
+    for (auto round = 1U; round <= 5U; ++round) {
+        first->connect("second", where);
+        REQUIRE(first->send("second", "hello") == code::ok);
+        REQUIRE(run_until(owner, [&] { return at_second.m_messages.size() == round; }));
+        REQUIRE(second->send("first", "back") == code::ok);
+        REQUIRE(run_until(owner, [&] { return at_first.m_messages.size() == round; }));
+        first = std::make_unique<bus>(owner, "first", bus_limits{}, at_first.handler());
+    }
+    first->connect("second", where);
+    REQUIRE(first->send("second", "hello") == code::ok);
+    second.reset();
+    REQUIRE(run_until(owner, [&] { return first->send("second", "lost") == code::connection_failed; }));
+    second = std::make_unique<bus>(owner, "second", bus_limits{}, at_second.handler());
+    REQUIRE(run_until(owner, [&] { return second->listen(where) == code::ok; }));
+    const auto before = at_second.m_messages.size();
+    REQUIRE(run_until(owner, [&] { return first->send("second", "again") == code::ok; }));
+    REQUIRE(run_until(owner, [&] { return at_second.m_messages.size() > before; }));
+    CHECK(at_second.m_messages.back().second == "again");
+}
+
+TEST_CASE("connections by turns to the same peer neither stop the process nor lose the last one") {
+    loop owner{};
+    received at_first{};
+    received at_second{};
+    bus first{owner, "first", {}, at_first.handler()};
+    bus second{owner, "second", {}, at_second.handler()};
+    REQUIRE(second.listen(local(0U)) == code::ok);
+    for (auto round = 0; round < 50; ++round) {
+        first.connect("second", local(second.port()));
+        first.disconnect("second");
+        first.connect("other name", local(second.port()));
+    }
+    first.connect("second", local(second.port()));
+    REQUIRE(first.send("second", "hello") == code::ok);
+    REQUIRE(run_until(owner, [&] { return !at_second.m_messages.empty(); }));
+}
+
+TEST_CASE("foreign bytes and messages over the limit reach nobody, and others go on") {
+    loop owner{};
+    received at_first{};
+    received at_second{};
+    bus_limits limits{};
+    limits.m_message_bytes = 1'000U;
+    bus first{owner, "first", {}, at_first.handler()};
+    bus second{owner, "second", limits, at_second.handler()};
+    REQUIRE(second.listen(local(0U)) == code::ok);
+    raw_connection foreign{owner, second.port()};
+    foreign.read();
+    foreign.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(100U, '\xff'));
+    REQUIRE(run_until(owner, [&] { return foreign.m_ended; }));
+    first.connect("second", local(second.port()));
+    REQUIRE(first.send("second", "small") == code::ok);
+    REQUIRE(run_until(owner, [&] { return at_second.m_messages.size() == 1U; }));
+    REQUIRE(first.send("second", std::string(2'000U, 'x')) == code::ok);
+    REQUIRE(run_until(owner, [&] {
+        static_cast<void>(first.send("second", "later"));
+        return at_second.m_messages.size() > 1U;
+    }));
+    CHECK(at_second.m_messages[1U].second == "later");
+}
