--- a/test/net/limits.cpp
+++ b/test/net/limits.cpp
@@ -11,7 +11,7 @@
 /*! @brief Server that counts requests and echoes their bodies. */
 struct counted_server {
     explicit counted_server(const http_limits& limits = {})
-        : m_server{m_loop, limits, [this](http_request request, const std::shared_ptr<responder>& answer) {
+        : m_server{m_loop, limits, [this](const http_request& request, const std::shared_ptr<responder>& answer) {
                        ++m_requests;
                        answer->respond({200U, {}, "got:" + request.m_body});
                    }} {
