--- /dev/null
+++ b/src/distribution/links.cpp
@@ -0,0 +1,173 @@
+#include <algorithm>
+#include <bit>
+
+#include "distribution/tables.hpp"
+
+namespace rhubarbwharf::distribution::internal {
+
+namespace {
+
+/*! @brief What one link may choose from. */
+struct choice {
+    /*! @brief Chunks that are in the own region, on their way there, held here or being fetched here. */
+    std::vector<bit_set::word_type> m_taken{};
+    /*! @brief Chunks that a ready source at the far end holds. */
+    std::vector<bit_set::word_type> m_offered{};
+    std::uint32_t m_position{};
+};
+
+auto merge(std::vector<bit_set::word_type>& into, const bit_set& set) -> void {
+    const auto words = set.words();
+    for (std::size_t index = 0; index < words.size(); ++index) {
+        into[index] |= words[index];
+    }
+}
+
+auto merge(std::vector<bit_set::word_type>& into, const std::uint32_t chunk) -> void {
+    if (chunk / bit_set::word_bits < into.size()) {
+        into[chunk / bit_set::word_bits] |= bit_set::word_type{1} << (chunk % bit_set::word_bits);
+    }
+}
+
+[[nodiscard]] auto is_stalled(const source_row& row, const policy& rules, const time_point now) -> bool {
+    const auto stuck = !row.m_claims.empty() && now - row.m_claimed > rules.m_fetch_time;
+    return !row.m_live || stuck || now - row.m_heard > rules.m_silence;
+}
+
+/*! @brief Returns how many instances of higher rank use the link. */
+[[nodiscard]] auto position(swarm& state, const link_row& link, const policy& rules, const time_point now)
+    -> std::uint32_t {
+    std::uint32_t before = 0;
+    for (const auto candidate : link.m_candidates) {
+        if (candidate == state.m_self) {
+            break;
+        }
+        const auto* const row = find_row(state, candidate);
+        before += row != nullptr && !is_stalled(*row, rules, now) ? 1U : 0U;
+    }
+    return before;
+}
+
+[[nodiscard]] auto taken(const swarm& state, const link_row& link, const policy& rules, const time_point now)
+    -> std::vector<bit_set::word_type> {
+    std::vector<bit_set::word_type> words(state.m_held.words().size());
+    merge(words, state.m_held);
+    merge(words, state.m_fetching);
+    for (const auto& row : state.m_sources) {
+        if (row.m_region != state.m_region || !row.m_live) {
+            continue;
+        }
+        if (link.m_lane == 0U) {
+            merge(words, row.m_held);
+        }
+        if (now - row.m_claimed <= rules.m_fetch_time && now - row.m_heard <= rules.m_silence) {
+            std::ranges::for_each(row.m_claims, [&words](const std::uint32_t chunk) { merge(words, chunk); });
+        }
+    }
+    return words;
+}
+
+[[nodiscard]] auto offered(const swarm& state, const link_row& link, const time_point now)
+    -> std::vector<bit_set::word_type> {
+    std::vector<bit_set::word_type> words(state.m_held.words().size(), link.m_direct ? ~bit_set::word_type{0} : 0U);
+    for (const auto& row : state.m_sources) {
+        if (!link.m_direct && row.m_region == link.m_from && is_ready(row, now)) {
+            merge(words, row.m_held);
+        }
+    }
+    return words;
+}
+
+/*! @brief Tells whether this instance's part of this link brings the chunk into the region. */
+[[nodiscard]] auto is_assigned(const swarm& state, const link_row& link, const std::uint32_t chunk,
+                               const std::uint32_t position) -> bool {
+    const auto regions = static_cast<std::uint32_t>(state.m_remote_regions.size());
+    if (state.m_region == state.m_origin_region || regions == 0U) {
+        return (chunk + link.m_lane) % link.m_width == position;
+    }
+    const auto owner = state.m_remote_regions[chunk % regions];
+    const auto from = owner == state.m_region ? state.m_origin_region : owner;
+    return from == link.m_from && chunk / regions % link.m_width == position;
+}
+
+/*! @brief Chooses the chunk of the fewest copies; the first of them for assigned ones, else the last. */
+[[nodiscard]] auto choose(const swarm& state, const link_row& link, const choice& from, const bool assigned)
+    -> std::optional<std::uint32_t> {
+    std::optional<std::uint32_t> best{};
+    for (std::uint32_t index = 0; index < from.m_taken.size(); ++index) {
+        for (auto word = from.m_offered[index] & ~from.m_taken[index]; word != 0U; word &= word - 1U) {
+            const auto chunk = index * bit_set::word_bits + static_cast<std::uint32_t>(std::countr_zero(word));
+            if (chunk >= state.m_held.size() || (assigned && !is_assigned(state, link, chunk, from.m_position))) {
+                continue;
+            }
+            if (!best || state.m_copies[chunk] < state.m_copies[*best] ||
+                (!assigned && state.m_copies[chunk] == state.m_copies[*best])) {
+                best = chunk;
+            }
+        }
+    }
+    return best;
+}
+
+[[nodiscard]] auto choose_source(const swarm& state, const link_row& link, const std::uint32_t chunk,
+                                 const time_point now, random_bits& bits) -> instance_id {
+    if (link.m_direct) {
+        return origin;
+    }
+    const source_row* best = nullptr;
+    std::uint64_t best_key = 0;
+    constexpr std::uint32_t random_shift = 32U;
+    for (const auto& row : state.m_sources) {
+        if (row.m_region != link.m_from || !is_ready(row, now) || !row.m_held.contains(chunk)) {
+            continue;
+        }
+        const auto key = (std::uint64_t{row.m_fetches} << random_shift) | next(bits) >> random_shift;
+        if (best == nullptr || key < best_key) {
+            best = &row;
+            best_key = key;
+        }
+    }
+    return best->m_instance;
+}
+
+auto plan_link(swarm& state, const std::uint32_t place, const policy& rules, const time_point now, random_bits& bits,
+               std::vector<command>& commands) -> void {
+    auto& link = state.m_links[place];
+    if (link.m_fetches >= rules.m_link_parallel || now < link.m_wait_until) {
+        return;
+    }
+    choice from{};
+    from.m_position = position(state, link, rules, now);
+    if (from.m_position >= link.m_width) {
+        link.m_idle_since = now;
+        return;
+    }
+    from.m_taken = taken(state, link, rules, now);
+    from.m_offered = offered(state, link, now);
+    const auto may_steal = link.m_lane == 0U && now - link.m_idle_since >= rules.m_steal_time;
+    while (link.m_fetches < rules.m_link_parallel) {
+        auto chunk = choose(state, link, from, true);
+        if (!chunk && may_steal) {
+            chunk = choose(state, link, from, false);
+        }
+        if (!chunk) {
+            return;
+        }
+        merge(from.m_taken, *chunk);
+        start(state, *chunk, choose_source(state, link, *chunk, now, bits), place, now, commands);
+    }
+}
+
+} // namespace
+
+auto plan_links(swarm& state, const policy& rules, const time_point now, random_bits& bits,
+                std::vector<command>& commands) -> void {
+    for (std::uint32_t place = 0; place < state.m_links.size(); ++place) {
+        if (state.m_links[place].m_fetches > 0U) {
+            state.m_links[place].m_idle_since = now;
+        }
+        plan_link(state, place, rules, now, bits, commands);
+    }
+}
+
+} // namespace rhubarbwharf::distribution::internal
--- /dev/null
+++ b/src/distribution/tables.cpp
@@ -0,0 +1,216 @@
+#include <algorithm>
+
+#include <rhubarbwharf/core/assert.hpp>
+#include <rhubarbwharf/core/digest.hpp>
+
+#include "distribution/tables.hpp"
+
+namespace rhubarbwharf::distribution {
+
+namespace internal {
+
+auto next(random_bits& bits) -> std::uint64_t {
+    return mix(bits.m_seed, bits.m_count++);
+}
+
+auto row_of(swarm& state, const instance_id instance, const region_id region, const time_point now) -> source_row& {
+    if (state.m_rows.size() <= instance.value()) {
+        state.m_rows.resize(instance.value() + 1U, no_row);
+    }
+    auto& place = state.m_rows[instance.value()];
+    if (place == no_row) {
+        place = static_cast<std::uint32_t>(state.m_sources.size());
+        auto& row = state.m_sources.emplace_back();
+        row.m_instance = instance;
+        row.m_region = region;
+        row.m_held = bit_set{state.m_held.size()};
+        row.m_heard = now;
+        row.m_claimed = now;
+    }
+    return state.m_sources[place];
+}
+
+auto find_row(swarm& state, const instance_id instance) -> source_row* {
+    if (instance.value() >= state.m_rows.size() || state.m_rows[instance.value()] == no_row) {
+        return nullptr;
+    }
+    return &state.m_sources[state.m_rows[instance.value()]];
+}
+
+auto is_ready(const source_row& row, const time_point now) -> bool {
+    return row.m_live && now >= row.m_busy_until && now >= row.m_avoid_until && row.m_held.count() > 0U;
+}
+
+auto start(swarm& state, const std::uint32_t chunk, const instance_id source, const std::optional<std::uint32_t> link,
+           const time_point now, std::vector<command>& commands) -> void {
+    ensure(!state.m_held.contains(chunk), "a chunk that is held is not fetched again");
+    ensure(state.m_fetching.emplace(chunk), "a chunk has at most one fetch under way");
+    if (auto* const row = find_row(state, source); row != nullptr) {
+        ++row->m_fetches;
+    }
+    command issued{command_kind::fetch, source, chunk, state.m_next_attempt, std::nullopt, 1U};
+    if (link) {
+        auto& used = state.m_links[*link];
+        ++used.m_fetches;
+        used.m_idle_since = now;
+        issued.m_link = used.m_from;
+        issued.m_width = used.m_width;
+        state.m_changed = now;
+    }
+    state.m_fetches.push_back({state.m_next_attempt, chunk, source, link, now});
+    ++state.m_next_attempt;
+    commands.push_back(issued);
+}
+
+auto remove(swarm& state, const std::size_t place) -> void {
+    const auto fetch = state.m_fetches[place];
+    state.m_fetches[place] = state.m_fetches.back();
+    state.m_fetches.pop_back();
+    state.m_fetching.erase(fetch.m_chunk);
+    if (auto* const row = find_row(state, fetch.m_source); row != nullptr) {
+        ensure(row->m_fetches > 0U, "each fetch is counted at its source");
+        --row->m_fetches;
+    }
+    if (fetch.m_link) {
+        auto& link = state.m_links[*fetch.m_link];
+        ensure(link.m_fetches > 0U, "each fetch over a link is counted there");
+        --link.m_fetches;
+    }
+}
+
+auto set_copies(swarm& state, const bit_set& before, const bit_set& after) -> void {
+    const auto old_words = before.words();
+    const auto new_words = after.words();
+    for (std::uint32_t index = 0; index < new_words.size(); ++index) {
+        for (auto changed = old_words[index] ^ new_words[index]; changed != 0U; changed &= changed - 1U) {
+            const auto bit = static_cast<std::uint32_t>(std::countr_zero(changed));
+            const auto added = (new_words[index] >> bit & 1U) != 0U;
+            auto& copies = state.m_copies[index * bit_set::word_bits + bit];
+            copies = static_cast<std::uint16_t>(added ? copies + 1 : copies - 1);
+        }
+    }
+}
+
+auto penalise(source_row& row, const duration base, const time_point now) -> void {
+    constexpr std::uint32_t max_doublings = 5;
+    row.m_avoid_until = now + base * (1U << std::min(row.m_failures, max_doublings));
+    ++row.m_failures;
+}
+
+auto blame(swarm& state, const fetch_row& fetch, const fetch_end end, const policy& rules, const time_point now)
+    -> void {
+    auto* const row = find_row(state, fetch.m_source);
+    if (row == nullptr) {
+        if (fetch.m_link) {
+            state.m_links[*fetch.m_link].m_wait_until = now + rules.m_avoid_time;
+        }
+        return;
+    }
+    switch (end) {
+    case fetch_end::verified:
+        row->m_failures = 0;
+        break;
+    case fetch_end::corrupt:
+        penalise(*row, rules.m_corrupt_time, now);
+        break;
+    case fetch_end::busy:
+        row->m_busy_until = now + rules.m_busy_time;
+        break;
+    case fetch_end::not_held:
+        if (row->m_held.erase(fetch.m_chunk) && row->m_region == state.m_region) {
+            --state.m_copies[fetch.m_chunk];
+        }
+        break;
+    case fetch_end::failed:
+        penalise(*row, rules.m_avoid_time, now);
+        break;
+    }
+}
+
+} // namespace internal
+
+auto make_swarm(const instance_id self, const std::uint64_t version_hash, bit_set held, const time_point now) -> swarm {
+    swarm state{};
+    state.m_self = self;
+    state.m_version_hash = version_hash;
+    state.m_fetching = bit_set{held.size()};
+    state.m_copies.resize(held.size());
+    state.m_held = std::move(held);
+    state.m_progress = now;
+    state.m_changed = now;
+    return state;
+}
+
+auto take_have(swarm& state, const instance_id from, const region_id region, const bit_set& held,
+               const std::span<const std::uint32_t> claimed, const time_point now) -> void {
+    if (held.size() != state.m_held.size() || from == state.m_self || from == origin) {
+        return;
+    }
+    auto& row = internal::row_of(state, from, region, now);
+    if (!row.m_live) {
+        return;
+    }
+    if (row.m_region == state.m_region) {
+        internal::set_copies(state, row.m_held, held);
+    }
+    row.m_held = held;
+    row.m_heard = now;
+    row.m_asked = !held.full();
+    if (!std::ranges::equal(row.m_claims, claimed)) {
+        row.m_claims.assign(claimed.begin(), claimed.end());
+        row.m_claimed = now;
+    }
+}
+
+auto take_chunk(swarm& state, const std::uint32_t chunk, const time_point now) -> void {
+    if (state.m_held.emplace(chunk)) {
+        state.m_progress = now;
+        state.m_changed = now;
+    }
+}
+
+auto take_end(swarm& state, const std::uint64_t attempt, const fetch_end end, const policy& rules, const time_point now)
+    -> void {
+    const auto found = std::ranges::find(state.m_fetches, attempt, &fetch_row::m_attempt);
+    if (found == state.m_fetches.end()) {
+        return;
+    }
+    const auto fetch = *found;
+    internal::remove(state, static_cast<std::size_t>(found - state.m_fetches.begin()));
+    if (end == fetch_end::verified) {
+        take_chunk(state, fetch.m_chunk, now);
+    } else if (fetch.m_link) {
+        state.m_changed = now;
+    }
+    internal::blame(state, fetch, end, rules, now);
+}
+
+auto begin_upload(swarm& state, const std::uint32_t chunk, const bool remote, const policy& rules) -> fetch_end {
+    if (!state.m_held.contains(chunk)) {
+        return fetch_end::not_held;
+    }
+    auto& uploads = remote ? state.m_link_uploads : state.m_uploads;
+    if (uploads >= (remote ? rules.m_link_uploads : rules.m_uploads)) {
+        return fetch_end::busy;
+    }
+    ++uploads;
+    return fetch_end::verified;
+}
+
+auto end_upload(swarm& state, const bool remote) -> void {
+    auto& uploads = remote ? state.m_link_uploads : state.m_uploads;
+    ensure(uploads > 0U, "each accepted upload is ended once");
+    --uploads;
+}
+
+auto claims(const swarm& state) -> std::vector<std::uint32_t> {
+    std::vector<std::uint32_t> chunks{};
+    for (const auto& fetch : state.m_fetches) {
+        if (fetch.m_link) {
+            chunks.push_back(fetch.m_chunk);
+        }
+    }
+    return chunks;
+}
+
+} // namespace rhubarbwharf::distribution
