Keep members by their reports and choose, queue, retry and hold back requests

Cause: the entry needs decisions that take time, random bits and messages as arguments before any socket is there. Change: membership (table by sequence and incarnation, leaving sticks until a new incarnation reports) and routing (choice, breaker, fair queue, attempts, retry budget, quarantine) as free functions over plain tables. Ruled out: ordering incarnations by number, since they are drawn at random; the replaced ones are remembered instead. Priorities across organisations, since one could then claim the highest for all it sends; they order one organisation's own.

--- a/include/rhubarbwharf/membership/fwd.hpp
+++ b/include/rhubarbwharf/membership/fwd.hpp
@@ -1,6 +1,19 @@
 #pragma once
 
+#include <cstdint>
+
 /**
  * @brief Who is live, leaving or suspected, as one process sees it.
  */
-namespace rhubarbwharf::membership {} // namespace rhubarbwharf::membership
+namespace rhubarbwharf::membership {
+
+enum class phase : std::uint8_t;
+enum class standing : std::uint8_t;
+enum class applied : std::uint8_t;
+struct owned_shard;
+struct report;
+struct member;
+struct limits;
+struct table;
+
+} // namespace rhubarbwharf::membership
--- /dev/null
+++ b/src/routing/attempt.cpp
@@ -0,0 +1,83 @@
+#include <algorithm>
+
+#include <rhubarbwharf/core/assert.hpp>
+#include <rhubarbwharf/routing/attempt.hpp>
+
+namespace rhubarbwharf::routing {
+
+namespace internal {
+
+[[nodiscard]] auto worth_retrying(const code value) noexcept -> bool {
+    switch (value) {
+    case code::no_backend_server:
+    case code::overloaded:
+    case code::draining:
+    case code::wrong_version:
+    case code::stale_ticket:
+    case code::cut_stream:
+    case code::backend_server_failed:
+    case code::not_owner:
+    case code::incomplete:
+    case code::connection_failed:
+    case code::timed_out:
+    case code::send_queue_full:
+        return true;
+    default:
+        return false;
+    }
+}
+
+[[nodiscard]] auto names_execution(const code value) noexcept -> bool {
+    return value >= code::key_missing && value <= code::in_progress;
+}
+
+[[nodiscard]] auto costs_work(const attempt_end& end) noexcept -> bool {
+    return !end.m_not_run || end.m_code == code::overloaded;
+}
+
+[[nodiscard]] auto may_repeat(const flight& state, const attempt_end& end) noexcept -> bool {
+    return end.m_not_run || !state.m_non_idempotent;
+}
+
+} // namespace internal
+
+auto earn(retry_budget& budget) noexcept -> void {
+    budget.m_tokens = std::min(budget.m_tokens + budget.m_ratio, budget.m_most);
+}
+
+auto pay(retry_budget& budget) noexcept -> bool {
+    if (budget.m_tokens < 1.0) {
+        return false;
+    }
+    budget.m_tokens -= 1.0;
+    return true;
+}
+
+auto give_up(const flight& state, const code why, const bool attempt_in_progress, const duration retry_after) noexcept
+    -> verdict {
+    const auto ran = state.m_maybe_ran || attempt_in_progress;
+    const auto hidden = ran && state.m_non_idempotent && !internal::names_execution(why);
+    return {step::refuse, hidden ? code::outcome_unknown : why, ran ? outcome::unknown : outcome::not_run,
+            hidden ? duration{} : retry_after};
+}
+
+auto after(flight& state, const attempt_end& end, retry_budget& budget, const time_point now,
+           const attempt_limits& limits) -> verdict {
+    if (end.m_code == code::ok) {
+        earn(budget);
+        return {step::finish, code::ok, outcome::unknown, {}};
+    }
+    state.m_maybe_ran = state.m_maybe_ran || !end.m_not_run;
+    const auto left = state.m_attempts < limits.m_max_attempts && now < state.m_deadline;
+    const auto resumable = !state.m_head_sent || state.m_stream;
+    if (left && resumable && internal::worth_retrying(end.m_code) && internal::may_repeat(state, end) &&
+        (!internal::costs_work(end) || pay(budget))) {
+        ensure(!state.m_non_idempotent || !state.m_maybe_ran,
+               "a non-idempotent call that may have run is not repeated");
+        return {state.m_head_sent ? step::resume : step::retry, end.m_code, outcome::unknown, {}};
+    }
+    const auto transient = internal::worth_retrying(end.m_code) && end.m_retry_after == duration{};
+    return give_up(state, end.m_code, false, transient ? retry_after_default : end.m_retry_after);
+}
+
+} // namespace rhubarbwharf::routing
--- /dev/null
+++ b/src/routing/choice.cpp
@@ -0,0 +1,153 @@
+#include <algorithm>
+
+#include <rhubarbwharf/core/assert.hpp>
+#include <rhubarbwharf/core/digest.hpp>
+#include <rhubarbwharf/routing/choice.hpp>
+
+namespace rhubarbwharf::routing {
+
+namespace internal {
+
+[[nodiscard]] auto slot(const std::uint64_t prefix) noexcept -> std::size_t {
+    return static_cast<std::size_t>(prefix % prefixes_kept);
+}
+
+[[nodiscard]] auto relative_load(const candidate& row) noexcept -> double {
+    return static_cast<double>(row.m_load + 1U) / static_cast<double>(std::max(row.m_capacity, 1U));
+}
+
+[[nodiscard]] auto mean_load(const std::span<const candidate> rows) noexcept -> double {
+    double loads = 1.0;
+    double capacities = 0.0;
+    for (const auto& row : rows) {
+        loads += row.m_load;
+        capacities += std::max(row.m_capacity, 1U);
+    }
+    return loads / std::max(capacities, 1.0);
+}
+
+[[nodiscard]] auto median_first_byte(const std::span<const candidate> rows) -> double {
+    std::vector<double> samples{};
+    for (const auto& row : rows) {
+        if (row.m_first_byte_s > 0.0) {
+            samples.push_back(row.m_first_byte_s);
+        }
+    }
+    if (samples.empty()) {
+        return 0.0;
+    }
+    const auto middle = samples.begin() + static_cast<std::ptrdiff_t>((samples.size() - 1U) / 2U);
+    std::ranges::nth_element(samples, middle);
+    return *middle;
+}
+
+[[nodiscard]] auto is_slow(const candidate& row, const double median, const choice_limits& limits) noexcept -> bool {
+    return median > 0.0 && row.m_first_byte_s > median * limits.m_slow_ratio;
+}
+
+[[nodiscard]] auto home(const std::span<const candidate> rows, const std::uint64_t prefix) noexcept -> std::size_t {
+    std::size_t best = 0;
+    std::uint64_t highest = 0;
+    for (std::size_t index = 0; index < rows.size(); ++index) {
+        const auto weight = mix(prefix, rows[index].m_instance.value());
+        if (weight >= highest) {
+            highest = weight;
+            best = index;
+        }
+    }
+    return best;
+}
+
+[[nodiscard]] auto best_holder(const std::span<const candidate> rows, const std::uint64_t prefix,
+                               const choice_limits& limits) noexcept -> std::optional<std::size_t> {
+    const auto bound = mean_load(rows) * limits.m_bounded_load;
+    const auto first = home(rows, prefix);
+    std::optional<std::size_t> best{};
+    for (std::size_t index = 0; index < rows.size(); ++index) {
+        const auto& row = rows[index];
+        if (!row.m_holds_prefix && index != first) {
+            continue;
+        }
+        const auto spare = row.m_load == 0U || relative_load(row) <= bound;
+        if (spare && (!best || relative_load(row) < relative_load(rows[*best]))) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+[[nodiscard]] auto better_of_two(const std::span<const candidate> rows, const std::uint64_t random) noexcept
+    -> std::size_t {
+    const auto count = rows.size();
+    const auto first = static_cast<std::size_t>(random % count);
+    if (count == 1U) {
+        return first;
+    }
+    const auto second = (first + 1U + static_cast<std::size_t>((random >> 32U) % (count - 1U))) % count;
+    return relative_load(rows[second]) < relative_load(rows[first]) ? second : first;
+}
+
+} // namespace internal
+
+auto load(const backend& row) noexcept -> std::uint32_t {
+    const auto corrected = static_cast<std::int64_t>(row.m_reported) + row.m_in_flight - row.m_in_flight_at_report;
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(corrected, row.m_in_flight));
+}
+
+auto refresh(backend& row, const std::uint32_t reported, const std::uint32_t capacity) noexcept -> void {
+    row.m_reported = reported;
+    row.m_in_flight_at_report = row.m_in_flight;
+    row.m_capacity = capacity;
+}
+
+auto remember(backend& row, const std::uint64_t prefix) noexcept -> void {
+    if (prefix != 0U) {
+        row.m_prefixes[internal::slot(prefix)] = prefix;
+    }
+}
+
+auto holds(const backend& row, const std::uint64_t prefix) noexcept -> bool {
+    return prefix != 0U && row.m_prefixes[internal::slot(prefix)] == prefix;
+}
+
+auto sample(backend& row, const duration sample) noexcept -> void {
+    constexpr double newest_share = 0.2;
+    const auto seconds = std::chrono::duration<double>{sample}.count();
+    row.m_first_byte_s =
+        row.m_first_byte_s == 0.0 ? seconds : row.m_first_byte_s + newest_share * (seconds - row.m_first_byte_s);
+}
+
+auto has_room(const candidate& row, const choice_limits& limits) noexcept -> bool {
+    return static_cast<double>(row.m_load) < static_cast<double>(row.m_capacity) * (1.0 + limits.m_queue_share);
+}
+
+auto choose(const std::span<const candidate> rows, const std::uint64_t prefix, const std::uint64_t random,
+            const choice_limits& limits) -> std::optional<std::size_t> {
+    const auto median = internal::median_first_byte(rows);
+    std::vector<candidate> fit{};
+    std::vector<std::size_t> places{};
+    for (const auto skip_slow : {true, false}) {
+        for (std::size_t index = 0; index < rows.size(); ++index) {
+            if (has_room(rows[index], limits) && !(skip_slow && internal::is_slow(rows[index], median, limits))) {
+                fit.push_back(rows[index]);
+                places.push_back(index);
+            }
+        }
+        if (!fit.empty()) {
+            break;
+        }
+    }
+    if (fit.empty()) {
+        return std::nullopt;
+    }
+    if (prefix != 0U) {
+        if (const auto holder = internal::best_holder(fit, prefix, limits)) {
+            return places[*holder];
+        }
+    }
+    const auto chosen = internal::better_of_two(fit, random);
+    ensure(has_room(fit[chosen], limits), "a chosen backend server has room");
+    return places[chosen];
+}
+
+} // namespace rhubarbwharf::routing
--- /dev/null
+++ b/test/membership/table.cpp
@@ -0,0 +1,101 @@
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <rhubarbwharf/membership/table.hpp>
+
+namespace rhubarbwharf::membership {
+
+namespace {
+
+[[nodiscard]] auto make(const std::uint64_t incarnation, const std::uint64_t sequence,
+                        const phase value = phase::serving) -> report {
+    report news{};
+    news.m_instance = "a";
+    news.m_incarnation = incarnation;
+    news.m_sequence = sequence;
+    news.m_phase = value;
+    news.m_group = "chef";
+    return news;
+}
+
+[[nodiscard]] auto at(const std::int64_t milliseconds) -> time_point {
+    return time_point{std::chrono::milliseconds{milliseconds}};
+}
+
+} // namespace
+
+TEST_CASE("late and doubled reports change nothing") {
+    table members{};
+    CHECK(apply(members, make(1, 2), at(0)) == applied::changed);
+    CHECK(apply(members, make(1, 2), at(1)) == applied::stale);
+    CHECK(apply(members, make(1, 1, phase::failed), at(1)) == applied::stale);
+    CHECK(apply(members, make(1, 3), at(2)) == applied::refreshed);
+    CHECK(find(members, "a")->m_heard == at(2));
+}
+
+TEST_CASE("a member that leaves stays so until another incarnation reports") {
+    table members{};
+    apply(members, make(1, 1), at(0));
+    CHECK(takes_work(*find(members, "a")));
+    CHECK(leave(members, "a", 1));
+    apply(members, make(1, 2), at(1));
+    CHECK_FALSE(takes_work(*find(members, "a")));
+    apply(members, make(2, 1), at(2));
+    CHECK(takes_work(*find(members, "a")));
+    CHECK(apply(members, make(1, 9), at(3)) == applied::stale);
+    CHECK_FALSE(leave(members, "a", 1));
+}
+
+TEST_CASE("silence makes a member suspected, and a report makes it live again") {
+    table members{};
+    const limits bounds{};
+    apply(members, make(1, 1), at(0));
+    CHECK(sweep(members, at(3'000), bounds).empty());
+    CHECK(sweep(members, at(3'001), bounds).size() == 1U);
+    CHECK(sweep(members, at(3'002), bounds).empty());
+    CHECK_FALSE(takes_work(*find(members, "a")));
+    CHECK(apply(members, make(1, 2), at(4'000)) == applied::changed);
+    CHECK(takes_work(*find(members, "a")));
+}
+
+TEST_CASE("the shard's owner is the one with the highest fencing number that takes work") {
+    table members{};
+    auto first = make(1, 1);
+    first.m_shards = {{shard_id{4}, fencing_token{7}}};
+    auto second = first;
+    second.m_instance = "b";
+    second.m_shards = {{shard_id{4}, fencing_token{8}}};
+    apply(members, first, at(0));
+    apply(members, second, at(0));
+    CHECK(owner(members, "chef", shard_id{4})->m_report.m_instance == "b");
+    CHECK(owner(members, "chef", shard_id{5}) == nullptr);
+    CHECK(owner(members, "other", shard_id{4}) == nullptr);
+    leave(members, "b", 1);
+    CHECK(owner(members, "chef", shard_id{4})->m_report.m_instance == "a");
+}
+
+TEST_CASE("any order of reports with loss and doubling ends at the newest of the last incarnation") {
+    CHECK(rc::check([] {
+        const auto sequences = *rc::gen::container<std::vector<std::uint8_t>>(rc::gen::arbitrary<std::uint8_t>());
+        const auto leaving_at = *rc::gen::inRange<std::size_t>(0, sequences.size() + 1U);
+        table members{};
+        std::uint64_t highest = 0;
+        apply(members, make(1, 0), at(0));
+        for (std::size_t index = 0; index < sequences.size(); ++index) {
+            if (index == leaving_at) {
+                leave(members, "a", 1);
+            }
+            const auto done = apply(members, make(1, sequences[index]), at(0));
+            RC_ASSERT((done == applied::stale) == (sequences[index] <= highest));
+            highest = std::max<std::uint64_t>(highest, sequences[index]);
+            RC_ASSERT(find(members, "a")->m_report.m_sequence == highest);
+            RC_ASSERT(takes_work(*find(members, "a")) == (index < leaving_at));
+        }
+    }));
+}
+
+} // namespace rhubarbwharf::membership
--- /dev/null
+++ b/test/routing/attempt.cpp
@@ -0,0 +1,76 @@
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <rhubarbwharf/routing/attempt.hpp>
+
+namespace rhubarbwharf::routing {
+
+namespace {
+
+[[nodiscard]] auto arbitrary_end() -> attempt_end {
+    const auto value = *rc::gen::element(code::ok, code::overloaded, code::draining, code::connection_failed,
+                                         code::backend_server_failed, code::bad_request, code::cut_stream,
+                                         code::outcome_unknown, code::wrong_version, code::key_reused);
+    return {value, *rc::gen::arbitrary<bool>(), {}};
+}
+
+} // namespace
+
+TEST_CASE("over any ends of attempts a call that may have run is neither repeated nor called not run") {
+    CHECK(rc::check([] {
+        flight state{};
+        state.m_non_idempotent = *rc::gen::arbitrary<bool>();
+        state.m_stream = *rc::gen::arbitrary<bool>();
+        state.m_deadline = time_point{std::chrono::seconds{1}};
+        retry_budget budget{};
+        const attempt_limits limits{*rc::gen::inRange<std::uint32_t>(1, 6)};
+        bool ran = false;
+        for (auto going = true; going;) {
+            ++state.m_attempts;
+            state.m_head_sent = state.m_head_sent || *rc::gen::arbitrary<bool>();
+            const auto end = arbitrary_end();
+            ran = ran || (end.m_code != code::ok && !end.m_not_run);
+            const auto next = after(state, end, budget, time_point{}, limits);
+            going = next.m_step == step::retry || next.m_step == step::resume;
+            RC_ASSERT((next.m_step == step::finish) == (end.m_code == code::ok));
+            RC_ASSERT((!going || state.m_attempts < limits.m_max_attempts));
+            RC_ASSERT((!going || !state.m_non_idempotent || !ran));
+            RC_ASSERT((next.m_step != step::retry || !state.m_head_sent));
+            RC_ASSERT((next.m_step != step::resume || state.m_stream));
+            RC_ASSERT((next.m_step != step::refuse || (next.m_outcome == outcome::not_run) == !ran));
+        }
+    }));
+}
+
+TEST_CASE("given up on while an attempt is in progress, a non-idempotent call has an unknown outcome") {
+    flight state{};
+    state.m_non_idempotent = true;
+    const auto held = give_up(state, code::deadline_passed, true, {});
+    CHECK(held.m_code == code::outcome_unknown);
+    CHECK(held.m_outcome == outcome::unknown);
+    const auto waiting = give_up(state, code::deadline_passed, false, {});
+    CHECK(waiting.m_code == code::deadline_passed);
+    CHECK(waiting.m_outcome == outcome::not_run);
+}
+
+TEST_CASE("retries stay within what successes earn") {
+    CHECK(rc::check([] {
+        retry_budget budget{};
+        const auto start = budget.m_tokens;
+        std::size_t successes = 0;
+        std::size_t retries = 0;
+        for (const auto success : *rc::gen::arbitrary<std::vector<bool>>()) {
+            if (success) {
+                earn(budget);
+                ++successes;
+            } else if (pay(budget)) {
+                ++retries;
+            }
+            RC_ASSERT(static_cast<double>(retries) <= start + budget.m_ratio * static_cast<double>(successes) + 1e-9);
+        }
+    }));
+}
+
+} // namespace rhubarbwharf::routing
--- /dev/null
+++ b/test/routing/choice.cpp
@@ -0,0 +1,94 @@
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <rhubarbwharf/routing/choice.hpp>
+
+namespace rhubarbwharf::routing {
+
+TEST_CASE("a choice has room, and is made whenever one has room") {
+    CHECK(rc::check([] {
+        const auto count = *rc::gen::inRange<std::uint32_t>(0, 20);
+        std::vector<candidate> rows{};
+        for (std::uint32_t index = 0; index < count; ++index) {
+            rows.push_back({instance_id{index}, *rc::gen::inRange<std::uint32_t>(0, 12),
+                            *rc::gen::inRange<std::uint32_t>(0, 10),
+                            static_cast<double>(*rc::gen::inRange(0, 40)) / 10.0, *rc::gen::arbitrary<bool>()});
+        }
+        const choice_limits limits{};
+        const auto chosen =
+            choose(rows, *rc::gen::inRange<std::uint64_t>(0, 3), *rc::gen::arbitrary<std::uint64_t>(), limits);
+        const auto any = std::ranges::any_of(rows, [&limits](const auto& row) { return has_room(row, limits); });
+        RC_ASSERT(chosen.has_value() == any);
+        if (chosen) {
+            RC_ASSERT(has_room(rows[*chosen], limits));
+        }
+    }));
+}
+
+TEST_CASE("a prefix holder is taken within the bounded load only") {
+    std::vector<candidate> rows{{instance_id{0}, 2, 8, 0.1, true}, {instance_id{1}, 2, 8, 0.1, false}};
+    CHECK(choose(rows, 0, 1, {}).has_value());
+    rows[0].m_load = 3;
+    rows[1].m_load = 3;
+    for (std::uint64_t random = 0; random < 4; ++random) {
+        CHECK(rows[*choose(rows, 77, random, {})].m_instance.value() <= 1U);
+    }
+    rows[0].m_load = 7;
+    rows[1].m_load = 0;
+    CHECK(choose(rows, 77, 0, {}) == 1U);
+}
+
+TEST_CASE("a slow backend server is passed over while others have room") {
+    std::vector<candidate> rows{};
+    for (std::uint32_t index = 0; index < 4; ++index) {
+        rows.push_back({instance_id{index}, 1, 8, index == 2 ? 2.0 : 0.1, false});
+    }
+    for (std::uint64_t random = 0; random < 64; ++random) {
+        CHECK(choose(rows, 0, random << 30U | random, {}) != 2U);
+    }
+    for (auto& row : rows) {
+        row.m_load = row.m_instance.value() == 2 ? 1 : 8;
+    }
+    CHECK(choose(rows, 0, 5, {}) == 2U);
+}
+
+TEST_CASE("the load follows own requests between reports") {
+    backend row{};
+    row.m_in_flight = 2;
+    refresh(row, 5, 8);
+    CHECK(load(row) == 5U);
+    row.m_in_flight = 4;
+    CHECK(load(row) == 7U);
+    row.m_in_flight = 0;
+    CHECK(load(row) == 3U);
+    refresh(row, 0, 8);
+    row.m_in_flight = 1;
+    CHECK(load(row) == 1U);
+}
+
+TEST_CASE("a breaker opens after failures in a row, lets one trial through, and closes on success") {
+    breaker state{};
+    const auto now = time_point{std::chrono::seconds{10}};
+    for (std::uint32_t count = 0; count < breaker_failures; ++count) {
+        CHECK(passes(state, now));
+        pass(state);
+        fail(state, now);
+    }
+    CHECK_FALSE(passes(state, now));
+    const auto later = now + breaker_open_least;
+    CHECK(passes(state, later));
+    pass(state);
+    CHECK_FALSE(passes(state, later));
+    fail(state, later);
+    CHECK_FALSE(passes(state, later + breaker_open_least));
+    CHECK(passes(state, later + 2 * breaker_open_least));
+    pass(state);
+    succeed(state);
+    CHECK(passes(state, later));
+}
+
+} // namespace rhubarbwharf::routing
--- /dev/null
+++ b/test/routing/queue.cpp
@@ -0,0 +1,113 @@
+#include <array>
+#include <cstdint>
+#include <set>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <rhubarbwharf/routing/quarantine.hpp>
+#include <rhubarbwharf/routing/queue.hpp>
+
+namespace rhubarbwharf::routing {
+
+TEST_CASE("over any operations the queue keeps its limit and loses or doubles nothing") {
+    CHECK(rc::check([] {
+        fair_queue queue{};
+        std::set<request_id> inside{};
+        const auto most = *rc::gen::inRange<std::size_t>(1, 12);
+        std::uint64_t next = 0;
+        const auto steps = *rc::gen::inRange(0, 80);
+        for (auto step = 0; step < steps; ++step) {
+            if (*rc::gen::inRange(0, 3) > 0) {
+                const queued entry{request_id{++next}, organisation_id{*rc::gen::inRange<std::uint32_t>(0, 4)},
+                                   *rc::gen::inRange<std::uint8_t>(0, 3), time_point{std::chrono::microseconds{next}}};
+                const auto done = push(queue, entry, most);
+                if (done.m_code == code::ok) {
+                    inside.insert(entry.m_request);
+                }
+                if (done.m_displaced) {
+                    RC_ASSERT(inside.erase(done.m_displaced->m_request) == 1U);
+                    RC_ASSERT(done.m_displaced->m_organisation != entry.m_organisation);
+                }
+            } else if (*rc::gen::arbitrary<bool>()) {
+                const auto taken = pop(queue);
+                RC_ASSERT(taken.has_value() == !inside.empty());
+                if (taken) {
+                    RC_ASSERT(inside.erase(taken->m_request) == 1U);
+                }
+            } else {
+                for (const auto& late : expire(queue, time_point{std::chrono::microseconds{next / 2U}})) {
+                    RC_ASSERT(inside.erase(late.m_request) == 1U);
+                }
+            }
+            RC_ASSERT(queue.m_size == inside.size());
+            RC_ASSERT(queue.m_size <= most);
+        }
+    }));
+}
+
+TEST_CASE("organisations that all wait are served by weight, and a lone one gets all") {
+    fair_queue queue{};
+    const std::array weights{1.0, 2.0, 5.0};
+    for (std::uint32_t index = 0; index < weights.size(); ++index) {
+        set_weight(queue, organisation_id{index}, weights[index]);
+    }
+    std::uint64_t next = 0;
+    std::array<int, 3> served{};
+    for (auto round = 0; round < 800; ++round) {
+        for (std::uint32_t index = 0; index < weights.size(); ++index) {
+            const auto done = push(queue, {request_id{++next}, organisation_id{index}, 0, {}}, 30);
+            CHECK((done.m_code == code::ok || done.m_code == code::over_share || done.m_code == code::overloaded));
+        }
+        ++served[pop(queue)->m_organisation.value()];
+    }
+    CHECK(served[0] == doctest::Approx(100).epsilon(0.05));
+    CHECK(served[1] == doctest::Approx(200).epsilon(0.05));
+    CHECK(served[2] == doctest::Approx(500).epsilon(0.05));
+}
+
+TEST_CASE("a flood from one organisation takes no place from the others") {
+    fair_queue queue{};
+    for (std::uint64_t index = 0; index < 100; ++index) {
+        const auto done = push(queue, {request_id{index}, organisation_id{0}, 0, {}}, 10);
+        CHECK(done.m_code == (index < 10                          ? code::ok
+                              : queue.m_organisations.size() > 1U ? code::over_share
+                                                                  : code::overloaded));
+    }
+    const auto small = push(queue, {request_id{1000}, organisation_id{1}, 0, {}}, 10);
+    CHECK(small.m_code == code::ok);
+    CHECK(small.m_displaced->m_organisation == organisation_id{0});
+}
+
+TEST_CASE("higher priorities of one organisation go first") {
+    fair_queue queue{};
+    CHECK(push(queue, {request_id{1}, organisation_id{0}, 0, {}}, 10).m_code == code::ok);
+    CHECK(push(queue, {request_id{2}, organisation_id{0}, 5, {}}, 10).m_code == code::ok);
+    CHECK(push(queue, {request_id{3}, organisation_id{0}, 5, {}}, 10).m_code == code::ok);
+    CHECK(pop(queue)->m_request == request_id{2});
+    CHECK(pop(queue)->m_request == request_id{3});
+    CHECK(pop(queue)->m_request == request_id{1});
+    CHECK_FALSE(pop(queue));
+}
+
+TEST_CASE("a request is held back after its second crash, until it is forgotten") {
+    quarantine table{};
+    const auto until = time_point{std::chrono::seconds{10}};
+    CHECK(blame(table, 7, until) == 1U);
+    CHECK_FALSE(is_held(table, 7, time_point{}));
+    clear(table, 7);
+    CHECK(crashes(table, 7, time_point{}) == 0U);
+    blame(table, 7, until);
+    CHECK(blame(table, 7, until) == 2U);
+    clear(table, 7);
+    CHECK(is_held(table, 7, time_point{}));
+    CHECK_FALSE(merge(table, 7, 1, until));
+    CHECK(is_held(table, 7, time_point{}));
+    CHECK_FALSE(is_held(table, 7, until));
+    sweep(table, until);
+    CHECK(table.m_rows.empty());
+    CHECK(merge(table, 8, 2, until));
+    CHECK(is_held(table, 8, time_point{}));
+}
+
+} // namespace rhubarbwharf::routing
