Write tables and plots from the benches' JSON lines

Cause: figures of several lanes have to be shown alike, and plots are to be drawn by the project's own tool. Ruled out: a plotting program from outside (one more thing to install for two hundred lines). Not proved: the look of a plot with many series.

--- /dev/null
+++ b/include/rhubarbwharf/report/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+/**
+ * @brief Tables and plots from the JSON lines of the benches.
+ */
+namespace rhubarbwharf::report {
+
+struct field;
+struct record;
+struct plot;
+
+} // namespace rhubarbwharf::report
--- /dev/null
+++ b/include/rhubarbwharf/report/plot.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <rhubarbwharf/report/fwd.hpp>
+
+namespace rhubarbwharf::report {
+
+/*! @brief What a plot shows. */
+struct plot {
+    std::string m_title{};
+    /*! @brief Only records of this bench; empty for all. */
+    std::string m_bench{};
+    /*! @brief Field of the horizontal axis; a number. */
+    std::string m_x{};
+    /*! @brief Field of the vertical axis; a number. */
+    std::string m_y{};
+    /*! @brief Field by which lines are told apart; empty for one line. */
+    std::string m_series{};
+    /*! @brief Whether the axes are logarithmic; values of zero or less are then left out. */
+    bool m_log_x{};
+    bool m_log_y{};
+};
+
+/**
+ * @brief Draws lines with a legend.
+ * @param rows The records; those without both numbers are left out.
+ * @param wanted What to show.
+ * @return An SVG document of 720 by 420 pixels.
+ */
+[[nodiscard]] auto draw(const std::vector<record>& rows, const plot& wanted) -> std::string;
+
+} // namespace rhubarbwharf::report
