Wire the entry: callers, dispatches, tickets, peers and the admin listener

Cause: the whole path needs an entry that steers requests over the bus and puts tickets into force. Change: src/entry as shells over membership, routing and ticket. A request has one attempt in progress and one final answer; parts must follow without a gap and an end with code 0 must match their count; a cut stream resumes on the same version. Non-idempotent calls go to the owner of the key's shard. Desired state is merged only, pushed as deltas, compared by digest; a service that went back gets the join written. Ruled out: taking the time of arrival for an idempotency key that says no time: a forgotten key would look new, so such a key is refused, not run.

--- /dev/null
+++ b/include/rhubarbwharf/entry/run.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <rhubarbwharf/config/settings.hpp>
+
+namespace rhubarbwharf::entry {
+
+/**
+ * @brief Runs an entry until it is stopped.
+ * @param settings Settings of the role `entry`.
+ * @return Exit status of the process: 0 after a planned stop, 1 if a listener can't be opened.
+ */
+[[nodiscard]] auto run(const config::settings& settings) -> int;
+
+} // namespace rhubarbwharf::entry
--- a/include/rhubarbwharf/membership/table.hpp
+++ b/include/rhubarbwharf/membership/table.hpp
@@ -74,6 +74,8 @@
     std::uint32_t m_chunks_held{};
     std::uint32_t m_chunks_total{};
     std::uint64_t m_engine_crashes{};
+    /*! @brief Whether the agent holds a newer version whole and waits for its turn to load it. */
+    bool m_ready{false};
 };
 
 /*! @brief Incarnations that are remembered as replaced, for each member. */
@@ -111,6 +113,16 @@
  */
 auto apply(table& members, const report& news, time_point now) -> applied;
 
+/**
+ * @brief Notes that a member sent something, which counts against silence.
+ * @param members The table.
+ * @param instance Its name.
+ * @param incarnation Incarnation that sent it; any but the current one is passed over.
+ * @param now When it arrived.
+ * @return Whether the sender is the current incarnation of a member.
+ */
+auto touch(table& members, std::string_view instance, std::uint64_t incarnation, time_point now) -> bool;
+
 /**
  * @brief Marks a member as leaving until a new incarnation of it reports.
  * @param members The table.
--- /dev/null
+++ b/src/entry/daemon.hpp
@@ -0,0 +1,244 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <rhubarbwharf.pb.h>
+#include <rhubarbwharf/config/settings.hpp>
+#include <rhubarbwharf/core/code.hpp>
+#include <rhubarbwharf/core/digest.hpp>
+#include <rhubarbwharf/core/id.hpp>
+#include <rhubarbwharf/core/names.hpp>
+#include <rhubarbwharf/core/time.hpp>
+#include <rhubarbwharf/entry/fwd.hpp>
+#include <rhubarbwharf/membership/table.hpp>
+#include <rhubarbwharf/net/bus.hpp>
+#include <rhubarbwharf/net/http.hpp>
+#include <rhubarbwharf/net/loop.hpp>
+#include <rhubarbwharf/net/metrics.hpp>
+#include <rhubarbwharf/platform/client.hpp>
+#include <rhubarbwharf/routing/attempt.hpp>
+#include <rhubarbwharf/routing/choice.hpp>
+#include <rhubarbwharf/routing/quarantine.hpp>
+#include <rhubarbwharf/routing/queue.hpp>
+#include <rhubarbwharf/ticket/state.hpp>
+
+namespace rhubarbwharf::entry {
+
+/*! @brief Version of the frames between processes. */
+inline constexpr std::uint32_t protocol_version = 1;
+/*! @brief Key of the desired state in the key-value service. */
+inline constexpr std::string_view state_key = "rhubarbwharf/state";
+/*! @brief Time between looks at queues and deadlines. */
+inline constexpr duration tick_period = std::chrono::milliseconds{20};
+
+/*! @brief Another entry. */
+struct peer {
+    config::entry_settings m_settings{};
+    std::uint64_t m_incarnation{};
+    time_point m_heard{};
+    bool m_leaving{false};
+    /*! @brief Highest ticket that it holds. */
+    ticket_number m_ticket{};
+    /*! @brief Digest of its desired state, by its last word. */
+    digest m_state{};
+};
+
+/*! @brief What an agent has said of its desired state. */
+struct agent_state {
+    ticket_number m_ticket{};
+    digest m_state{};
+    /*! @brief When the whole state was pushed to it last. */
+    time_point m_pushed{};
+};
+
+/*! @brief A caller's request from its arrival to its one final answer. */
+struct request {
+    request_id m_id{};
+    organisation_id m_organisation{};
+    std::string m_group{};
+    /*! @brief Keyed digest of content and organisation. */
+    std::uint64_t m_content{};
+    std::uint64_t m_prefix{};
+    wire::Dispatch m_dispatch{};
+    std::shared_ptr<net::responder> m_answer{};
+    routing::flight m_flight{};
+    time_point m_arrived{};
+
+    /*! @brief Backend server of the attempt in progress. */
+    std::optional<instance_id> m_target{};
+    /*! @brief Backend server of the attempt before. */
+    std::optional<instance_id> m_before{};
+    bool m_suspect{false};
+    time_point m_sent{};
+    bool m_has_head{false};
+    std::uint32_t m_parts{};
+    std::uint32_t m_tokens{};
+    /*! @brief Version that the answer comes from, once its head is there. */
+    digest m_version{};
+    /*! @brief Answer collected so far, where it is not passed on as it comes. */
+    net::http_response m_collected{};
+};
+
+/*! @brief All state of one entry process; only its loop's thread touches it. */
+struct daemon {
+    explicit daemon(const config::settings& settings);
+
+    config::settings m_settings{};
+    std::uint64_t m_incarnation{};
+    std::mt19937_64 m_random{};
+    digest m_quarantine_key{};
+    time_point m_started{};
+
+    net::loop m_loop{};
+    net::counters m_counters{};
+    net::http_client m_http;
+    net::bus m_bus;
+    net::http_server m_callers;
+    net::http_server m_admin;
+    platform::client m_platform;
+
+    membership::table m_members{};
+    membership::limits m_bounds{};
+    /*! @brief By `instance_id`. */
+    std::vector<routing::backend> m_backends{};
+    std::unordered_map<std::string, agent_state> m_agents{};
+    std::uint64_t m_members_sequence{};
+    std::map<std::string, peer, std::less<>> m_peers{};
+    std::uint64_t m_summary_sequence{};
+
+    ticket::desired_state m_desired{};
+    digest m_fingerprint{};
+
+    names<organisation_id> m_organisations{};
+    std::map<request_id, std::shared_ptr<request>> m_requests{};
+    std::uint64_t m_last_request{};
+    std::map<std::string, routing::fair_queue, std::less<>> m_queues{};
+    routing::retry_budget m_budget{};
+    routing::choice_limits m_choice{};
+    routing::quarantine m_quarantine{};
+
+    bool m_leaving{false};
+    time_point m_left{};
+    bool m_closed{false};
+};
+
+// keys.cpp
+
+/*! @brief Finds who a bearer key belongs to, in a time that does not depend on it. @param keys The keys.
+ * @param headers The request's headers. @return The owner's settings, or null. */
+[[nodiscard]] auto owner_of(const std::vector<config::key_settings>& keys, const std::vector<net::header>& headers)
+    -> const config::key_settings*;
+
+/*! @brief Digests a request's content with the key that the entries share. @param self The entry.
+ * @param organisation Name of the organisation. @param content What to digest. @return The digest. */
+[[nodiscard]] auto keyed_digest(const daemon& self, std::string_view organisation, std::string_view content)
+    -> std::uint64_t;
+
+// callers.cpp
+
+/*! @brief Takes a caller's HTTP request. @param self The entry. @param incoming The request.
+ * @param answer The responder. */
+auto on_caller(daemon& self, net::http_request incoming, std::shared_ptr<net::responder> answer) -> void;
+
+// requests.cpp
+
+/*! @brief Takes a new request in: sends it, lets it wait, or refuses it. @param self The entry.
+ * @param fresh The request. */
+auto submit(daemon& self, const std::shared_ptr<request>& fresh) -> void;
+
+/*! @brief Ends the attempt in progress and does what follows from it. @param self The entry.
+ * @param target The request. @param end How the attempt ended. */
+auto end_attempt(daemon& self, const std::shared_ptr<request>& target, const routing::attempt_end& end) -> void;
+
+/*! @brief Answers a request whose answer is whole. @param self The entry. @param target The request. */
+auto finish(daemon& self, const std::shared_ptr<request>& target) -> void;
+
+/*! @brief Sends waiting requests for which there is room. @param self The entry. */
+auto pump(daemon& self) -> void;
+
+/*! @brief Ends what has waited too long or passed its deadline. @param self The entry. @param now The time. */
+auto expire(daemon& self, time_point now) -> void;
+
+/*! @brief Ends all attempts at a backend server that is gone. @param self The entry. @param gone The member. */
+auto lose(daemon& self, instance_id gone) -> void;
+
+/*! @brief Forgets a request whose caller left. @param self The entry. @param id The request. */
+auto on_caller_gone(daemon& self, request_id id) -> void;
+
+/*! @brief Returns the load row of a member. @param self The entry. @param id The member. @return The row. */
+[[nodiscard]] auto backend_of(daemon& self, instance_id id) -> routing::backend&;
+
+// answers.cpp
+
+/*! @brief Takes an AnswerHead, AnswerPart or AnswerEnd. @param self The entry. @param from The sender.
+ * @param message The envelope. */
+auto on_answer(daemon& self, std::string_view from, const wire::Envelope& message) -> void;
+
+// tickets.cpp
+
+/*! @brief Starts to watch the desired state, if the settings say so. @param self The entry. */
+auto watch_state(daemon& self) -> void;
+
+/*! @brief Takes entries of the desired state over and tells the others. @param self The entry.
+ * @param entries The entries. @param from Who sent them; empty for the key-value service. */
+auto take_state(daemon& self, const std::vector<ticket::scope_entry>& entries, std::string_view from) -> void;
+
+/*! @brief Answers `POST /v1/tickets`. @param self The entry. @param body The ticket. @param answer The responder. */
+auto submit_ticket(daemon& self, std::string_view body, const std::shared_ptr<net::responder>& answer) -> void;
+
+/*! @brief Answers `GET /v1/tickets` and `GET /v1/tickets/{number}`. @param self The entry. @param number The number
+ * as text; empty for the list. @param answer The responder. */
+auto show_ticket(daemon& self, std::string_view number, const std::shared_ptr<net::responder>& answer) -> void;
+
+// gossip.cpp
+
+/*! @brief Makes an envelope of this process. @param self The entry. @return The envelope. */
+[[nodiscard]] auto envelope(const daemon& self) -> wire::Envelope;
+
+/*! @brief Sends an envelope. @param self The entry. @param to The peer. @param message The envelope.
+ * @return `ok`, or why nothing was sent. */
+auto send(daemon& self, std::string_view to, const wire::Envelope& message) -> code;
+
+/*! @brief Takes a frame from the bus. @param self The entry. @param from The sender. @param bytes The frame. */
+auto on_frame(daemon& self, std::string_view from, std::string_view bytes) -> void;
+
+/*! @brief Connects to the other entries. @param self The entry. */
+auto connect_peers(daemon& self) -> void;
+
+/*! @brief Does what is due once a report period. @param self The entry. @param now The time. */
+auto gossip(daemon& self, time_point now) -> void;
+
+/*! @brief Pushes entries of the desired state to all agents and entries. @param self The entry.
+ * @param entries The entries. @param but Who needs none. */
+auto push_state(daemon& self, const std::vector<ticket::scope_entry>& entries, std::string_view but) -> void;
+
+/*! @brief Tells the other entries of crashes. @param self The entry. @param content Keyed digest of the request.
+ * @param crashes Crashes noted. */
+auto tell_quarantine(daemon& self, std::uint64_t content, std::uint32_t crashes) -> void;
+
+/*! @brief Tells the other entries that this one leaves. @param self The entry. */
+auto tell_leaving(daemon& self) -> void;
+
+// admin.cpp and dump.cpp
+
+/*! @brief Takes a request on the admin listener. @param self The entry. @param incoming The request.
+ * @param answer The responder. */
+auto on_admin(daemon& self, const net::http_request& incoming, const std::shared_ptr<net::responder>& answer) -> void;
+
+/*! @brief Writes all tables as JSON. @param self The entry. @return The JSON. */
+[[nodiscard]] auto dump(const daemon& self) -> std::string;
+
+// run.cpp
+
+/*! @brief Begins the planned stop. @param self The entry. */
+auto begin_leaving(daemon& self) -> void;
+
+} // namespace rhubarbwharf::entry
--- /dev/null
+++ b/src/entry/wire.cpp
@@ -0,0 +1,101 @@
+#include <entry/wire.hpp>
+
+namespace rhubarbwharf::entry {
+
+namespace internal {
+
+[[nodiscard]] auto digest_of(const std::string& bytes) -> std::optional<digest> {
+    return bytes.empty() ? digest{} : digest_from_bytes(bytes);
+}
+
+[[nodiscard]] auto phase_of(const wire::Phase value) noexcept -> membership::phase {
+    return wire::Phase_IsValid(value) ? static_cast<membership::phase>(value) : membership::phase::unknown;
+}
+
+auto fill_place(membership::report& out, const wire::Report& news) -> void {
+    out.m_region = news.region();
+    out.m_data_centre = news.data_centre();
+    out.m_group = news.group();
+    out.m_plain_service = news.plain_service();
+    out.m_bus_address = news.bus_address();
+    out.m_bulk_address = news.bulk_address();
+}
+
+auto fill_load(membership::report& out, const wire::Report& news) -> void {
+    out.m_running = news.running();
+    out.m_waiting = news.waiting();
+    out.m_capacity = news.capacity();
+    out.m_engine_crashes = news.engine_crashes();
+    out.m_cached_prefixes.assign(news.cached_prefixes().begin(), news.cached_prefixes().end());
+    for (const auto& shard : news.shards()) {
+        out.m_shards.push_back({shard_id{shard.shard()}, fencing_token{shard.fencing()}});
+    }
+}
+
+} // namespace internal
+
+auto report_of(const std::string_view from, const wire::Envelope& message) -> membership::report {
+    const auto& news = message.report();
+    membership::report out{};
+    out.m_instance = from;
+    out.m_incarnation = message.incarnation();
+    out.m_sequence = news.sequence();
+    internal::fill_place(out, news);
+    internal::fill_load(out, news);
+    out.m_phase = internal::phase_of(news.phase());
+    out.m_model = news.model();
+    out.m_manifest = internal::digest_of(news.manifest()).value_or(digest{});
+    out.m_adapter = news.adapter();
+    out.m_ticket = ticket_number{news.ticket()};
+    out.m_chunks_held = news.chunks_held();
+    out.m_chunks_total = news.chunks_total();
+    out.m_ready = news.ready();
+    return out;
+}
+
+auto entries_of(const wire::StatePush& push) -> std::vector<ticket::scope_entry> {
+    std::vector<ticket::scope_entry> entries{};
+    for (const auto& entry : push.entries()) {
+        const auto manifest = internal::digest_of(entry.state().manifest());
+        if (manifest && !entry.scope().empty()) {
+            const auto& state = entry.state();
+            entries.push_back({entry.scope(),
+                               ticket_number{entry.ticket()},
+                               {state.model(), *manifest, state.adapter(), state.role(), state.traffic()}});
+        }
+    }
+    return entries;
+}
+
+auto fill(wire::StatePush& push, const std::vector<ticket::scope_entry>& entries) -> void {
+    for (const auto& entry : entries) {
+        auto& out = *push.add_entries();
+        out.set_scope(entry.m_scope);
+        out.set_ticket(entry.m_ticket.value());
+        auto& state = *out.mutable_state();
+        state.set_model(entry.m_state.m_model);
+        if (entry.m_state.m_manifest != digest{}) {
+            state.set_manifest(std::string{as_bytes(entry.m_state.m_manifest)});
+        }
+        state.set_adapter(entry.m_state.m_adapter);
+        state.set_role(entry.m_state.m_role);
+        state.set_traffic(entry.m_state.m_traffic);
+    }
+}
+
+auto member_of(const membership::member& row) -> wire::Member {
+    wire::Member out{};
+    out.set_instance(row.m_report.m_instance);
+    out.set_region(row.m_report.m_region);
+    out.set_data_centre(row.m_report.m_data_centre);
+    out.set_group(row.m_report.m_group);
+    out.set_bus_address(row.m_report.m_bus_address);
+    out.set_bulk_address(row.m_report.m_bulk_address);
+    out.set_leaving(row.m_standing == membership::standing::leaving);
+    out.set_phase(static_cast<wire::Phase>(row.m_report.m_phase));
+    out.set_ticket(row.m_report.m_ticket.value());
+    out.set_ready(row.m_report.m_ready);
+    return out;
+}
+
+} // namespace rhubarbwharf::entry
--- a/src/membership/table.cpp
+++ b/src/membership/table.cpp
@@ -23,7 +23,7 @@
     return held.m_incarnation != news.m_incarnation || held.m_phase != news.m_phase || held.m_group != news.m_group ||
            held.m_model != news.m_model || held.m_manifest != news.m_manifest || held.m_ticket != news.m_ticket ||
            held.m_bus_address != news.m_bus_address || held.m_bulk_address != news.m_bulk_address ||
-           held.m_shards != news.m_shards;
+           held.m_shards != news.m_shards || held.m_ready != news.m_ready;
 }
 
 [[nodiscard]] auto standing_after(const member& row, const report& news) noexcept -> standing {
@@ -61,6 +61,16 @@
     return told ? applied::changed : applied::refreshed;
 }
 
+auto touch(table& members, const std::string_view instance, const std::uint64_t incarnation, const time_point now)
+    -> bool {
+    const auto id = members.m_names.find(instance);
+    if (!id || members.m_members[id->value()].m_report.m_incarnation != incarnation) {
+        return false;
+    }
+    members.m_members[id->value()].m_heard = now;
+    return true;
+}
+
 auto leave(table& members, const std::string_view instance, const std::uint64_t incarnation) -> bool {
     const auto id = members.m_names.find(instance);
     if (!id) {
