--- a/app/rhubarbwharf-standin/engine.cpp
+++ b/app/rhubarbwharf-standin/engine.cpp
@@ -110,6 +110,7 @@
             {"capacity", self.m_set.m_capacity},
             {"fencing", {{"ticket", self.m_fencing.m_ticket}, {"epoch", self.m_fencing.m_epoch}}},
             {"crashes", self.m_crashes},
+            {"requests", self.m_last_id},
             {"cached_prefixes", cached_prefixes(self, steady_now())}};
 }
 
--- a/app/rhubarbwharf-standin/tokens.hpp
+++ b/app/rhubarbwharf-standin/tokens.hpp
@@ -17,7 +17,7 @@
 inline constexpr std::uint32_t default_tokens = 16;
 
 /**
- * @brief Returns the prompt of a request: `prompt`, or the contents of all `messages` with line feeds between.
+ * @brief Returns the prompt of a request: `prompt`, or the contents of all `messages` one after another.
  * @param request The request's JSON.
  * @return The prompt.
  */
@@ -33,7 +33,7 @@
     for (const auto& message : messages->get_array()) {
         const auto* content = message.is_object() ? message.get_object().if_contains("content") : nullptr;
         if (content != nullptr && content->is_string()) {
-            text.append(text.empty() ? "" : "\n").append(content->get_string());
+            text.append(content->get_string());
         }
     }
     return text;
