Name who is behind a ticket, with phase and chunks held

Cause: the entry's answer lists objects and gave no count of instances, so the roll-out's progress showed 0 of n. Change: the answer counts the processes a ticket has to reach; the command line writes instance, phase and chunks.

--- a/src/command/ticket.cpp
+++ b/src/command/ticket.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -77,6 +78,33 @@
     std::vector<std::string> m_behind{};
 };
 
+[[nodiscard]] auto text_of(const json::object& object, const std::string_view name) -> std::string {
+    const auto* const found = object.if_contains(name);
+    if (found == nullptr) {
+        return {};
+    }
+    return found->is_string() ? std::string{found->get_string()} : json::serialize(*found);
+}
+
+/*! @brief Names an instance that is behind, with its phase and the chunks it holds. */
+[[nodiscard]] auto name_of(const json::value& row) -> std::string {
+    const auto* const object = row.if_object();
+    if (object == nullptr) {
+        return row.is_string() ? std::string{row.get_string()} : json::serialize(row);
+    }
+    auto name = text_of(*object, "instance");
+    const auto phase = text_of(*object, "phase");
+    const auto total = text_of(*object, "chunks_total");
+    if (!phase.empty()) {
+        name.append(" (").append(phase);
+        if (!total.empty() && total != "0") {
+            name.append(" ").append(text_of(*object, "chunks_held")).append("/").append(total);
+        }
+        name.append(")");
+    }
+    return name;
+}
+
 [[nodiscard]] auto read_roll_out(const std::string& body) -> roll_out {
     json::error_code reason{};
     const auto value = json::parse(body, reason);
@@ -91,10 +119,10 @@
     if (const auto* const found = object.if_contains("instances"); found != nullptr && found->is_int64()) {
         read.m_instances = static_cast<std::size_t>(found->get_int64());
     }
-    const auto* const behind = object.if_contains("behind");
-    if (behind != nullptr && behind->is_array()) {
-        for (const auto& name : behind->get_array()) {
-            read.m_behind.emplace_back(name.is_string() ? std::string{name.get_string()} : json::serialize(name));
+    for (const auto* const list : {"behind", "entries_behind"}) {
+        const auto* const found = object.if_contains(list);
+        if (found != nullptr && found->is_array()) {
+            std::ranges::transform(found->get_array(), std::back_inserter(read.m_behind), name_of);
         }
     }
     return read;
--- a/src/entry/tickets.cpp
+++ b/src/entry/tickets.cpp
@@ -153,11 +153,25 @@
     return nullptr;
 }
 
+/*! @brief Whether a member has to follow tickets. */
+[[nodiscard]] auto follows(const daemon& self, const membership::member& row, const time_point now) -> bool {
+    return membership::listed(row, now, self.m_bounds) && row.m_standing != membership::standing::leaving;
+}
+
+/*! @brief Counts the processes that a ticket has to reach, this one among them. */
+[[nodiscard]] auto count_instances(const daemon& self) -> std::size_t {
+    const auto now = steady_now();
+    const auto agents = std::ranges::count_if(
+        self.m_members.m_members, [&self, now](const membership::member& row) { return follows(self, row, now); });
+    const auto entries = std::ranges::count_if(self.m_peers, [](const auto& named) { return !named.second.m_leaving; });
+    return static_cast<std::size_t>(agents + entries) + 1U;
+}
+
 [[nodiscard]] auto agents_behind(const daemon& self, const ticket_number number) -> boost::json::array {
     boost::json::array list{};
     const auto now = steady_now();
     for (const auto& row : self.m_members.m_members) {
-        if (!membership::listed(row, now, self.m_bounds) || row.m_standing == membership::standing::leaving) {
+        if (!follows(self, row, now)) {
             continue;
         }
         const auto* const entry = scope_behind(self, row, number);
@@ -264,6 +278,7 @@
     internal::answer_json(answer, 200,
                           {{"number", value},
                            {"in_force", in_force},
+                           {"instances", internal::count_instances(self)},
                            {"behind", std::move(agents)},
                            {"entries_behind", std::move(entries)},
                            {"scopes", internal::scopes_of(self, ticket_number{value})}});
--- a/test/command/run.cpp
+++ b/test/command/run.cpp
@@ -117,13 +117,15 @@
 TEST_CASE("--wait follows a ticket until it is in force everywhere") {
     const net::http_response accepted{.m_status = 200U, .m_body = R"({"number":4})"};
     const net::http_response behind{.m_status = 200U,
-                                    .m_body = R"({"in_force":false,"instances":3,"behind":["e2","e3"]})"};
+                                    .m_body = R"({"in_force":false,"instances":3,"behind":[{"instance":"e2",)"
+                                              R"("phase":"fetching","chunks_held":3,"chunks_total":8}],)"
+                                              R"("entries_behind":[{"instance":"e3"}]})"};
     const net::http_response there{.m_status = 200U, .m_body = R"({"in_force":true,"instances":3,"behind":[]})"};
     const fake_admin admin{{accepted, behind, there}};
     const auto address = admin.address();
     const auto outcome = run({"--admin", address.c_str(), "ticket", "submit", order_file, "--wait"});
     CHECK(outcome.m_status == command::status::done);
-    CHECK(outcome.m_progress.find("in force on 1 of 3 instances; behind: e2, e3") != std::string::npos);
+    CHECK(outcome.m_progress.find("in force on 1 of 3 instances; behind: e2 (fetching 3/8), e3") != std::string::npos);
     CHECK(outcome.m_out == "in force everywhere\n");
 }
 
