--- /dev/null
+++ b/app/rhubarbwharf-bench-routing/main.cpp
@@ -0,0 +1,62 @@
+#include <array>
+#include <exception>
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include <rhubarbwharf/routing/bench.hpp>
+
+namespace {
+
+using rhubarbwharf::routing::bench_case;
+using rhubarbwharf::routing::policy;
+using rhubarbwharf::routing::trouble;
+
+constexpr int status_faulty = 2;
+constexpr auto policies = std::to_array({policy::random, policy::round_robin, policy::least_reported,
+                                         policy::power_of_two, policy::prefix_affinity, policy::product});
+constexpr auto loads = std::to_array({0.5, 0.8, 0.95, 1.2, 2.0});
+constexpr auto troubles = std::to_array({std::pair{trouble::slow_one, 0.8}, std::pair{trouble::ten_die, 0.6},
+                                         std::pair{trouble::region_lost, 0.8}, std::pair{trouble::retry_storm, 1.2},
+                                         std::pair{trouble::greedy_one, 0.5}});
+
+auto print(const bench_case& setup) -> void {
+    std::cout << rhubarbwharf::routing::to_json(setup, rhubarbwharf::routing::run(setup)) << std::endl;
+}
+
+auto run_all(const std::uint64_t seed) -> void {
+    for (const auto load : loads) {
+        for (const auto value : policies) {
+            print({value, trouble::none, load, seed});
+        }
+    }
+    for (const auto& [what, load] : troubles) {
+        for (const auto value : policies) {
+            print({value, what, load, seed});
+        }
+    }
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int {
+    cxxopts::Options options{"rhubarbwharf-bench-routing", "Measures routing against baselines; JSON lines out"};
+    auto add = options.add_options();
+    add("seed", "Seed of all random numbers", cxxopts::value<std::uint64_t>()->default_value("20261203"), "N");
+    add("help", "Print this help");
+    add("version", "Print the version");
+    try {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") > 0U) {
+            std::cout << options.help() << '\n';
+        } else if (given.count("version") > 0U) {
+            std::cout << "rhubarbwharf-bench-routing " << RHUBARBWHARF_VERSION << '\n';
+        } else {
+            run_all(given["seed"].as<std::uint64_t>());
+        }
+        return 0;
+    } catch (const std::exception& fault) {
+        std::cerr << fault.what() << '\n';
+        return status_faulty;
+    }
+}
--- a/include/rhubarbwharf/routing/queue.hpp
+++ b/include/rhubarbwharf/routing/queue.hpp
@@ -52,6 +52,13 @@
  * @param weight Its weight, above zero. */
 auto set_weight(fair_queue& queue, organisation_id organisation, double weight) -> void;
 
+/**
+ * @brief Returns how many requests may wait for a group of backend servers.
+ * @param slots Requests that the group runs at once.
+ * @return The limit.
+ */
+[[nodiscard]] auto queue_limit(std::size_t slots) noexcept -> std::size_t;
+
 /**
  * @brief Lets a request wait. In a full queue the organisation with the longest queue for its weight gives way.
  * @param queue The queue.
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -8,9 +8,6 @@
 
 namespace internal {
 
-constexpr double queue_share = 0.5;
-constexpr std::size_t queue_least = 16;
-
 /*! @brief Why a request was not sent. */
 enum class placed : std::uint8_t { sent, no_room, none_live };
 
@@ -147,8 +144,7 @@
 }
 
 auto wait(daemon& self, const std::shared_ptr<request>& target) -> void {
-    const auto most =
-        queue_least + static_cast<std::size_t>(queue_share * static_cast<double>(slots(self, target->m_group)));
+    const auto most = routing::queue_limit(slots(self, target->m_group));
     const auto patience = std::chrono::milliseconds{self.m_settings.m_routing.m_queue_ms};
     const auto begun = target->m_flight.m_attempts > 0U;
     const auto until =
--- a/src/routing/queue.cpp
+++ b/src/routing/queue.cpp
@@ -39,6 +39,11 @@
     internal::row(queue, organisation).m_weight = weight;
 }
 
+auto queue_limit(const std::size_t slots) noexcept -> std::size_t {
+    constexpr std::size_t least = 16;
+    return least + slots / 2U;
+}
+
 auto push(fair_queue& queue, const queued& entry, const std::size_t size_most) -> pushed {
     auto& own = internal::row(queue, entry.m_organisation);
     if (size_most == 0U) {
