Dump the tables of any instance through an entry

Ruled out: the agents' admin addresses in every report (bytes each second for a call made now and then).

--- a/src/agent/admin.cpp
+++ b/src/agent/admin.cpp
@@ -90,28 +90,6 @@
     };
 }
 
-[[nodiscard]] auto dump(const daemon& self) -> std::string {
-    json::object out{
-        {"role", "agent"},
-        {"instance", self.m_settings.m_instance},
-        {"region", self.m_settings.m_region},
-        {"data_centre", self.m_settings.m_data_centre},
-        {"group", self.m_settings.m_backend.m_group},
-        {"incarnation", std::to_string(self.m_incarnation)},
-        {"stopping", self.m_is_stopping},
-        {"gate", dump_gate(self)},
-        {"running", self.m_admission.m_running},
-        {"waiting", self.m_admission.m_waiting.size()},
-        {"attempts_remembered", self.m_admission.m_fates.size()},
-        {"members", dump_members(self)},
-        {"desired", dump_desired(self)},
-        {"platform", dump_platform(self)},
-    };
-    boost::system::error_code failure{};
-    out["exchange"] = json::parse(self.m_exchange.dump(), failure);
-    return json::serialize(out);
-}
-
 [[nodiscard]] auto ready(const daemon& self) -> net::http_response {
     const auto is_ready = self.m_gate.m_phase == phase::serving && !self.m_is_stopping;
     return text_answer(is_ready ? status_ok : status_unavailable, "text/plain",
@@ -131,6 +109,28 @@
 
 } // namespace internal
 
+auto dump(const daemon& self) -> std::string {
+    boost::json::object out{
+        {"role", "agent"},
+        {"instance", self.m_settings.m_instance},
+        {"region", self.m_settings.m_region},
+        {"data_centre", self.m_settings.m_data_centre},
+        {"group", self.m_settings.m_backend.m_group},
+        {"incarnation", std::to_string(self.m_incarnation)},
+        {"stopping", self.m_is_stopping},
+        {"gate", internal::dump_gate(self)},
+        {"running", self.m_admission.m_running},
+        {"waiting", self.m_admission.m_waiting.size()},
+        {"attempts_remembered", self.m_admission.m_fates.size()},
+        {"members", internal::dump_members(self)},
+        {"desired", internal::dump_desired(self)},
+        {"platform", internal::dump_platform(self)},
+    };
+    boost::system::error_code failure{};
+    out["exchange"] = boost::json::parse(self.m_exchange.dump(), failure);
+    return boost::json::serialize(out);
+}
+
 auto serve_admin(daemon& self, const net::http_request& request, net::responder& answer) -> void {
     const auto path = std::string_view{request.m_target}.substr(0, request.m_target.find('?'));
     if (path == "/v1/drain") {
@@ -150,7 +150,7 @@
         return answer.respond(internal::ready(self));
     }
     if (path == "/state") {
-        return answer.respond(internal::text_answer(internal::status_ok, "application/json", internal::dump(self)));
+        return answer.respond(internal::text_answer(internal::status_ok, "application/json", dump(self)));
     }
     answer.respond(net::problem(code::not_found, outcome::not_run, path, duration::zero()));
 }
--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -127,6 +127,13 @@
     out.set_chunks_total(held.m_total);
 }
 
+auto give_dump(daemon& self, const std::string_view peer, const std::uint64_t number) -> void {
+    auto message = envelope(self);
+    message.mutable_dump()->set_number(number);
+    message.mutable_dump()->set_tables(dump(self));
+    send(self, peer, message);
+}
+
 auto send_in_force(daemon& self) -> void {
     auto message = envelope(self);
     auto& out = *message.mutable_in_force();
@@ -234,6 +241,8 @@
         return internal::take_members(self, peer, message.members());
     case wire::Envelope::kHaveMap:
         return self.m_exchange.on_message(peer, message);
+    case wire::Envelope::kDumpPull:
+        return internal::give_dump(self, peer, message.dump_pull().number());
     case wire::Envelope::kHello:
         internal::send_hello(self);
         return report(self);
--- a/src/agent/daemon.hpp
+++ b/src/agent/daemon.hpp
@@ -129,6 +129,9 @@
 /*! @brief Answers on the admin listener. @param self The agent. @param request The request. @param answer Responder. */
 auto serve_admin(daemon& self, const net::http_request& request, net::responder& answer) -> void;
 
+/*! @brief Writes all tables as JSON. @param self The agent. @return The JSON. */
+[[nodiscard]] auto dump(const daemon& self) -> std::string;
+
 /*! @brief Starts a graceful stop, or with the second signal ends at once. @param self The agent. @param signals Count.
  */
 auto stop(daemon& self, int signals) -> void;
--- a/src/command/options.cpp
+++ b/src/command/options.cpp
@@ -20,6 +20,7 @@
   ticket list                   write the desired state
   status                        say whether the process is ready
   state [INSTANCE]              dump the tables of the process, or of an instance it knows
+  metrics                       write the metrics of the process
   drain                         let the process leave gracefully
 
 Exit codes: 0 done, 1 refused, 2 usage, 3 conflict, 4 not in force in time, 5 unreachable.
--- a/src/command/run.cpp
+++ b/src/command/run.cpp
@@ -99,6 +99,9 @@
     if (name == "state" && words.size() <= 2U) {
         return internal::dump(*given, out, progress);
     }
+    if (name == "metrics" && words.size() == 1U) {
+        return internal::relay(*given, "GET", "/metrics", out, progress);
+    }
     if (name == "drain" && words.size() == 1U) {
         return internal::relay(*given, "POST", "/v1/drain", out, progress);
     }
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -5,6 +5,8 @@
 namespace internal {
 
 constexpr std::string_view tickets_path = "/v1/tickets";
+constexpr std::string_view instances_path = "/v1/instances/";
+constexpr std::string_view state_path = "/state";
 
 auto answer_text(const std::shared_ptr<net::responder>& answer, const std::uint16_t status, std::string text,
                  std::string type) -> void {
@@ -42,6 +44,10 @@
             return show_ticket(self, rest.empty() ? rest : rest.substr(1), answer);
         }
     }
+    if (path.starts_with(instances_path) && path.ends_with(state_path)) {
+        const auto name = path.substr(instances_path.size(), path.size() - instances_path.size() - state_path.size());
+        return pull_dump(self, name, answer);
+    }
     answer->respond(net::problem(code::not_found, outcome::not_run, "there is no such path", {}));
 }
 
--- a/src/entry/daemon.hpp
+++ b/src/entry/daemon.hpp
@@ -115,6 +115,8 @@
     std::uint64_t m_summary_sequence{};
 
     ticket::desired_state m_desired{};
+    /*! @brief Operators who wait for the tables of another process, by the number of the pull. */
+    std::unordered_map<std::uint64_t, std::shared_ptr<net::responder>> m_dump_pulls{};
     digest m_fingerprint{};
 
     names<organisation_id> m_organisations{};
@@ -236,6 +238,17 @@
 /*! @brief Writes all tables as JSON. @param self The entry. @return The JSON. */
 [[nodiscard]] auto dump(const daemon& self) -> std::string;
 
+/*! @brief Asks another process for its tables. @param self The entry. @param instance Its name.
+ * @param answer The responder, which gets the tables or a refusal. */
+auto pull_dump(daemon& self, std::string_view instance, const std::shared_ptr<net::responder>& answer) -> void;
+
+/*! @brief Passes the tables of another process on. @param self The entry. @param said The message. */
+auto on_dump(daemon& self, const wire::Dump& said) -> void;
+
+/*! @brief Sends the own tables to another entry. @param self The entry. @param to Its name. @param number The pull's
+ * number. */
+auto give_dump(daemon& self, std::string_view to, std::uint64_t number) -> void;
+
 // run.cpp
 
 /*! @brief Begins the planned stop. @param self The entry. */
--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -198,6 +198,10 @@
         return on_answer(self, from, message);
     case wire::Envelope::kQuarantine:
         return on_quarantine(self, message.quarantine());
+    case wire::Envelope::kDumpPull:
+        return give_dump(self, from, message.dump_pull().number());
+    case wire::Envelope::kDump:
+        return on_dump(self, message.dump());
     case wire::Envelope::kSummary:
         return;
     default:
