--- a/include/rhubarbwharf/execution/owner.hpp
+++ b/include/rhubarbwharf/execution/owner.hpp
@@ -176,6 +176,8 @@
     time_point m_list_at{};
     bool m_is_giving_back{};
     bool m_is_given_back{};
+    /*! @brief Whether the backend server can't serve: no shard is taken, those held are handed over. */
+    bool m_is_suspended{};
     std::uint64_t m_last_operation{};
     std::uint64_t m_last_write{};
     std::vector<shard> m_shards{};
--- a/src/agent/calls.cpp
+++ b/src/agent/calls.cpp
@@ -5,6 +5,7 @@
 #include <cctype>
 
 #include <agent/calls.hpp>
+#include <agent/journal.hpp>
 #include <rhubarbwharf/core/assert.hpp>
 
 namespace rhubarbwharf::agent {
@@ -25,33 +26,6 @@
     return std::ranges::find(dropped_headers, lower) != dropped_headers.end();
 }
 
-[[nodiscard]] auto request_of(const daemon& self, const relay& target) -> net::http_request {
-    const auto& dispatch = target.m_dispatch;
-    net::http_request request{};
-    request.m_method = dispatch.method();
-    request.m_target = dispatch.target();
-    request.m_body = dispatch.body();
-    std::string request_name{};
-    for (const auto& field : dispatch.headers()) {
-        if (!is_dropped(field.name())) {
-            request.m_headers.push_back({field.name(), field.value()});
-        } else if (net::find({{field.name(), field.value()}}, "X-Request-Id").size() > 0) {
-            request_name = field.value();
-        }
-    }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(target.m_deadline - steady_now());
-    request.m_headers.push_back(
-        {"X-Request-Id", request_name.empty() ? std::to_string(dispatch.request()) : request_name});
-    request.m_headers.push_back({"X-Priority", std::to_string(dispatch.priority())});
-    request.m_headers.push_back({"X-Deadline-Ms", std::to_string(std::max<std::int64_t>(left.count(), 0))});
-    request.m_headers.push_back({"X-Resume-Tokens", std::to_string(dispatch.resume_tokens())});
-    if (!self.m_settings.m_backend.m_plain_service) {
-        request.m_headers.push_back(
-            {"X-Fencing", std::to_string(self.m_gate.m_ticket.value()) + ' ' + std::to_string(self.m_epoch)});
-    }
-    return request;
-}
-
 [[nodiscard]] auto answer_of(const daemon& self) -> wire::Envelope {
     return envelope(self);
 }
@@ -106,8 +80,7 @@
 
 auto on_head(daemon& self, relay& target, const net::http_response& head) -> void {
     target.m_status = head.m_status;
-    target.m_content_type = net::find(head.m_headers, "Content-Type");
-    target.m_scanner.m_is_stream = target.m_content_type.starts_with(event_stream_type);
+    target.m_scanner.m_is_stream = net::find(head.m_headers, "Content-Type").starts_with(event_stream_type);
     const auto is_engine = !self.m_settings.m_backend.m_plain_service;
     if (is_engine && head.m_status == status_unavailable) {
         return;
@@ -178,15 +151,14 @@
         }
         send_part(self, *target, std::move(rest));
     }
-    leave(self.m_admission);
     target->m_is_running = false;
     target->m_call.reset();
     const auto outcome = end_of(self, *target, end);
     if (outcome.m_crashed) {
         send_probe(self);
     }
+    end_relay(self, *target);
     send_end(self, *target, outcome);
-    self.m_relays.erase(target->m_id);
     serve_queue(self);
     activate(self);
 }
@@ -218,6 +190,45 @@
 
 } // namespace internal
 
+auto request_of(const daemon& self, const relay& target) -> net::http_request {
+    const auto& dispatch = target.m_dispatch;
+    net::http_request request{};
+    request.m_method = dispatch.method();
+    request.m_target = dispatch.target();
+    request.m_body = dispatch.body();
+    std::string request_name{};
+    for (const auto& field : dispatch.headers()) {
+        if (!internal::is_dropped(field.name())) {
+            request.m_headers.push_back({field.name(), field.value()});
+        } else if (net::find({{field.name(), field.value()}}, "X-Request-Id").size() > 0) {
+            request_name = field.value();
+        }
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(target.m_deadline - steady_now());
+    request.m_headers.push_back(
+        {"X-Request-Id", request_name.empty() ? std::to_string(dispatch.request()) : request_name});
+    request.m_headers.push_back({"X-Priority", std::to_string(dispatch.priority())});
+    request.m_headers.push_back({"X-Deadline-Ms", std::to_string(std::max<std::int64_t>(left.count(), 0))});
+    request.m_headers.push_back({"X-Resume-Tokens", std::to_string(dispatch.resume_tokens())});
+    if (!self.m_settings.m_backend.m_plain_service) {
+        request.m_headers.push_back(
+            {"X-Fencing", std::to_string(self.m_gate.m_ticket.value()) + ' ' + std::to_string(self.m_epoch)});
+    }
+    return request;
+}
+
+auto limits_of(const relay& target) -> net::call_limits {
+    net::call_limits limits{};
+    limits.m_total_time = std::max<duration>(target.m_deadline - steady_now(), std::chrono::milliseconds{1});
+    limits.m_idle_time = limits.m_total_time;
+    return limits;
+}
+
+auto end_relay(daemon& self, const relay& target) -> void {
+    leave(self.m_admission);
+    self.m_relays.erase(target.m_id);
+}
+
 auto send_end(daemon& self, const relay& target, const attempt_end& end) -> void {
     auto message = internal::answer_of(self);
     auto& out = *message.mutable_answer_end();
@@ -241,9 +252,9 @@
     target->m_admitted = self.m_gate.m_confirmed;
     target->m_generation = self.m_gate.m_generation;
     ensure(self.m_gate.m_phase == phase::serving, "a request goes to the backend server only through an open gate");
-    net::call_limits limits{};
-    limits.m_total_time = std::max<duration>(target->m_deadline - steady_now(), std::chrono::milliseconds{1});
-    limits.m_idle_time = limits.m_total_time;
+    if (target->m_is_non_idempotent) {
+        return start_claim(self, target);
+    }
     net::call_handlers handlers{};
     handlers.m_on_head = [&self, target](const auto& head) {
         internal::on_head(self, *target, head);
@@ -254,7 +265,8 @@
     handlers.m_on_end = [&self, target](const auto& end) {
         internal::on_end(self, target, end);
     };
-    target->m_call = self.m_http.send(self.m_backend, internal::request_of(self, *target), limits, std::move(handlers));
+    target->m_call =
+        self.m_http.send(self.m_backend, request_of(self, *target), limits_of(*target), std::move(handlers));
 }
 
 auto on_dispatch(daemon& self, const std::string_view peer, const wire::Envelope& message) -> void {
@@ -264,6 +276,7 @@
     const auto& dispatch = target->m_dispatch;
     target->m_id = internal::attempt_of(peer, message.incarnation(), dispatch.request(), dispatch.attempt());
     target->m_deadline = internal::deadline_of(self, dispatch);
+    target->m_is_non_idempotent = dispatch.non_idempotent() || is_non_idempotent(self, dispatch);
     const auto now = steady_now();
     const auto gate_code = admits(self.m_gate, internal::wanted_manifest(dispatch));
     const auto verdict =
--- a/src/agent/calls.hpp
+++ b/src/agent/calls.hpp
@@ -6,6 +6,16 @@
 
 namespace rhubarbwharf::agent {
 
+/*! @brief Makes the request for the backend server. @param self The agent. @param target The attempt.
+ * @return The request. */
+[[nodiscard]] auto request_of(const daemon& self, const relay& target) -> net::http_request;
+
+/*! @brief Makes the limits of a call by its deadline. @param target The attempt. @return The limits. */
+[[nodiscard]] auto limits_of(const relay& target) -> net::call_limits;
+
+/*! @brief Gives back the room of an attempt that ended, and forgets it. @param self The agent. @param target It. */
+auto end_relay(daemon& self, const relay& target) -> void;
+
 /**
  * @brief Sends a request to the backend server and relays the answer.
  * @param self The agent; the gate is open and the attempt counts as running.
--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -117,6 +117,16 @@
     }
 }
 
+auto fill_shards(const daemon& self, wire::Report& out) -> void {
+    for (const auto& item : self.m_owner.m_shards) {
+        if (item.m_phase == execution::shard_phase::owned) {
+            auto& shard = *out.add_shards();
+            shard.set_shard(item.m_id.value());
+            shard.set_fencing(item.m_token.value());
+        }
+    }
+}
+
 auto fill_fetch(const daemon& self, wire::Report& out) -> void {
     out.set_ready(self.m_is_ready);
     if (!needs_load(self.m_gate)) {
@@ -163,6 +173,7 @@
         }
     }
     self.m_members = std::move(group);
+    self.m_has_members = true;
     self.m_exchange.set_peers(peers);
 }
 
@@ -202,6 +213,7 @@
     internal::fill_place(self, out);
     internal::fill_version(self, out);
     internal::fill_load(self, out);
+    internal::fill_shards(self, out);
     internal::fill_fetch(self, out);
     self.m_engine.m_cached_prefixes.clear();
     self.m_reported = self.m_gate.m_phase;
--- a/src/agent/daemon.cpp
+++ b/src/agent/daemon.cpp
@@ -1,4 +1,5 @@
 #include <agent/daemon.hpp>
+#include <agent/journal.hpp>
 
 #include <algorithm>
 #include <random>
@@ -10,6 +11,7 @@
 namespace internal {
 
 constexpr duration activate_period = std::chrono::milliseconds{50};
+constexpr duration journal_period = std::chrono::milliseconds{20};
 constexpr std::uint32_t bulk_body_bytes = 4096;
 constexpr unsigned word_bits = 32;
 
@@ -106,6 +108,7 @@
     m_gate.m_plain_service = settings.m_backend.m_plain_service;
     m_admission.m_capacity = settings.m_backend.m_capacity;
     m_admission.m_queue_limit = settings.m_backend.m_queue;
+    start_journal(*this);
 }
 
 auto envelope(const daemon& self) -> wire::Envelope {
@@ -146,6 +149,9 @@
         activate(self);
         serve_queue(self);
     });
+    if (self.m_is_journalled) {
+        self.m_loop.every(internal::journal_period, [&self] { tick_journal(self); });
+    }
     self.m_loop.on_stop_signal([&self](const int signals) { stop(self, signals); });
     report(self);
     return code::ok;
--- a/src/agent/daemon.hpp
+++ b/src/agent/daemon.hpp
@@ -13,6 +13,7 @@
 #include <agent/turn.hpp>
 #include <rhubarbwharf/config/settings.hpp>
 #include <rhubarbwharf/exchange/exchange.hpp>
+#include <rhubarbwharf/execution/owner.hpp>
 #include <rhubarbwharf/net/bus.hpp>
 #include <rhubarbwharf/net/http.hpp>
 #include <rhubarbwharf/net/loop.hpp>
@@ -65,7 +66,20 @@
     digest m_fetched{};
     std::uint64_t m_prefixes_sent{};
 
+    /*! @brief Whether the service has non-idempotent operations, and the shards of its keys. */
+    bool m_is_journalled{};
+    execution::owner m_owner{};
+    std::unordered_map<std::uint64_t, std::shared_ptr<relay>> m_calls{};
+    std::uint64_t m_last_call{};
+    bool m_is_commit_armed{};
+    bool m_has_members{};
+    /*! @brief Time to which the first shards wait for word of the other members. */
+    time_point m_members_until{};
+    std::uint64_t m_shards_reported{};
+
     bool m_is_stopping{};
+    /*! @brief Time to which a stop waits for the shards to be given back. */
+    time_point m_give_back_until{};
     std::uint64_t m_cut{};
     int m_status{};
 };
--- a/src/agent/relay.hpp
+++ b/src/agent/relay.hpp
@@ -31,10 +31,7 @@
     /*! @brief Set where the answer must not count as whole although the backend server ends it. */
     code m_fault{code::ok};
     std::shared_ptr<net::call> m_call{};
-    /*! @brief Answer kept for the journal; non-idempotent calls only. */
-    std::string m_kept{};
-    std::string m_content_type{};
-    bool m_is_cut{};
+    bool m_is_non_idempotent{};
 };
 
 } // namespace rhubarbwharf::agent
--- a/src/execution/ownership.cpp
+++ b/src/execution/ownership.cpp
@@ -40,7 +40,7 @@
 
 auto poll_idle(owner& table, shard& item, const owner_listing* const listed, const time_point now, commands& out)
     -> void {
-    if (item.m_is_in_flight || table.m_is_giving_back) {
+    if (item.m_is_in_flight || table.m_is_giving_back || table.m_is_suspended) {
         return;
     }
     if (listed != nullptr) {
@@ -59,7 +59,7 @@
 
 auto poll_owned(owner& table, shard& item, const owner_listing* const listed, commands& out) -> void {
     const auto is_lost = listed == nullptr || listed->m_owner != table.m_name;
-    const auto is_misplaced = preferred(table.m_members, item.m_id) != table.m_instance;
+    const auto is_misplaced = table.m_is_suspended || preferred(table.m_members, item.m_id) != table.m_instance;
     item.m_polls = is_lost || is_misplaced ? item.m_polls + 1 : 0;
     if (item.m_polls < hand_over_polls_min) {
         return;
