--- a/src/platform/client.cpp
+++ b/src/platform/client.cpp
@@ -31,6 +31,21 @@
     return left->count() > 0 ? code::ok : code::lease_lost;
 }
 
+[[nodiscard]] auto removal_of(const std::string& key, const reply& answer) -> put_outcome {
+    const auto value = code_of(answer);
+    const auto txn = value == code::ok ? parse_txn(answer.m_body) : std::nullopt;
+    if (!txn) {
+        const auto is_unsent = answer.m_code != code::ok && answer.m_sent == net::sent::nothing;
+        return {value == code::ok ? code::platform_unavailable : value,
+                is_unsent ? outcome::not_run : outcome::unknown,
+                {}};
+    }
+    if (txn->m_succeeded || txn->m_keys.empty()) {
+        return {code::ok, outcome::unknown, key_value{key, {}, 0U, 0}};
+    }
+    return {code::compare_failed, outcome::not_run, txn->m_keys.front()};
+}
+
 } // namespace
 
 } // namespace internal
@@ -86,6 +101,13 @@
     internal::start_put(m_state->m_service, {std::string{key}, std::string{value}, expected, lease}, std::move(done));
 }
 
+auto client::remove(const std::string_view key, const revision expected, put_done done) -> void {
+    m_state->call(internal::kind::write, "/v3/kv/txn", internal::delete_body(key, expected),
+                  [key = std::string{key}, done = std::move(done)](const internal::reply& answer) {
+                      done(internal::removal_of(key, answer));
+                  });
+}
+
 auto client::grant(const duration ttl, leased done) -> void {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(ttl);
     m_state->call(internal::kind::write, "/v3/lease/grant", internal::grant_body(seconds),
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -189,9 +189,7 @@
     return json::serialize(body);
 }
 
-auto txn_body(const std::string_view key, const std::string_view value, const revision expected,
-              const lease_number lease) -> std::string {
-    const auto name = to_base64(key);
+[[nodiscard]] auto compare_of(const std::string_view name, const revision expected) -> json::object {
     json::object compare{{"key", name}, {"result", "EQUAL"}};
     if (expected == 0U) {
         compare["target"] = "VERSION";
@@ -200,15 +198,30 @@
         compare["target"] = "MOD";
         compare["mod_revision"] = std::to_string(expected);
     }
+    return compare;
+}
+
+[[nodiscard]] auto txn_of(const std::string_view name, const revision expected, json::object operation) -> std::string {
+    const json::object range{{"key", name}};
+    const json::object body{{"compare", json::array{compare_of(name, expected)}},
+                            {"success", json::array{std::move(operation)}},
+                            {"failure", json::array{json::object{{"request_range", range}}}}};
+    return json::serialize(body);
+}
+
+auto txn_body(const std::string_view key, const std::string_view value, const revision expected,
+              const lease_number lease) -> std::string {
+    const auto name = to_base64(key);
     json::object put{{"key", name}, {"value", to_base64(value)}};
     if (lease != 0) {
         put["lease"] = std::to_string(lease);
     }
-    const json::object range{{"key", name}};
-    const json::object body{{"compare", json::array{std::move(compare)}},
-                            {"success", json::array{json::object{{"request_put", std::move(put)}}}},
-                            {"failure", json::array{json::object{{"request_range", range}}}}};
-    return json::serialize(body);
+    return txn_of(name, expected, json::object{{"request_put", std::move(put)}});
+}
+
+auto delete_body(const std::string_view key, const revision expected) -> std::string {
+    const auto name = to_base64(key);
+    return txn_of(name, expected, json::object{{"request_delete_range", json::object{{"key", name}}}});
 }
 
 auto grant_body(const std::chrono::seconds ttl) -> std::string {
--- a/src/platform/wire.hpp
+++ b/src/platform/wire.hpp
@@ -55,6 +55,10 @@
 [[nodiscard]] auto txn_body(std::string_view key, std::string_view value, revision expected, lease_number lease)
     -> std::string;
 
+/*! @brief Writes the body of a delete with compare. @param key The key. @param expected The revision that it must have.
+ * @return The body. */
+[[nodiscard]] auto delete_body(std::string_view key, revision expected) -> std::string;
+
 /*! @brief Writes the body of a lease grant. @param ttl Time to live. @return The body. */
 [[nodiscard]] auto grant_body(std::chrono::seconds ttl) -> std::string;
 
