--- /dev/null
+++ b/test/agent/gate.cpp
@@ -0,0 +1,164 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <agent/gate.hpp>
+
+namespace rhubarbwharf::agent {
+
+namespace {
+
+[[nodiscard]] auto digest_of(const std::uint8_t number) -> digest {
+    digest value{};
+    value.m_bytes.fill(number);
+    return value;
+}
+
+[[nodiscard]] auto version_of(const std::uint8_t number) -> version {
+    return {
+        "chef", digest_of(number), number == 0 ? digest{} : digest_of(static_cast<std::uint8_t>(number + 100)), {}, {}};
+}
+
+[[nodiscard]] auto target_of(const std::uint8_t number, const std::uint64_t ticket) -> target {
+    auto wanted = version_of(number);
+    wanted.m_content = {};
+    return {wanted, ticket_number{ticket}, ticket_number{ticket}, true};
+}
+
+[[nodiscard]] auto state_of(const std::uint8_t number, const order_number& order) -> engine_state {
+    engine_state state{};
+    state.m_version = version_of(number);
+    state.m_order = order;
+    return state;
+}
+
+[[nodiscard]] auto probe_of(const std::uint8_t number) -> probe {
+    return {state_of(number, {}), false};
+}
+
+[[nodiscard]] auto whole(const std::uint8_t number, const bool turn, const std::uint32_t in_progress) -> surroundings {
+    return {true, version_of(number).m_content, turn, in_progress, 1, time_point{std::chrono::hours{1}}};
+}
+
+/*! @brief Engine of the tests, whose version may change at any moment. */
+struct fake_engine {
+    std::uint8_t m_version{};
+    order_number m_seen{};
+    bool m_checks{true};
+    std::uint64_t m_crashes{};
+
+    [[nodiscard]] auto state() const -> engine_state {
+        auto shown = state_of(m_version, m_seen);
+        shown.m_crashes = m_crashes;
+        return shown;
+    }
+
+    auto load(const gate_command& command) -> bool {
+        if (m_checks && command.m_order < m_seen) {
+            return false;
+        }
+        m_seen = command.m_order;
+        m_version = command.m_version.m_manifest.m_bytes[0];
+        return true;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a gate opens for what the engine has confirmed, and closes when that changes behind it") {
+    gate table{};
+    CHECK(admits(table, {}) == code::no_backend_server);
+    CHECK_FALSE(on_probe(table, probe_of(0)));
+    CHECK(on_probe(table, probe_of(1)));
+    CHECK(admits(table, digest_of(1)) == code::ok);
+    CHECK(admits(table, digest_of(2)) == code::wrong_version);
+    CHECK(on_probe(table, probe_of(2)));
+    CHECK(admits(table, {}) == code::no_backend_server);
+    CHECK(on_probe(table, {std::nullopt, true}) == false);
+}
+
+TEST_CASE("a load waits for its turn and for the requests in progress, and counts only once read back") {
+    gate table{};
+    static_cast<void>(on_probe(table, probe_of(1)));
+    CHECK(want(table, target_of(2, 7)));
+    CHECK(step(table, whole(2, false, 3)).m_kind == gate_command::kind::none);
+    CHECK(admits(table, digest_of(1)) == code::ok);
+    CHECK(step(table, whole(2, true, 3)).m_kind == gate_command::kind::none);
+    CHECK(table.m_phase == phase::closing);
+    CHECK(admits(table, {}) == code::no_backend_server);
+    const auto command = step(table, whole(2, false, 0));
+    REQUIRE(command.m_kind == gate_command::kind::load);
+    CHECK_FALSE(on_probe(table, probe_of(2)));
+    SUBCASE("confirmed") {
+        on_loaded(table, true, state_of(2, command.m_order), {});
+        CHECK(admits(table, digest_of(2)) == code::ok);
+        CHECK(table.m_ticket == ticket_number{7});
+    }
+    SUBCASE("accepted, but the state read back is another") {
+        on_loaded(table, true, state_of(3, command.m_order), {});
+        CHECK(admits(table, {}) == code::no_backend_server);
+    }
+    SUBCASE("another agent's order came between") {
+        on_loaded(table, true, state_of(2, {ticket_number{7}, 2}), {});
+        CHECK(admits(table, {}) == code::no_backend_server);
+        CHECK(table.m_fenced);
+    }
+}
+
+TEST_CASE("a wanted state never goes back") {
+    gate table{};
+    CHECK(want(table, target_of(2, 7)));
+    CHECK_FALSE(want(table, target_of(2, 7)));
+    CHECK(table.m_target->m_ticket == ticket_number{7});
+}
+
+TEST_CASE("random events: no request is admitted for a version that the engine did not confirm") {
+    rc::check("gate", [] {
+        gate table{};
+        fake_engine engine{};
+        engine.m_checks = *rc::gen::arbitrary<bool>();
+        gate_command order{};
+        std::uint64_t ticket{};
+        std::uint32_t in_progress{};
+        version probed{};
+        auto now = time_point{std::chrono::hours{1}};
+        const auto events = *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 100));
+        for (const auto event : events) {
+            now += std::chrono::milliseconds{300};
+            const auto was = table.m_generation;
+            if (event < 20) {
+                engine.m_crashes += event == 0 ? 1 : 0;
+                probed = engine.state().m_version;
+                static_cast<void>(on_probe(table, {engine.state(), false}));
+            } else if (event < 25) {
+                static_cast<void>(on_probe(table, {std::nullopt, event == 20}));
+            } else if (event < 30) {
+                engine.m_version = static_cast<std::uint8_t>(event - 25);
+            } else if (event < 35) {
+                static_cast<void>(want(table, target_of(static_cast<std::uint8_t>(event - 29), ++ticket)));
+            } else if (event < 50) {
+                in_progress += admits(table, {}) == code::ok ? 1 : 0;
+            } else if (event < 65) {
+                in_progress -= in_progress > 0 ? 1 : 0;
+            } else if (event < 85 && !table.m_load_in_progress) {
+                const auto number = table.m_target ? table.m_target->m_version.m_manifest.m_bytes[0] : std::uint8_t{};
+                auto around = whole(number, event < 75, in_progress);
+                around.m_now = now;
+                order = step(table, around);
+                RC_ASSERT(order.m_kind != gate_command::kind::load || in_progress == 0);
+            } else if (table.m_load_in_progress) {
+                const auto accepted = engine.load(order);
+                engine.m_version = event < 90 ? std::uint8_t{4} : engine.m_version;
+                probed = engine.state().m_version;
+                on_loaded(table, accepted, event == 99 ? std::nullopt : std::optional{engine.state()}, now);
+            }
+            RC_ASSERT(table.m_generation >= was);
+            if (admits(table, {}) == code::ok) {
+                RC_ASSERT(table.m_confirmed.m_manifest == probed.m_manifest);
+                RC_ASSERT(table.m_confirmed.m_manifest != digest{});
+                RC_ASSERT(!table.m_load_in_progress);
+            }
+        }
+    });
+}
+
+} // namespace rhubarbwharf::agent
