--- a/include/rhubarbwharf/platform/client.hpp
+++ b/include/rhubarbwharf/platform/client.hpp
@@ -46,6 +46,8 @@
     double m_reads_per_second{20.0};
     double m_writes_per_second{10.0};
     duration m_call_time{std::chrono::seconds{2}};
+    /*! @brief Seed of the jitter and of the first server; 0 draws one. */
+    std::uint64_t m_seed{};
 };
 
 /*! @brief Calls made so far, by kind. */
@@ -109,6 +111,14 @@
     auto put(std::string_view key, std::string_view value, revision expected, lease_number lease, put_done done)
         -> void;
 
+    /**
+     * @brief Deletes a key if it still has a revision.
+     * @param key The key.
+     * @param expected Revision that the key must have.
+     * @param done Gets the outcome as after `put`; a key that is not there counts as deleted.
+     */
+    auto remove(std::string_view key, revision expected, put_done done) -> void;
+
     /*! @brief Takes a lease. @param ttl Time to live, whole seconds. @param done The completion. */
     auto grant(duration ttl, leased done) -> void;
 
