--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -117,6 +117,16 @@
     }
 }
 
+auto fill_shards(const daemon& self, wire::Report& out) -> void {
+    for (const auto& item : self.m_owner.m_shards) {
+        if (item.m_phase == execution::shard_phase::owned) {
+            auto& shard = *out.add_shards();
+            shard.set_shard(item.m_id.value());
+            shard.set_fencing(item.m_token.value());
+        }
+    }
+}
+
 auto fill_fetch(const daemon& self, wire::Report& out) -> void {
     out.set_ready(self.m_is_ready);
     if (!needs_load(self.m_gate)) {
@@ -127,6 +137,13 @@
     out.set_chunks_total(held.m_total);
 }
 
+auto give_dump(daemon& self, const std::string_view peer, const std::uint64_t number) -> void {
+    auto message = envelope(self);
+    message.mutable_dump()->set_number(number);
+    message.mutable_dump()->set_tables(dump(self));
+    send(self, peer, message);
+}
+
 auto send_in_force(daemon& self) -> void {
     auto message = envelope(self);
     auto& out = *message.mutable_in_force();
@@ -163,6 +180,7 @@
         }
     }
     self.m_members = std::move(group);
+    self.m_has_members = true;
     self.m_exchange.set_peers(peers);
 }
 
@@ -202,6 +220,7 @@
     internal::fill_place(self, out);
     internal::fill_version(self, out);
     internal::fill_load(self, out);
+    internal::fill_shards(self, out);
     internal::fill_fetch(self, out);
     self.m_engine.m_cached_prefixes.clear();
     self.m_reported = self.m_gate.m_phase;
@@ -234,6 +253,8 @@
         return internal::take_members(self, peer, message.members());
     case wire::Envelope::kHaveMap:
         return self.m_exchange.on_message(peer, message);
+    case wire::Envelope::kDumpPull:
+        return internal::give_dump(self, peer, message.dump_pull().number());
     case wire::Envelope::kHello:
         internal::send_hello(self);
         return report(self);
