--- a/include/rhubarbwharf/routing/bench.hpp
+++ b/include/rhubarbwharf/routing/bench.hpp
@@ -47,6 +47,8 @@
     double m_prefix_hits{};
     /*! @brief Share of the requests that were refused. */
     double m_refused{};
+    /*! @brief Share of the refusals that came within 50 ms. */
+    double m_refused_at_once{};
     double m_refusal_99{};
     /*! @brief Least share of its requests that any small organisation got answered in time. */
     double m_small_least{};
--- a/include/rhubarbwharf/routing/queue.hpp
+++ b/include/rhubarbwharf/routing/queue.hpp
@@ -38,6 +38,9 @@
     std::size_t m_size{};
     /*! @brief Work served over the weight, of the organisation served last. */
     double m_served{};
+    /*! @brief Smoothed requests sent a second, at `m_rate_at`. */
+    double m_rate{};
+    time_point m_rate_at{};
 };
 
 /*! @brief What became of a request that wanted to wait. */
@@ -52,12 +55,18 @@
  * @param weight Its weight, above zero. */
 auto set_weight(fair_queue& queue, organisation_id organisation, double weight) -> void;
 
+/*! @brief Notes that a request was sent. @param queue The queue. @param now The time. */
+auto note_sent(fair_queue& queue, time_point now) noexcept -> void;
+
 /**
- * @brief Returns how many requests may wait for a group of backend servers.
- * @param slots Requests that the group runs at once.
+ * @brief Returns how many requests may wait: as many as were sent lately in the time that one may wait, so that most
+ * of those that can't be sent in time are refused at once.
+ * @param queue The queue.
+ * @param now The time.
+ * @param queue_time Longest time that a request waits.
  * @return The limit.
  */
-[[nodiscard]] auto queue_limit(std::size_t slots) noexcept -> std::size_t;
+[[nodiscard]] auto queue_limit(const fair_queue& queue, time_point now, duration queue_time) noexcept -> std::size_t;
 
 /**
  * @brief Lets a request wait. In a full queue the organisation with the longest queue for its weight gives way.
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 
 #include <entry/daemon.hpp>
 #include <rhubarbwharf/core/assert.hpp>
@@ -66,6 +67,18 @@
     }
 }
 
+[[nodiscard]] auto queue_of(daemon& self, const std::string_view group) -> routing::fair_queue& {
+    const auto found = self.m_queues.find(group);
+    if (found != self.m_queues.end()) {
+        return found->second;
+    }
+    auto& queue = self.m_queues[std::string{group}];
+    for (const auto& owner : self.m_settings.m_organisations) {
+        routing::set_weight(queue, self.m_organisations.emplace(owner.m_name), owner.m_weight);
+    }
+    return queue;
+}
+
 auto start(daemon& self, const std::shared_ptr<request>& target, const instance_id id, const time_point now) -> void {
     ensure(!target->m_target, "a request has one attempt in progress");
     ++target->m_flight.m_attempts;
@@ -100,6 +113,7 @@
     if (!chosen) {
         return placed::no_room;
     }
+    routing::note_sent(queue_of(self, target->m_group), now);
     start(self, target, rows[*chosen].m_instance, now);
     return placed::sent;
 }
@@ -131,27 +145,21 @@
     refuse(self, target, routing::give_up(target->m_flight, why, false, routing::retry_after_default));
 }
 
-[[nodiscard]] auto queue_of(daemon& self, const std::string_view group) -> routing::fair_queue& {
-    const auto found = self.m_queues.find(group);
-    if (found != self.m_queues.end()) {
-        return found->second;
-    }
-    auto& queue = self.m_queues[std::string{group}];
-    for (const auto& owner : self.m_settings.m_organisations) {
-        routing::set_weight(queue, self.m_organisations.emplace(owner.m_name), owner.m_weight);
-    }
-    return queue;
-}
-
+/*! @brief Lets a request wait; one that has begun is neither refused nor displaced. */
 auto wait(daemon& self, const std::shared_ptr<request>& target) -> void {
-    const auto most = routing::queue_limit(slots(self, target->m_group));
+    const auto now = steady_now();
     const auto patience = std::chrono::milliseconds{self.m_settings.m_routing.m_queue_ms};
-    const auto begun = target->m_flight.m_attempts > 0U;
-    const auto until =
-        begun ? target->m_flight.m_deadline : std::min(target->m_flight.m_deadline, steady_now() + patience);
-    const auto done = routing::push(
-        queue_of(self, target->m_group),
-        {target->m_id, target->m_organisation, static_cast<std::uint8_t>(target->m_dispatch.priority()), until}, most);
+    auto& queue = queue_of(self, target->m_group);
+    routing::queued entry{target->m_id, target->m_organisation,
+                          static_cast<std::uint8_t>(target->m_dispatch.priority()), target->m_flight.m_deadline};
+    auto most = std::numeric_limits<std::size_t>::max();
+    if (target->m_flight.m_attempts == 0U) {
+        most = routing::queue_limit(queue, now, patience);
+        entry.m_until = std::min(entry.m_until, now + patience);
+    } else {
+        entry.m_priority = std::numeric_limits<std::uint8_t>::max();
+    }
+    const auto done = routing::push(queue, entry, most);
     if (done.m_displaced) {
         refuse_unsent(self, self.m_requests.at(done.m_displaced->m_request), code::over_share);
     }
