--- a/src/entry/daemon.hpp
+++ b/src/entry/daemon.hpp
@@ -251,6 +251,12 @@
 
 // run.cpp
 
+/*! @brief Opens all listeners. @param self The entry. @return Whether all could be opened. */
+[[nodiscard]] auto listen(daemon& self) -> bool;
+
+/*! @brief Starts timers, connections to the other entries and the watch. @param self The entry. */
+auto start(daemon& self) -> void;
+
 /*! @brief Begins the planned stop. @param self The entry. */
 auto begin_leaving(daemon& self) -> void;
 
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -60,12 +60,6 @@
     return parsed && server.listen(*parsed) == code::ok;
 }
 
-[[nodiscard]] auto listen(daemon& self) -> bool {
-    const auto bus = net::parse_endpoint(self.m_settings.m_listen.m_bus);
-    return bus && self.m_bus.listen(*bus) == code::ok && listen(self.m_admin, self.m_settings.m_listen.m_admin) &&
-           listen(self.m_callers, self.m_settings.m_listen.m_callers);
-}
-
 /*! @brief Time for which other entries may still name this one, and callers keep what they were told. */
 [[nodiscard]] auto leaving_time(const daemon& self) -> duration {
     return std::chrono::milliseconds{self.m_settings.m_drain.m_entries_ttl_ms} +
@@ -102,20 +96,6 @@
     self.m_loop.stop();
 }
 
-auto start(daemon& self) -> void {
-    connect_peers(self);
-    watch_state(self);
-    self.m_loop.every(tick_period, [&self] { tick(self); });
-    self.m_loop.every(std::chrono::milliseconds{self.m_settings.m_routing.m_report_ms},
-                      [&self] { gossip(self, steady_now()); });
-    self.m_loop.every(tell_again, [&self] {
-        if (self.m_leaving) {
-            tell_leaving(self);
-        }
-    });
-    self.m_loop.on_stop_signal([&self](const int count) { on_stop(self, count); });
-}
-
 } // namespace internal
 
 daemon::daemon(const config::settings& settings)
@@ -140,6 +120,27 @@
     m_budget.m_ratio = settings.m_routing.m_retry_ratio;
 }
 
+auto listen(daemon& self) -> bool {
+    const auto bus = net::parse_endpoint(self.m_settings.m_listen.m_bus);
+    return bus && self.m_bus.listen(*bus) == code::ok &&
+           internal::listen(self.m_admin, self.m_settings.m_listen.m_admin) &&
+           internal::listen(self.m_callers, self.m_settings.m_listen.m_callers);
+}
+
+auto start(daemon& self) -> void {
+    connect_peers(self);
+    watch_state(self);
+    self.m_loop.every(tick_period, [&self] { internal::tick(self); });
+    self.m_loop.every(std::chrono::milliseconds{self.m_settings.m_routing.m_report_ms},
+                      [&self] { gossip(self, steady_now()); });
+    self.m_loop.every(internal::tell_again, [&self] {
+        if (self.m_leaving) {
+            tell_leaving(self);
+        }
+    });
+    self.m_loop.on_stop_signal([&self](const int count) { internal::on_stop(self, count); });
+}
+
 auto begin_leaving(daemon& self) -> void {
     if (self.m_leaving) {
         return;
@@ -152,11 +153,11 @@
 
 auto run(const config::settings& settings) -> int {
     daemon self{settings};
-    if (!internal::listen(self)) {
+    if (!listen(self)) {
         net::log(net::level::error, "entry", "a listener can't be opened");
         return internal::status_no_listener;
     }
-    internal::start(self);
+    start(self);
     net::log(net::level::info, "entry", "started");
     self.m_loop.run();
     return internal::status_stopped;
