--- a/include/rhubarbwharf/exchange/exchange.hpp
+++ b/include/rhubarbwharf/exchange/exchange.hpp
@@ -91,7 +91,7 @@
      * @param request The request.
      * @param answer The responder.
      */
-    auto serve(net::http_request request, std::shared_ptr<net::responder> answer) -> void;
+    auto serve(const net::http_request& request, const std::shared_ptr<net::responder>& answer) -> void;
 
     /*! @brief Returns how far a version is. @param manifest Digest of its manifest. @return The progress. */
     [[nodiscard]] auto state(const digest& manifest) const -> progress;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -110,8 +110,8 @@
     internal::take_message(*m_node, from, message);
 }
 
-auto exchange::serve(net::http_request request, std::shared_ptr<net::responder> answer) -> void {
-    internal::answer(*m_node, request, std::move(answer));
+auto exchange::serve(const net::http_request& request, const std::shared_ptr<net::responder>& answer) -> void {
+    internal::answer(*m_node, request, answer);
 }
 
 auto exchange::state(const digest& manifest) const -> progress {
--- a/src/exchange/fetch.cpp
+++ b/src/exchange/fetch.cpp
@@ -51,9 +51,9 @@
 }
 
 /*! @brief Stores verified bytes and gives them to every version that names them. */
-auto store(node& state, const digest& name, bytes body, const time_point now) -> void {
+auto store(node& state, const digest& name, const bytes& body, const time_point now) -> void {
     const auto size = body->size();
-    if (state.m_chunks.try_emplace(name, std::move(body)).second) {
+    if (state.m_chunks.try_emplace(name, body).second) {
         state.m_held_bytes += size;
     }
     state.m_counts.set("exchange_held_bytes", static_cast<double>(state.m_held_bytes));
--- a/src/exchange/node.hpp
+++ b/src/exchange/node.hpp
@@ -14,9 +14,7 @@
 #include <rhubarbwharf/distribution/swarm.hpp>
 #include <rhubarbwharf/exchange/exchange.hpp>
 
-namespace rhubarbwharf::exchange {
-
-namespace internal {
+namespace rhubarbwharf::exchange::internal {
 
 using bytes = std::shared_ptr<const std::string>;
 
@@ -126,7 +124,7 @@
 auto cancel_downloads(node& state, const digest& name) -> void;
 
 /*! @brief Answers one request on the bulk listener. */
-auto answer(node& state, const net::http_request& request, std::shared_ptr<net::responder> to) -> void;
+auto answer(node& state, const net::http_request& request, const std::shared_ptr<net::responder>& to) -> void;
 
 /*! @brief Sends what pacing allows: other regions first, then the uploads in turn. */
 auto pump_uploads(node& state, time_point now) -> void;
@@ -134,6 +132,4 @@
 /*! @brief Writes the tables as JSON. */
 [[nodiscard]] auto write_dump(const node& state) -> std::string;
 
-} // namespace internal
-
-} // namespace rhubarbwharf::exchange
+} // namespace rhubarbwharf::exchange::internal
--- a/src/exchange/serve.cpp
+++ b/src/exchange/serve.cpp
@@ -200,7 +200,7 @@
 
 } // namespace
 
-auto answer(node& state, const net::http_request& request, std::shared_ptr<net::responder> to) -> void {
+auto answer(node& state, const net::http_request& request, const std::shared_ptr<net::responder>& to) -> void {
     const std::string_view target{request.m_target};
     const auto is_manifest = target.starts_with(manifests_path);
     if (!is_manifest && !target.starts_with(weights_path)) {
