Join neighbours on rings instead of by a random edge test

Cause: with edges drawn by hash an instance has between about 10 and 40 neighbours; those with few finish last (median 189 s, last 216 s). Ruled out as the main cause: slots, have-map period and chunk size (each moved the last instance by less than 10 s or made it slower). Change: the neighbours just before and behind on 12 rings, each in the order of another hash, so that all have about 24.

--- a/app/rhubarbwharf-bench-distribution/fleet.cpp
+++ b/app/rhubarbwharf-bench-distribution/fleet.cpp
@@ -15,6 +15,8 @@
 constexpr double most_seconds = 20'000.0;
 /*! @brief Each instance decides at least each of so many steps. */
 constexpr std::uint32_t idle_steps = 4;
+/*! @brief Round trips of refused fetches that fit into a step. */
+constexpr std::uint32_t refusals_per_step = 8;
 /*! @brief Time until the list of instances shows who is gone or new. */
 constexpr double list_lag_seconds = 5.0;
 constexpr double cut_seconds = 45.0;
@@ -128,8 +130,8 @@
         }
     }
     const auto entry = order.m_link.has_value() || order.m_source == distribution::origin;
-    state.m_net.m_flows.push_back(
-        {from, to, order.m_chunk, order.m_attempt, entry, state.m_wanted.m_chunk_bytes, 0.0, true});
+    state.m_net.m_flows.push_back({from, to, order.m_chunk, order.m_attempt, entry, state.m_wanted.m_chunk_bytes, 0.0,
+                                   true, order.m_link ? order.m_width : 0U, 0.0});
 }
 
 auto cancel(fleet& state, const std::uint32_t to, const std::uint64_t attempt) -> void {
@@ -140,14 +142,7 @@
     }
 }
 
-auto decide(fleet& state, const std::uint32_t index) -> void {
-    auto& self = state.m_instances[index];
-    self.m_dirty = false;
-    state.m_commands.clear();
-    const auto began = std::chrono::steady_clock::now();
-    distribution::plan(self.m_swarm, state.m_wanted.m_policy, clock(state), state.m_random(), state.m_commands);
-    state.m_plan_seconds += std::chrono::duration<double>{std::chrono::steady_clock::now() - began}.count();
-    ++state.m_plans;
+auto carry_out(fleet& state, const std::uint32_t index) -> void {
     for (const auto& order : state.m_commands) {
         switch (order.m_kind) {
         case distribution::command_kind::fetch:
@@ -157,16 +152,39 @@
             cancel(state, index, order.m_attempt);
             break;
         case distribution::command_kind::announce:
-            ++self.m_messages;
+            ++state.m_instances[index].m_messages;
             state.m_messages.emplace_back(index, order.m_source.value());
             break;
         case distribution::command_kind::whole:
-            self.m_whole_at = state.m_now;
+            state.m_instances[index].m_whole_at = state.m_now;
             break;
         }
     }
 }
 
+/*! @brief Lets an instance decide; refusals take a round trip, so that several fit into a step. */
+auto decide(fleet& state, const std::uint32_t index) -> void {
+    auto& self = state.m_instances[index];
+    self.m_dirty = false;
+    for (std::uint32_t round = 0; round < refusals_per_step; ++round) {
+        state.m_commands.clear();
+        const auto began = std::chrono::steady_clock::now();
+        distribution::plan(self.m_swarm, state.m_wanted.m_policy, clock(state), state.m_random(), state.m_commands);
+        state.m_plan_seconds += std::chrono::duration<double>{std::chrono::steady_clock::now() - began}.count();
+        ++state.m_plans;
+        const auto before = state.m_ends.size();
+        carry_out(state, index);
+        if (state.m_ends.size() == before) {
+            return;
+        }
+        for (auto place = before; place < state.m_ends.size(); ++place) {
+            const auto& item = state.m_ends[place];
+            distribution::take_end(self.m_swarm, item.m_attempt, item.m_end, state.m_wanted.m_policy, clock(state));
+        }
+        state.m_ends.resize(before);
+    }
+}
+
 auto deliver(fleet& state) -> void {
     for (const auto& [from, to] : std::exchange(state.m_messages, {})) {
         auto& receiver = state.m_instances[to];
--- a/app/rhubarbwharf-bench-distribution/network.cpp
+++ b/app/rhubarbwharf-bench-distribution/network.cpp
@@ -43,6 +43,22 @@
     }
 }
 
+/*! @brief Holds each gateway instance to its part of its link. */
+auto limit(network& net) -> void {
+    for (auto& item : net.m_flows) {
+        const auto* const used = link_between(net, item.m_from, item.m_to);
+        item.m_most_rate =
+            item.m_width > 0U && used != nullptr ? used->m_rate / item.m_width : net.m_machines.back().m_upload;
+        if (item.m_width == 0U || used == nullptr) {
+            continue;
+        }
+        const auto same = std::ranges::count_if(net.m_flows, [&](const flow& other) {
+            return other.m_open && other.m_to == item.m_to && link_between(net, other.m_from, other.m_to) == used;
+        });
+        item.m_most_rate /= static_cast<double>(same);
+    }
+}
+
 /*! @brief Gives each flow an equal share of what is left of the tightest of its three limits, several times. */
 auto share(network& net, const bool crossing) -> void {
     std::vector<double> parts(net.m_flows.size());
@@ -56,6 +72,7 @@
             const auto& from = net.m_machines[item.m_from];
             const auto& to = net.m_machines[item.m_to];
             parts[index] = std::min(from.m_upload_left / from.m_uploads, to.m_download_left / to.m_downloads);
+            parts[index] = std::min(parts[index], item.m_most_rate - item.m_rate);
             if (const auto* const used = link_between(net, item.m_from, item.m_to); used != nullptr) {
                 parts[index] = std::min(parts[index], used->m_left / used->m_flows);
             }
@@ -96,6 +113,7 @@
 auto advance(network& net, const double seconds, const double chunk_bytes) -> void {
     std::erase_if(net.m_flows, [](const flow& item) { return !item.m_open; });
     reset(net);
+    limit(net);
     for (const auto crossing : {true, false}) {
         count(net, crossing);
         share(net, crossing);
--- a/app/rhubarbwharf-bench-distribution/network.hpp
+++ b/app/rhubarbwharf-bench-distribution/network.hpp
@@ -41,6 +41,9 @@
     double m_bytes_left{};
     double m_rate{};
     bool m_open{true};
+    /*! @brief Receivers that share the link, each with its part; 0 where nothing is set aside. */
+    std::uint32_t m_width{};
+    double m_most_rate{};
 };
 
 /*! @brief One direction of a pair of regions. */
--- a/src/distribution/members.cpp
+++ b/src/distribution/members.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <rhubarbwharf/core/assert.hpp>
@@ -14,17 +15,6 @@
 /*! @brief Groups up to this multiple of the degree are joined without gaps. */
 constexpr std::uint32_t full_mesh_percent = 150;
 
-[[nodiscard]] auto is_edge(const member& left, const member& right, const std::uint64_t version_hash,
-                           const std::size_t region_size, const policy& rules) -> bool {
-    if (region_size * 100U <= std::size_t{rules.m_degree} * full_mesh_percent) {
-        return true;
-    }
-    const auto low = std::min(left.m_hash, right.m_hash);
-    const auto high = std::max(left.m_hash, right.m_hash);
-    const auto limit = UINT64_MAX / region_size * rules.m_degree;
-    return mix(mix(low, high), version_hash) < limit;
-}
-
 /*! @brief Ranks the members of a region by rendezvous hash for one link. */
 [[nodiscard]] auto rank(const std::span<const member> members, const std::span<const instance_id> region,
                         const std::uint64_t link_hash, const std::size_t count) -> std::vector<instance_id> {
@@ -123,17 +113,41 @@
     return std::ranges::find(instances, wanted) != instances.end();
 }
 
-auto join_neighbours(swarm& state, const std::span<const member> members, const regions& all, const policy& rules,
-                     const time_point now) -> void {
-    const auto region = all.of(state.m_region);
-    const auto& self = members[state.m_self.value()];
+/*! @brief Joins the instances just before and behind this one on a ring in the order of a hash. */
+auto join_ring(swarm& state, const std::span<const member> members, const std::span<const instance_id> region,
+               const std::uint64_t ring_hash, const time_point now) -> void {
+    const auto own = mix(ring_hash, state.m_self_hash);
+    auto behind = state.m_self;
+    auto before = state.m_self;
+    std::uint64_t least = UINT64_MAX;
+    std::uint64_t most = 0;
     for (const auto id : region) {
-        if (id == state.m_self) {
+        const auto distance = mix(ring_hash, members[id.value()].m_hash) - own;
+        if (distance == 0U) {
             continue;
         }
-        if (is_edge(self, members[id.value()], state.m_version_hash, region.size(), rules)) {
-            row_of(state, id, state.m_region, now).m_target = true;
+        if (distance < least) {
+            least = distance;
+            behind = id;
         }
+        if (distance > most) {
+            most = distance;
+            before = id;
+        }
+    }
+    join(state, std::array{behind, before}, members, now);
+}
+
+/*! @brief Joins the neighbours on several rings, so that every instance has about the same count. */
+auto join_neighbours(swarm& state, const std::span<const member> members, const regions& all, const policy& rules,
+                     const time_point now) -> void {
+    const auto region = all.of(state.m_region);
+    if (region.size() * 100U <= std::size_t{rules.m_degree} * full_mesh_percent) {
+        join(state, region, members, now);
+        return;
+    }
+    for (std::uint32_t ring = 0; ring < rules.m_degree / 2U; ++ring) {
+        join_ring(state, members, region, mix(state.m_version_hash, ring), now);
     }
 }
 
