Let two gateway instances share each link between regions

Cause: one gateway that fetches, offers on and swarms is late for the last chunks of its link: the median instance ends at 215.4 s where the links could end at 190.9 s. Ruled out: three fetches at once on the link (226 s) and one (215 s) with a single gateway. Change: two gateways a link, each with half of its rate.

--- a/app/rhubarbwharf-bench-distribution/main.cpp
+++ b/app/rhubarbwharf-bench-distribution/main.cpp
@@ -173,7 +173,7 @@
     add("failures", "also run with failures", cxxopts::value(chosen.m_failures));
     add("baselines", "also run the baselines", cxxopts::value(chosen.m_baselines));
     add("degree", "neighbours", cxxopts::value(chosen.m_policy.m_degree)->default_value("24"));
-    add("gateways", "gateways a link", cxxopts::value(chosen.m_policy.m_gateways)->default_value("1"));
+    add("gateways", "gateways a link", cxxopts::value(chosen.m_policy.m_gateways)->default_value("2"));
     add("readers", "readers of the origin", cxxopts::value(chosen.m_policy.m_origin_readers)->default_value("4"));
     add("parallel", "parallel fetches", cxxopts::value(chosen.m_policy.m_parallel)->default_value("4"));
     add("link-parallel", "parallel fetches a link",
--- a/include/rhubarbwharf/distribution/swarm.hpp
+++ b/include/rhubarbwharf/distribution/swarm.hpp
@@ -20,7 +20,7 @@
     /*! @brief Mean count of neighbours in the own region. */
     std::uint32_t m_degree{24};
     /*! @brief Gateway instances that use one link between regions at once. */
-    std::uint32_t m_gateways{1};
+    std::uint32_t m_gateways{2};
     /*! @brief Gateway instances that stand by for each link. */
     std::uint32_t m_spares{2};
     /*! @brief Copies that may be read from the origin. */
