Connect an agent to the members it sends chunk maps to

Cause: an agent connected to the entries only, so every map of held chunks that the exchange sent to another agent was dropped, and each agent of the origin's region read the whole version from the origin by itself; agents of the other regions read nothing (state dump: held 0 at every source). Change: the bus connects to a member when something is sent to it first, and lets go when the member has left the lists.

--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -1,6 +1,7 @@
 #include <agent/daemon.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include <agent/desired.hpp>
 #include <rhubarbwharf/net/log.hpp>
@@ -172,8 +173,10 @@
     internal::forget_old_lists(self);
     std::vector<exchange::peer> peers{};
     std::vector<member> group{};
+    std::map<std::string, net::endpoint, std::less<>> buses{};
     for (const auto& [instance, seen] : internal::union_of(self)) {
         peers.push_back(internal::peer_of(seen));
+        buses.emplace(instance, peers.back().m_bus);
         if (seen.group() == self.m_settings.m_backend.m_group) {
             group.push_back({instance, static_cast<phase>(seen.phase()), ticket_number{seen.ticket()}, seen.ready(),
                              seen.leaving()});
@@ -181,6 +184,11 @@
     }
     self.m_members = std::move(group);
     self.m_has_members = true;
+    for (const auto& [instance, where] : std::exchange(self.m_peer_buses, std::move(buses))) {
+        if (!self.m_peer_buses.contains(instance)) {
+            self.m_bus.disconnect(instance);
+        }
+    }
     self.m_exchange.set_peers(peers);
 }
 
--- a/src/agent/daemon.cpp
+++ b/src/agent/daemon.cpp
@@ -91,6 +91,9 @@
                      auto framed = message;
                      framed.set_protocol(protocol_version);
                      framed.set_incarnation(m_incarnation);
+                     if (const auto found = m_peer_buses.find(peer); found != m_peer_buses.end()) {
+                         m_bus.connect(peer, found->second);
+                     }
                      send(*this, peer, framed);
                  },
                  [this](const digest&) {
--- a/src/agent/daemon.hpp
+++ b/src/agent/daemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -54,6 +55,8 @@
     std::unordered_map<std::string, member_list> m_lists{};
     /*! @brief Other members of the own group. */
     std::vector<member> m_members{};
+    /*! @brief Where the members' buses listen; connected to when something is sent to them. */
+    std::map<std::string, net::endpoint, std::less<>> m_peer_buses{};
     std::unordered_map<attempt_id, std::shared_ptr<relay>, attempt_hash> m_relays{};
     engine_state m_engine{};
 
