Fetch a version that the engine kept while members still lack it

Cause: an agent replaced after its engine had loaded adopts the version that the engine reports and fetches nothing; where it was the only one in the origin's region, the other regions wait for it for ever (state dump: chef-0 serving with an empty exchange, chef-1 fetching from ost, held 0). Ruled out: fencing and the gate, which behaved as meant. Change: while a member of the group is behind on the ticket and fetching, the agent fetches the version as well, although its own engine needs none. Before: process case 'an agent killed while its engine loads' failed twice of two runs; after: passed three of three (test_process -tc='an agent killed while its*').

--- a/src/agent/activation.cpp
+++ b/src/agent/activation.cpp
@@ -1,5 +1,6 @@
 #include <agent/daemon.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 #include <agent/engine.hpp>
@@ -146,6 +147,20 @@
     self.m_exchange.want(manifest);
 }
 
+/*! @brief Fetches a version that the engine held before this process, as long as members still lack it: the exchange
+ * may count on this instance to bring it into its region. */
+auto fetch_for_members(daemon& self) -> void {
+    if (self.m_gate.m_phase != phase::serving || self.m_gate.m_plain_service || needs_load(self.m_gate)) {
+        return;
+    }
+    const auto lacks = [&self](const member& other) {
+        return other.m_phase == phase::fetching && other.m_ticket < self.m_gate.m_ticket;
+    };
+    if (std::any_of(self.m_members.begin(), self.m_members.end(), lacks)) {
+        fetch(self, self.m_gate.m_confirmed.m_manifest);
+    }
+}
+
 } // namespace internal
 
 auto take_epoch(daemon& self) -> void {
@@ -180,6 +195,7 @@
     if (command.m_kind == gate_command::kind::load) {
         internal::check_epoch_and_load(self, command);
     }
+    internal::fetch_for_members(self);
     if (self.m_gate.m_phase != was) {
         internal::log_change(self);
         report(self);
