--- a/src/agent/admin.cpp
+++ b/src/agent/admin.cpp
@@ -118,6 +118,8 @@
         {"group", self.m_settings.m_backend.m_group},
         {"incarnation", std::to_string(self.m_incarnation)},
         {"stopping", self.m_is_stopping},
+        {"bus_sent_bytes", self.m_bus.sent_bytes()},
+        {"bus_received_bytes", self.m_bus.received_bytes()},
         {"gate", internal::dump_gate(self)},
         {"running", self.m_admission.m_running},
         {"waiting", self.m_admission.m_waiting.size()},
