--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -46,7 +46,7 @@
     });
 }
 
-[[nodiscard]] auto head_of(const request& target, const wire::AnswerHead& head) -> net::http_response {
+[[nodiscard]] auto head_of(const digest& version, const wire::AnswerHead& head) -> net::http_response {
     net::http_response out{};
     out.m_status = static_cast<std::uint16_t>(head.status());
     for (const auto& field : head.headers()) {
@@ -54,8 +54,8 @@
             out.m_headers.push_back({field.name(), field.value()});
         }
     }
-    if (target.m_version != digest{}) {
-        out.m_headers.push_back({"X-Model-Version", to_hex(target.m_version).substr(0, version_digits)});
+    if (version != digest{}) {
+        out.m_headers.push_back({"X-Model-Version", to_hex(version).substr(0, version_digits)});
     }
     return out;
 }
@@ -81,7 +81,7 @@
     }
     const auto passed_on = target->m_flight.m_stream && head.status() == status_ok;
     target->m_version = passed_on ? version : target->m_version;
-    auto out = head_of(*target, head);
+    auto out = head_of(version, head);
     if (!passed_on) {
         target->m_collected = std::move(out);
         return;
