Connect to the agents that chunk maps go to

A HaveMap went to a peer that no connection led to, so no agent ever learned what another held: in the demo 2 of 6 engines had loaded after 60 s.

--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -80,6 +80,16 @@
     return peer;
 }
 
+auto disconnect_gone(daemon& self) -> void {
+    std::erase_if(self.m_connected, [&self](const auto& name) {
+        const auto is_gone = !self.m_agents.contains(name);
+        if (is_gone) {
+            self.m_bus.disconnect(name);
+        }
+        return is_gone;
+    });
+}
+
 auto forget_old_lists(daemon& self) -> void {
     const auto kept = std::chrono::milliseconds{self.m_settings.m_routing.m_report_ms} * list_periods_kept;
     const auto now = steady_now();
@@ -172,8 +182,10 @@
     internal::forget_old_lists(self);
     std::vector<exchange::peer> peers{};
     std::vector<member> group{};
+    self.m_agents.clear();
     for (const auto& [instance, seen] : internal::union_of(self)) {
         peers.push_back(internal::peer_of(seen));
+        self.m_agents.emplace(instance, peers.back().m_bus);
         if (seen.group() == self.m_settings.m_backend.m_group) {
             group.push_back({instance, static_cast<phase>(seen.phase()), ticket_number{seen.ticket()}, seen.ready(),
                              seen.leaving()});
@@ -181,6 +193,7 @@
     }
     self.m_members = std::move(group);
     self.m_has_members = true;
+    internal::disconnect_gone(self);
     self.m_exchange.set_peers(peers);
 }
 
--- a/src/agent/daemon.cpp
+++ b/src/agent/daemon.cpp
@@ -87,12 +87,7 @@
                  m_http,
                  m_counters,
                  m_settings,
-                 [this](const auto peer, const auto& message) {
-                     auto framed = message;
-                     framed.set_protocol(protocol_version);
-                     framed.set_incarnation(m_incarnation);
-                     send(*this, peer, framed);
-                 },
+                 [this](const auto peer, const auto& message) { send_to_agent(*this, peer, message); },
                  [this](const digest&) {
                      activate(*this);
                  }},
@@ -126,6 +121,20 @@
     return outcome == code::ok;
 }
 
+auto send_to_agent(daemon& self, const std::string_view peer, const wire::Envelope& message) -> void {
+    const auto name = std::string{peer};
+    const auto found = self.m_agents.find(name);
+    if (found == self.m_agents.end()) {
+        return;
+    }
+    self.m_bus.connect(peer, found->second);
+    self.m_connected.insert(name);
+    auto framed = message;
+    framed.set_protocol(protocol_version);
+    framed.set_incarnation(self.m_incarnation);
+    send(self, peer, framed);
+}
+
 auto send_to_entries(daemon& self, const wire::Envelope& message) -> void {
     const auto bytes = message.SerializeAsString();
     for (const auto& entry : self.m_settings.m_entries) {
--- a/src/agent/daemon.hpp
+++ b/src/agent/daemon.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <agent/admission.hpp>
@@ -54,6 +55,10 @@
     std::unordered_map<std::string, member_list> m_lists{};
     /*! @brief Other members of the own group. */
     std::vector<member> m_members{};
+    /*! @brief Bus addresses of the other agents, by instance. */
+    std::unordered_map<std::string, net::endpoint> m_agents{};
+    /*! @brief Agents that this one has connected to. */
+    std::unordered_set<std::string> m_connected{};
     std::unordered_map<attempt_id, std::shared_ptr<relay>, attempt_hash> m_relays{};
     engine_state m_engine{};
 
@@ -91,6 +96,10 @@
  * @return Whether it was queued. */
 auto send(daemon& self, std::string_view peer, const wire::Envelope& message) -> bool;
 
+/*! @brief Sends an envelope to another agent, and connects to it first if need be. @param self The agent. @param peer
+ * Its name. @param message The envelope. */
+auto send_to_agent(daemon& self, std::string_view peer, const wire::Envelope& message) -> void;
+
 /*! @brief Sends an envelope to every entry. @param self The agent. @param message The envelope. */
 auto send_to_entries(daemon& self, const wire::Envelope& message) -> void;
 
