Give refused instances their turn, and start further origin copies late

Cause 1: who ends a fetch asks again at once and takes the free upload; one that was refused waits out its pause and is refused again. In a region of 8 the last instance ended at 318.9 s where half had ended at 178.3 s. Ruled out: a shorter pause alone (228.5 s), a fifth upload (181.8 s, but 350 instances in 3 regions slow down from 207.5 s to 218.7 s). Change: a source keeps free uploads for those it refused; pause 100 ms. Cause 2: copies 2 to 4 shared the origin's link with the first one, and so held back the entry of chunks. They now wait until all chunks have entered. Also: have-maps are held to 50 a second for each instance.

--- a/app/rhubarbwharf-bench-distribution/fleet.cpp
+++ b/app/rhubarbwharf-bench-distribution/fleet.cpp
@@ -121,8 +121,8 @@
         }
         const auto remote = region_seen(state, from) != region_seen(state, to);
         if (!source.m_frozen) {
-            const auto verdict =
-                distribution::begin_upload(source.m_swarm, order.m_chunk, remote, state.m_wanted.m_policy);
+            const auto verdict = distribution::begin_upload(source.m_swarm, order.m_chunk, instance_id{to}, remote,
+                                                            state.m_wanted.m_policy, clock(state));
             if (verdict != distribution::fetch_end::verified) {
                 state.m_ends.push_back({to, order.m_attempt, verdict});
                 return;
--- a/app/rhubarbwharf-bench-distribution/main.cpp
+++ b/app/rhubarbwharf-bench-distribution/main.cpp
@@ -164,6 +164,7 @@
     cxxopts::Options parser{"rhubarbwharf-bench-distribution", "Weight distribution over fake links"};
     options chosen{};
     std::uint32_t announce_ms{};
+    std::uint32_t busy_ms{};
     auto add = parser.add_options();
     add("sizes", "instances", cxxopts::value(chosen.m_sizes)->default_value("8,64,350,2500"));
     add("regions", "regions", cxxopts::value(chosen.m_regions)->default_value("1,3,5"));
@@ -180,6 +181,7 @@
         cxxopts::value(chosen.m_policy.m_link_parallel)->default_value("2"));
     add("uploads", "uploads at once", cxxopts::value(chosen.m_policy.m_uploads)->default_value("4"));
     add("announce-ms", "least time between have-maps", cxxopts::value(announce_ms)->default_value("500"));
+    add("busy-ms", "time for which a busy source is left alone", cxxopts::value(busy_ms)->default_value("100"));
     add("seed", "seed", cxxopts::value(chosen.m_seed)->default_value("20261203"));
     add("help", "this text");
     try {
@@ -193,6 +195,7 @@
         return 2;
     }
     chosen.m_policy.m_announce_gap = std::chrono::milliseconds{announce_ms};
+    chosen.m_policy.m_busy_time = std::chrono::milliseconds{busy_ms};
     run_all(chosen);
     return 0;
 }
--- a/include/rhubarbwharf/distribution/swarm.hpp
+++ b/include/rhubarbwharf/distribution/swarm.hpp
@@ -39,12 +39,16 @@
     duration m_fetch_time{std::chrono::seconds{10}};
     /*! @brief Least time between two have-maps to the same peer. */
     duration m_announce_gap{std::chrono::milliseconds{500}};
+    /*! @brief Have-maps that one instance sends a second, over all its peers. */
+    std::uint32_t m_announces_per_second{50};
     /*! @brief Time after which a have-map is repeated while the version is not whole. */
     duration m_heartbeat{std::chrono::seconds{1}};
     /*! @brief Time without a have-map after which a gateway instance is passed over. */
     duration m_silence{std::chrono::seconds{4}};
     /*! @brief Time for which a source that was busy is left alone. */
-    duration m_busy_time{std::chrono::milliseconds{400}};
+    duration m_busy_time{std::chrono::milliseconds{100}};
+    /*! @brief Time for which a source keeps a turn for an instance that it refused. */
+    duration m_turn_time{std::chrono::milliseconds{400}};
     /*! @brief Time for which a source that failed is left alone; doubles with each failure. */
     duration m_avoid_time{std::chrono::seconds{2}};
     /*! @brief Time for which a source that sent a corrupt chunk is left alone. */
@@ -88,6 +92,12 @@
     bool m_live{true};
 };
 
+/*! @brief An instance that was refused an upload and has its turn when it asks again. */
+struct refused_row {
+    instance_id m_instance{};
+    time_point m_at{};
+};
+
 /*! @brief A link into the own region, for which this instance is a gateway or a spare. */
 struct link_row {
     /*! @brief Region at the other end; that of the origin for a lane. */
@@ -139,7 +149,7 @@
     time_point m_progress{};
     std::uint32_t m_uploads{};
     std::uint32_t m_link_uploads{};
-    bool m_claims_changed{};
+    std::vector<refused_row> m_refused{};
     /*! @brief Changes of the own have-map; told apart by when each target was told. */
     time_point m_changed{};
     bool m_reported_whole{};
@@ -250,11 +260,14 @@
  * @brief Decides whether a chunk is uploaded now; each accepted upload must be ended by `end_upload`.
  * @param state The tables.
  * @param chunk The chunk.
+ * @param asker Who asks; `origin` if it is not known.
  * @param remote Whether the asker stands in another region.
  * @param rules The policy.
+ * @param now The time.
  * @return `verified` if accepted, else `busy` or `not_held`.
  */
-[[nodiscard]] auto begin_upload(swarm& state, std::uint32_t chunk, bool remote, const policy& rules) -> fetch_end;
+[[nodiscard]] auto begin_upload(swarm& state, std::uint32_t chunk, instance_id asker, bool remote, const policy& rules,
+                                time_point now) -> fetch_end;
 
 /*! @brief Ends an accepted upload. @param state The tables. @param remote As given to `begin_upload`. */
 auto end_upload(swarm& state, bool remote) -> void;
--- a/src/distribution/links.cpp
+++ b/src/distribution/links.cpp
@@ -130,6 +130,15 @@
     return best->m_instance;
 }
 
+/*! @brief Tells whether every chunk is in the own region or on its way there: further copies wait until then. */
+[[nodiscard]] auto has_entered(const swarm& state, const policy& rules, const time_point now) -> bool {
+    const auto words = taken(state, link_row{}, rules, now);
+    std::uint32_t count = 0;
+    std::ranges::for_each(
+        words, [&count](const bit_set::word_type word) { count += static_cast<std::uint32_t>(std::popcount(word)); });
+    return count >= state.m_held.size();
+}
+
 auto plan_link(swarm& state, const std::uint32_t place, const policy& rules, const time_point now, random_bits& bits,
                std::vector<command>& commands) -> void {
     auto& link = state.m_links[place];
@@ -143,6 +152,9 @@
         return;
     }
     from.m_taken = taken(state, link, rules, now);
+    if (link.m_lane > 0U && !has_entered(state, rules, now)) {
+        return;
+    }
     from.m_offered = offered(state, link, now);
     const auto may_steal = link.m_lane == 0U && now - link.m_idle_since >= rules.m_steal_time;
     while (link.m_fetches < rules.m_link_parallel) {
--- a/src/distribution/plan.cpp
+++ b/src/distribution/plan.cpp
@@ -108,8 +108,17 @@
     start(state, chunk, origin, std::nullopt, now, commands);
 }
 
-[[nodiscard]] auto is_due(const swarm& state, const source_row& row, const policy& rules, const time_point now)
-    -> bool {
+/*! @brief Time between two have-maps to one target: longer where there are many, so that the sum keeps its rate. */
+[[nodiscard]] auto announce_gap(const swarm& state, const policy& rules) -> duration {
+    const auto targets = std::ranges::count_if(state.m_sources, [](const source_row& row) {
+        return row.m_live && (row.m_target || row.m_asked) && !row.m_held.full();
+    });
+    const duration shared{std::chrono::seconds{targets} / std::max(1U, rules.m_announces_per_second)};
+    return std::max(rules.m_announce_gap, shared);
+}
+
+[[nodiscard]] auto is_due(const swarm& state, const source_row& row, const policy& rules, const duration gap,
+                          const time_point now) -> bool {
     if (!row.m_target && !row.m_asked) {
         return false;
     }
@@ -117,7 +126,7 @@
         return true;
     }
     const auto since = now - *row.m_told;
-    if (since < rules.m_announce_gap) {
+    if (since < gap) {
         return false;
     }
     if (state.m_held.full()) {
@@ -130,8 +139,9 @@
 }
 
 auto announce(swarm& state, const policy& rules, const time_point now, std::vector<command>& commands) -> void {
+    const auto gap = announce_gap(state, rules);
     for (auto& row : state.m_sources) {
-        if (!row.m_live || !is_due(state, row, rules, now)) {
+        if (!row.m_live || !is_due(state, row, rules, gap, now)) {
             continue;
         }
         row.m_told = now;
--- a/src/distribution/tables.cpp
+++ b/src/distribution/tables.cpp
@@ -127,6 +127,29 @@
     }
 }
 
+/*! @brief Gives free uploads first to those who were refused before, so that none is always too late. */
+[[nodiscard]] auto takes_turn(swarm& state, const instance_id asker, const policy& rules, const time_point now)
+    -> bool {
+    constexpr std::size_t most_refused = 32;
+    auto& refused = state.m_refused;
+    std::erase_if(refused, [&](const refused_row& row) { return now - row.m_at > rules.m_turn_time; });
+    const auto own = std::ranges::find(refused, asker, &refused_row::m_instance);
+    const auto was_refused = own != refused.end();
+    const auto free = rules.m_uploads > state.m_uploads ? rules.m_uploads - state.m_uploads : 0U;
+    if (free > 0U && (was_refused || refused.size() < free)) {
+        if (was_refused) {
+            refused.erase(own);
+        }
+        return true;
+    }
+    if (was_refused) {
+        own->m_at = now;
+    } else if (asker != origin && refused.size() < most_refused) {
+        refused.push_back({asker, now});
+    }
+    return false;
+}
+
 } // namespace internal
 
 auto make_swarm(const instance_id self, const std::uint64_t version_hash, bit_set held, const time_point now) -> swarm {
@@ -185,15 +208,20 @@
     internal::blame(state, fetch, end, rules, now);
 }
 
-auto begin_upload(swarm& state, const std::uint32_t chunk, const bool remote, const policy& rules) -> fetch_end {
+auto begin_upload(swarm& state, const std::uint32_t chunk, const instance_id asker, const bool remote,
+                  const policy& rules, const time_point now) -> fetch_end {
     if (!state.m_held.contains(chunk)) {
         return fetch_end::not_held;
     }
-    auto& uploads = remote ? state.m_link_uploads : state.m_uploads;
-    if (uploads >= (remote ? rules.m_link_uploads : rules.m_uploads)) {
+    if (remote) {
+        const auto is_free = state.m_link_uploads < rules.m_link_uploads;
+        state.m_link_uploads += is_free ? 1U : 0U;
+        return is_free ? fetch_end::verified : fetch_end::busy;
+    }
+    if (!internal::takes_turn(state, asker, rules, now)) {
         return fetch_end::busy;
     }
-    ++uploads;
+    ++state.m_uploads;
     return fetch_end::verified;
 }
 
--- a/src/exchange/fetch.cpp
+++ b/src/exchange/fetch.cpp
@@ -155,6 +155,7 @@
     request.m_headers.push_back(
         {"Range", "bytes=" + std::to_string(range.m_first) + "-" + std::to_string(range.m_first + range.m_size - 1U)});
     request.m_headers.push_back({"X-Region", state.m_region_name});
+    request.m_headers.push_back({"X-Instance", std::string{state.m_names.name(instance_id{0})}});
     const auto server =
         is_origin ? state.m_origin.value_or(net::endpoint{}) : state.m_addresses[order.m_source.value()].m_bulk;
     net::call_handlers handlers{};
--- a/src/exchange/serve.cpp
+++ b/src/exchange/serve.cpp
@@ -72,15 +72,18 @@
 }
 
 /*! @brief Sends one chunk, as asked for by its bytes. */
-auto answer_chunk(node& state, const digest& name, version& entry, const span_of_bytes& range, const bool remote,
-                  const std::shared_ptr<net::responder>& to) -> void {
+auto answer_chunk(node& state, const digest& name, version& entry, const span_of_bytes& range,
+                  const net::http_request& request, const std::shared_ptr<net::responder>& to) -> void {
+    const auto region = net::find(request.m_headers, "X-Region");
+    const auto remote = !region.empty() && region != state.m_region_name;
+    const auto asker = state.m_names.find(net::find(request.m_headers, "X-Instance")).value_or(distribution::origin);
     const auto chunk = static_cast<std::uint32_t>(range.m_first / entry.m_manifest->m_chunk_bytes);
     const auto whole = distribution::range(*entry.m_manifest, chunk);
     if (range.m_last >= whole.m_first + whole.m_size) {
         refuse(to, code::bad_request);
         return;
     }
-    const auto verdict = distribution::begin_upload(entry.m_swarm, chunk, remote, state.m_rules);
+    const auto verdict = distribution::begin_upload(entry.m_swarm, chunk, asker, remote, state.m_rules, steady_now());
     if (verdict != distribution::fetch_end::verified) {
         refuse(to, verdict == distribution::fetch_end::busy ? code::overloaded : code::not_found);
         return;
@@ -133,8 +136,7 @@
         refuse(to, code::bad_request);
         return;
     }
-    const auto region = net::find(request.m_headers, "X-Region");
-    answer_chunk(state, name, entry, *range, !region.empty() && region != state.m_region_name, to);
+    answer_chunk(state, name, entry, *range, request, to);
 }
 
 /*! @brief Sends up to a slice. @return The bytes sent; 0 if the reader has to catch up first. */
