Pass over gateways that do not grow, and keep stealing once a link is free

Change: stalled is one that claims and whose own count has not grown. Cause 2: after each stolen pair of chunks a link waited 2 s again. Change: the wait counts from the last chunk of the link's own part.

--- a/include/rhubarbwharf/distribution/swarm.hpp
+++ b/include/rhubarbwharf/distribution/swarm.hpp
@@ -76,8 +76,8 @@
     /*! @brief Chunks that the source is fetching over a link between regions or from the origin. */
     std::vector<std::uint32_t> m_claims{};
     time_point m_heard{};
-    /*! @brief Since when the claims are the same. */
-    time_point m_claimed{};
+    /*! @brief When it last held more chunks than before. */
+    time_point m_grown{};
     /*! @brief When the own have-map was last sent to it. */
     std::optional<time_point> m_told{};
     time_point m_busy_until{};
@@ -111,6 +111,7 @@
     /*! @brief Gateway instances and spares by descending rank, this one among them. */
     std::vector<instance_id> m_candidates{};
     std::uint32_t m_fetches{};
+    /*! @brief When a chunk of its own part was last fetched over the link. */
     time_point m_idle_since{};
     /*! @brief Time before which the origin is not asked again. */
     time_point m_wait_until{};
--- a/src/distribution/links.cpp
+++ b/src/distribution/links.cpp
@@ -30,7 +30,7 @@
 }
 
 [[nodiscard]] auto is_stalled(const source_row& row, const policy& rules, const time_point now) -> bool {
-    const auto stuck = !row.m_claims.empty() && now - row.m_claimed > rules.m_fetch_time;
+    const auto stuck = !row.m_claims.empty() && now - row.m_grown > rules.m_fetch_time;
     return !row.m_live || stuck || now - row.m_heard > rules.m_silence;
 }
 
@@ -60,7 +60,7 @@
         if (link.m_lane == 0U) {
             merge(words, row.m_held);
         }
-        if (now - row.m_claimed <= rules.m_fetch_time && now - row.m_heard <= rules.m_silence) {
+        if (!is_stalled(row, rules, now)) {
             std::ranges::for_each(row.m_claims, [&words](const std::uint32_t chunk) { merge(words, chunk); });
         }
     }
@@ -159,7 +159,9 @@
     const auto may_steal = link.m_lane == 0U && now - link.m_idle_since >= rules.m_steal_time;
     while (link.m_fetches < rules.m_link_parallel) {
         auto chunk = choose(state, link, from, true);
-        if (!chunk && may_steal) {
+        if (chunk) {
+            link.m_idle_since = now;
+        } else if (may_steal) {
             chunk = choose(state, link, from, false);
         }
         if (!chunk) {
@@ -175,9 +177,6 @@
 auto plan_links(swarm& state, const policy& rules, const time_point now, random_bits& bits,
                 std::vector<command>& commands) -> void {
     for (std::uint32_t place = 0; place < state.m_links.size(); ++place) {
-        if (state.m_links[place].m_fetches > 0U) {
-            state.m_links[place].m_idle_since = now;
-        }
         plan_link(state, place, rules, now, bits, commands);
     }
 }
--- a/src/distribution/tables.cpp
+++ b/src/distribution/tables.cpp
@@ -25,7 +25,7 @@
         row.m_region = region;
         row.m_held = bit_set{state.m_held.size()};
         row.m_heard = now;
-        row.m_claimed = now;
+        row.m_grown = now;
     }
     return state.m_sources[place];
 }
@@ -52,7 +52,6 @@
     if (link) {
         auto& used = state.m_links[*link];
         ++used.m_fetches;
-        used.m_idle_since = now;
         issued.m_link = used.m_from;
         issued.m_width = used.m_width;
         state.m_changed = now;
@@ -176,13 +175,11 @@
     if (row.m_region == state.m_region) {
         internal::set_copies(state, row.m_held, held);
     }
+    row.m_grown = held.count() > row.m_held.count() ? now : row.m_grown;
     row.m_held = held;
     row.m_heard = now;
     row.m_asked = !held.full();
-    if (!std::ranges::equal(row.m_claims, claimed)) {
-        row.m_claims.assign(claimed.begin(), claimed.end());
-        row.m_claimed = now;
-    }
+    row.m_claims.assign(claimed.begin(), claimed.end());
 }
 
 auto take_chunk(swarm& state, const std::uint32_t chunk, const time_point now) -> void {
