--- a/src/distribution/links.cpp
+++ b/src/distribution/links.cpp
@@ -30,7 +30,7 @@
 }
 
 [[nodiscard]] auto is_stalled(const source_row& row, const policy& rules, const time_point now) -> bool {
-    const auto stuck = !row.m_claims.empty() && now - row.m_claimed > rules.m_fetch_time;
+    const auto stuck = !row.m_claims.empty() && now - row.m_grown > rules.m_fetch_time;
     return !row.m_live || stuck || now - row.m_heard > rules.m_silence;
 }
 
@@ -60,7 +60,7 @@
         if (link.m_lane == 0U) {
             merge(words, row.m_held);
         }
-        if (now - row.m_claimed <= rules.m_fetch_time && now - row.m_heard <= rules.m_silence) {
+        if (!is_stalled(row, rules, now)) {
             std::ranges::for_each(row.m_claims, [&words](const std::uint32_t chunk) { merge(words, chunk); });
         }
     }
@@ -130,6 +130,15 @@
     return best->m_instance;
 }
 
+/*! @brief Tells whether every chunk is in the own region or on its way there: further copies wait until then. */
+[[nodiscard]] auto has_entered(const swarm& state, const policy& rules, const time_point now) -> bool {
+    const auto words = taken(state, link_row{}, rules, now);
+    std::uint32_t count = 0;
+    std::ranges::for_each(
+        words, [&count](const bit_set::word_type word) { count += static_cast<std::uint32_t>(std::popcount(word)); });
+    return count >= state.m_held.size();
+}
+
 auto plan_link(swarm& state, const std::uint32_t place, const policy& rules, const time_point now, random_bits& bits,
                std::vector<command>& commands) -> void {
     auto& link = state.m_links[place];
@@ -143,11 +152,16 @@
         return;
     }
     from.m_taken = taken(state, link, rules, now);
+    if (link.m_lane > 0U && !has_entered(state, rules, now)) {
+        return;
+    }
     from.m_offered = offered(state, link, now);
     const auto may_steal = link.m_lane == 0U && now - link.m_idle_since >= rules.m_steal_time;
     while (link.m_fetches < rules.m_link_parallel) {
         auto chunk = choose(state, link, from, true);
-        if (!chunk && may_steal) {
+        if (chunk) {
+            link.m_idle_since = now;
+        } else if (may_steal) {
             chunk = choose(state, link, from, false);
         }
         if (!chunk) {
@@ -163,9 +177,6 @@
 auto plan_links(swarm& state, const policy& rules, const time_point now, random_bits& bits,
                 std::vector<command>& commands) -> void {
     for (std::uint32_t place = 0; place < state.m_links.size(); ++place) {
-        if (state.m_links[place].m_fetches > 0U) {
-            state.m_links[place].m_idle_since = now;
-        }
         plan_link(state, place, rules, now, bits, commands);
     }
 }
