Check refusals and ends of streams more strictly

Two deliberate faults in a scratch copy were not seen by the tests: a cut stream that ends cleanly without its end mark, and a call that ran but is refused as not run. The reader now counts every answer that ends without an error as shown complete, and every payment whose calls were all refused must not have run.

--- a/test/process/at_most_once.cpp
+++ b/test/process/at_most_once.cpp
@@ -30,8 +30,18 @@
     }
 }
 
+/*! @brief Checks that a payment of which all calls so far were refused as not run did not run. */
+auto check_refusals(const site& where, const std::vector<settlement>& all) -> void {
+    for (std::size_t index = 0; index < all.size(); ++index) {
+        const auto is_refused = all[index].m_clear && all[index].m_accepted + all[index].m_unknown == 0U;
+        CHECK_MESSAGE((!is_refused || where.runs(reference(index)) == 0U),
+                      reference(index) << " was refused but ran; " << all[index].m_last);
+    }
+}
+
 /*! @brief Sends each payment again until it is settled, then checks its runs against all that was said. */
 auto check_all(site& where, std::vector<settlement>& all) -> void {
+    check_refusals(where, all);
     for (std::size_t index = 0; index < all.size(); ++index) {
         CHECK_MESSAGE(settle(where, all[index], reference(index)), all[index].m_last);
         CHECK_MESSAGE(agrees(all[index], where.runs(reference(index))),
--- a/test/process/site.cpp
+++ b/test/process/site.cpp
@@ -278,17 +278,15 @@
 auto read_generated(const answer& got, const std::string_view prompt, const std::size_t tokens) -> generated {
     constexpr std::string_view mark = "data: ";
     generated made{};
-    auto ended = false;
+    auto failed = false;
     std::istringstream lines{got.m_response.m_body};
     for (std::string line{}; std::getline(lines, line);) {
+        failed = failed || line == "event: error";
         if (!line.starts_with(mark)) {
             continue;
         }
         line.erase(0, mark.size());
-        if (line == "[DONE]") {
-            ended = true;
-            continue;
-        }
+        made.m_done = made.m_done || line == "[DONE]";
         const auto event = internal::members(line);
         const auto fingerprint = internal::text_at(event, "system_fingerprint");
         const auto token = internal::token_of(event);
@@ -300,8 +298,8 @@
                        token != standin::token_at(prompt, fingerprint, made.m_tokens);
         ++made.m_tokens;
     }
-    made.m_shown_complete = got.m_response.m_status == 200 && got.m_end.m_code == code::ok && ended;
-    made.m_whole = made.m_shown_complete && !made.m_mixed && made.m_tokens == tokens;
+    made.m_shown_complete = got.m_response.m_status == 200 && got.m_end.m_code == code::ok && !failed;
+    made.m_whole = made.m_shown_complete && made.m_done && !made.m_mixed && made.m_tokens == tokens;
     return made;
 }
 
--- a/test/process/site.hpp
+++ b/test/process/site.hpp
@@ -49,8 +49,10 @@
 struct generated {
     /*! @brief Whether it has all tokens of one version, each as it should be, and its end mark. */
     bool m_whole{};
-    /*! @brief Whether it ended as if it were whole. */
+    /*! @brief Whether it ended without an error that its caller can see. */
     bool m_shown_complete{};
+    /*! @brief Whether it has its end mark. */
+    bool m_done{};
     /*! @brief Whether tokens of two versions, or of another request, are in it. */
     bool m_mixed{};
     std::size_t m_tokens{};
--- a/test/process/traffic.cpp
+++ b/test/process/traffic.cpp
@@ -42,7 +42,7 @@
     const std::lock_guard guard{m_mutex};
     m_tally.m_whole += made.m_whole ? 1U : 0U;
     m_tally.m_mixed += made.m_mixed ? 1U : 0U;
-    m_tally.m_short += made.m_shown_complete && made.m_tokens != m_tokens ? 1U : 0U;
+    m_tally.m_short += made.m_shown_complete && !made.m_whole ? 1U : 0U;
     m_tally.m_failed += made.m_shown_complete ? 0U : 1U;
     if (!made.m_whole && m_tally.m_first_failure.empty()) {
         m_tally.m_first_failure = std::to_string(got.m_response.m_status) + " " +
--- a/test/process/traffic.hpp
+++ b/test/process/traffic.hpp
@@ -17,7 +17,7 @@
     std::size_t m_failed{};
     /*! @brief With tokens of two versions or of another request. */
     std::size_t m_mixed{};
-    /*! @brief Shown as complete although tokens were missing. */
+    /*! @brief Shown as complete although tokens or the end mark were missing. */
     std::size_t m_short{};
     std::string m_first_failure{};
 };
