Spread the list of members by changes, from one entry to each agent

Also a list that nobody sent again for ten periods was forgotten. Ruled out: a longer period alone (still N rows to N agents from each entry); a digest of the list (one changed row would fetch all). Change: changed rows only, gathered for 250 ms, of model runners only, to the agents for which this entry is picked by rendezvous among the live entries of their data centre; a sequence shows a missed change, which pulls the whole list.

--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -44,7 +44,15 @@
 auto take_members(daemon& self, const std::string_view peer, const wire::Members& members) -> void {
     auto& list = self.m_lists[std::string{peer}];
     list.m_heard = steady_now();
-    list.m_members.assign(members.members().begin(), members.members().end());
+    const auto taken = take(list, members);
+    if (taken == list_change::missed) {
+        auto pull = envelope(self);
+        pull.mutable_members_pull();
+        send(self, peer, pull);
+    }
+    if (taken != list_change::changed) {
+        return;
+    }
     apply_members(self);
 }
 
--- a/src/agent/daemon.hpp
+++ b/src/agent/daemon.hpp
@@ -10,6 +10,7 @@
 
 #include <agent/admission.hpp>
 #include <agent/gate.hpp>
+#include <agent/member_list.hpp>
 #include <agent/relay.hpp>
 #include <agent/turn.hpp>
 #include <rhubarbwharf/config/settings.hpp>
@@ -27,12 +28,6 @@
 /*! @brief Version of the frames between the system's processes. */
 inline constexpr std::uint32_t protocol_version = 1;
 
-/*! @brief Members that one entry knows of. */
-struct member_list {
-    time_point m_heard{};
-    std::vector<wire::Member> m_members{};
-};
-
 /*! @brief All that one agent holds; the functions below run over it on the loop's thread. */
 struct daemon {
     explicit daemon(const config::settings& settings);
--- a/src/entry/daemon.hpp
+++ b/src/entry/daemon.hpp
@@ -87,6 +87,22 @@
     net::http_response m_collected{};
 };
 
+/*! @brief The list of members as the agents were told it. */
+struct spread_list {
+    /*! @brief Counts the changes told. */
+    std::uint64_t m_sequence{};
+    /*! @brief Rows as last told, by `instance_id`; empty for a member that is not on the list. */
+    std::vector<std::string> m_rows{};
+
+    /*! @brief What each agent was told: the sequence, and when. */
+    struct told {
+        std::uint64_t m_sequence{};
+        time_point m_when{};
+    };
+
+    std::unordered_map<std::string, told> m_told{};
+};
+
 /*! @brief All state of one entry process; only its loop's thread touches it. */
 struct daemon {
     explicit daemon(const config::settings& settings);
@@ -110,7 +126,7 @@
     /*! @brief By `instance_id`. */
     std::vector<routing::backend> m_backends{};
     std::unordered_map<std::string, agent_state> m_agents{};
-    std::uint64_t m_members_sequence{};
+    spread_list m_spread{};
     std::map<std::string, peer, std::less<>> m_peers{};
     std::uint64_t m_summary_sequence{};
 
@@ -229,6 +245,15 @@
 /*! @brief Tells the other entries that this one leaves. @param self The entry. */
 auto tell_leaving(daemon& self) -> void;
 
+// members.cpp
+
+/*! @brief Tells the agents for which this entry is the teller what changed in the list of members. @param self The
+ * entry. @param now The time. */
+auto spread_members(daemon& self, time_point now) -> void;
+
+/*! @brief Lets an agent get the whole list next time. @param self The entry. @param agent Its name. */
+auto forget_told(daemon& self, std::string_view agent) -> void;
+
 // admin.cpp and dump.cpp
 
 /*! @brief Takes a request on the admin listener. @param self The entry. @param incoming The request.
--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -37,19 +37,6 @@
     return message;
 }
 
-[[nodiscard]] auto members_list(daemon& self) -> wire::Envelope {
-    auto message = envelope(self);
-    auto& out = *message.mutable_members();
-    out.set_sequence(++self.m_members_sequence);
-    const auto now = steady_now();
-    for (const auto& row : self.m_members.m_members) {
-        if (membership::listed(row, now, self.m_bounds)) {
-            *out.add_members() = member_of(row);
-        }
-    }
-    return message;
-}
-
 [[nodiscard]] auto live_agents(const daemon& self) -> std::vector<std::string> {
     std::vector<std::string> out{};
     for (const auto& row : self.m_members.m_members) {
@@ -60,20 +47,13 @@
     return out;
 }
 
-auto tell_members(daemon& self) -> void {
-    const auto message = members_list(self);
-    for (const auto& agent : live_agents(self)) {
-        send(self, agent, message);
-    }
-}
-
 auto on_hello(daemon& self, const std::string_view from, const wire::Hello& said) -> void {
     if (said.role() != wire::ROLE_AGENT) {
         return;
     }
     send(self, from, whole_state(self));
     self.m_agents[std::string{from}].m_pushed = steady_now();
-    send(self, from, members_list(self));
+    forget_told(self, from);
 }
 
 auto on_report(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
@@ -101,7 +81,6 @@
         net::log(net::level::info, "entry",
                  news.m_instance + " is " + std::string{membership::to_string(news.m_phase)} + " under ticket " +
                      std::to_string(news.m_ticket.value()));
-        tell_members(self);
     }
     pump(self);
 }
@@ -114,7 +93,6 @@
     }
     if (membership::leave(self.m_members, from, incarnation)) {
         net::log(net::level::info, "entry", std::string{from} + " leaves");
-        tell_members(self);
     }
 }
 
@@ -198,6 +176,8 @@
         return on_answer(self, from, message);
     case wire::Envelope::kQuarantine:
         return on_quarantine(self, message.quarantine());
+    case wire::Envelope::kMembersPull:
+        return forget_told(self, from);
     case wire::Envelope::kDumpPull:
         return give_dump(self, from, message.dump_pull().number());
     case wire::Envelope::kDump:
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -12,6 +12,7 @@
 constexpr int status_no_listener = 1;
 constexpr duration flush_time = std::chrono::milliseconds{200};
 constexpr duration tell_again = std::chrono::milliseconds{200};
+constexpr duration members_period = std::chrono::milliseconds{250};
 
 [[nodiscard]] auto http_limits_of(const config::limit_settings& limits) -> net::http_limits {
     net::http_limits out{};
@@ -133,6 +134,7 @@
     self.m_loop.every(tick_period, [&self] { internal::tick(self); });
     self.m_loop.every(std::chrono::milliseconds{self.m_settings.m_routing.m_report_ms},
                       [&self] { gossip(self, steady_now()); });
+    self.m_loop.every(internal::members_period, [&self] { spread_members(self, steady_now()); });
     self.m_loop.every(internal::tell_again, [&self] {
         if (self.m_leaving) {
             tell_leaving(self);
