Give a response that did not come whole the status 0

Cause: process.tickets failed once in six runs: the second entry did not listen yet, the call failed, and the test read the default status 200 of an empty response. Ruled out: the ticket's own decision (the state in the service held one winner). Change: http_client::fetch sets status 0 on any end but ok; the site of the process tests waits until each entry answers. Both make the checks stricter: no test can take a failed call for a success.

--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -230,7 +230,8 @@
     auto send(const endpoint& server, http_request request, call_limits limits, call_handlers handlers)
         -> std::shared_ptr<call>;
 
-    /*! @brief What `fetch` hands over: the whole response, and how the call ended. */
+    /*! @brief What `fetch` hands over: the whole response, its status 0 if it did not come whole, and how the call
+     * ended. */
     using fetched = std::function<void(const call_end&, http_response)>;
 
     /**
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -133,6 +133,9 @@
         }
     };
     handlers.m_on_end = [into, done = std::move(done)](const call_end& end) {
+        if (end.m_code != code::ok) {
+            into->m_response.m_status = 0;
+        }
         done(end, std::move(into->m_response));
     };
     auto made = send(server, std::move(request), limits, std::move(handlers));
--- a/test/process/site.cpp
+++ b/test/process/site.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <sstream>
+#include <stdexcept>
 
 #include <boost/json.hpp>
 
@@ -135,6 +136,14 @@
         entry.m_settings = m_folder.write(entry.m_name + ".json", boost::json::serialize(settings));
         start(entry);
     }
+    for (const auto& entry : m_entries) {
+        const auto is_up = [this, &entry] {
+            return m_caller.get(entry.m_admin, "/healthz").m_response.m_status == 200;
+        };
+        if (!wait_until(is_up)) {
+            throw std::runtime_error{entry.m_name + " does not listen"};
+        }
+    }
 }
 
 auto site::make_agents(std::deque<node>& nodes, const std::string_view group, const std::size_t count) -> void {
