--- a/src/load/net_bench.cpp
+++ b/src/load/net_bench.cpp
@@ -45,7 +45,10 @@
     auto operator=(const worker&) -> worker& = delete;
     auto operator=(worker&&) -> worker& = delete;
 
-    ~worker() {
+    ~worker() { stop(); }
+
+    /*! @brief Ends the thread, so that what its tasks refer to may go. */
+    auto stop() -> void {
         m_loop.stop();
         if (m_thread.joinable()) {
             m_thread.join();
@@ -227,6 +230,7 @@
     taking.call([&] { sink.reset(); });
     relaying.call([&] { middle.reset(); });
     giving.call([&] { source.m_server.reset(); });
+    giving.stop();
     write_line(out, "net", "what=relayed_parts streams=" + std::to_string(streams), wanted.m_seed,
                {{"parts", parts},
                 {"parts_per_s", static_cast<double>(parts) / to_seconds(wanted.m_time)},
--- a/src/net/bus_core.cpp
+++ b/src/net/bus_core.cpp
@@ -158,19 +158,27 @@
 auto bus_core::send_on(zmq::socket_t& socket, const std::string_view name, const std::string_view bytes) -> code {
     constexpr auto first = zmq::send_flags::dontwait | zmq::send_flags::sndmore;
     try {
-        drain_later();
         if (!socket.send(zmq::const_buffer{name.data(), name.size()}, first)) {
+            drain_if_ready(socket);
             return code::send_queue_full;
         }
         const auto last = socket.send(zmq::const_buffer{bytes.data(), bytes.size()}, zmq::send_flags::dontwait);
         ensure(last.has_value(), "a message whose first frame was taken is taken whole");
     } catch (const zmq::error_t&) {
+        drain_if_ready(socket);
         return code::connection_failed;
     }
+    drain_if_ready(socket);
     m_sent_bytes += bytes.size();
     return code::ok;
 }
 
+auto bus_core::drain_if_ready(zmq::socket_t& socket) -> void {
+    if ((socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+        drain_later();
+    }
+}
+
 auto bus_core::flush_later() -> void {
     if (m_flush_armed) {
         return;
--- a/src/net/bus_core.hpp
+++ b/src/net/bus_core.hpp
@@ -57,6 +57,9 @@
     auto configure(zmq::socket_t& socket) const -> void;
     auto wait(watched_socket& watched) -> void;
     auto drain_later() -> void;
+
+    /*! @brief Drains later if a call may have taken the wake of a message that waits. @param socket The socket. */
+    auto drain_if_ready(zmq::socket_t& socket) -> void;
     auto drain() -> void;
     auto drain(zmq::socket_t& socket) -> bool;
     [[nodiscard]] auto receive(zmq::socket_t& socket) -> bool;
