Let claims run out chunk by chunk and back off a failing link

Two gateways also stole the same chunk, as both took the last. Change: a claim holds others off for 6 s; a link waits longer after each failure, up to 16 s; stolen chunks are drawn at random.

--- a/app/rhubarbwharf-bench-distribution/fleet.cpp
+++ b/app/rhubarbwharf-bench-distribution/fleet.cpp
@@ -391,7 +391,7 @@
     auto total = sizeof(swarm) + 2U * set_bytes + swarm.m_copies.size() * sizeof(std::uint16_t);
     total += swarm.m_rows.size() * sizeof(std::uint32_t);
     for (const auto& row : swarm.m_sources) {
-        total += sizeof(row) + set_bytes + row.m_claims.size() * sizeof(std::uint32_t);
+        total += sizeof(row) + set_bytes + row.m_claims.size() * sizeof(distribution::claim_row);
     }
     return static_cast<double>(total);
 }
--- a/include/rhubarbwharf/distribution/swarm.hpp
+++ b/include/rhubarbwharf/distribution/swarm.hpp
@@ -53,6 +53,8 @@
     duration m_avoid_time{std::chrono::seconds{2}};
     /*! @brief Time for which a source that sent a corrupt chunk is left alone. */
     duration m_corrupt_time{std::chrono::seconds{30}};
+    /*! @brief Time for which a claim keeps other gateway instances from a chunk. */
+    duration m_claim_time{std::chrono::seconds{6}};
     /*! @brief Time that a link may be idle before chunks of other links are fetched over it. */
     duration m_steal_time{std::chrono::seconds{2}};
     /*! @brief Time without any new chunk after which an instance asks the origin itself. */
@@ -68,13 +70,18 @@
     bool m_live{true};
 };
 
+/*! @brief A chunk that another instance fetches over a link between regions or from the origin. */
+struct claim_row {
+    std::uint32_t m_chunk{};
+    time_point m_since{};
+};
+
 /*! @brief What is known of one source of chunks. */
 struct source_row {
     instance_id m_instance{};
     region_id m_region{};
     bit_set m_held{};
-    /*! @brief Chunks that the source is fetching over a link between regions or from the origin. */
-    std::vector<std::uint32_t> m_claims{};
+    std::vector<claim_row> m_claims{};
     time_point m_heard{};
     /*! @brief When it last held more chunks than before. */
     time_point m_grown{};
@@ -113,8 +120,10 @@
     std::uint32_t m_fetches{};
     /*! @brief When a chunk of its own part was last fetched over the link. */
     time_point m_idle_since{};
-    /*! @brief Time before which the origin is not asked again. */
+    /*! @brief Time before which nothing is fetched over the link, after failures. */
     time_point m_wait_until{};
+    /*! @brief Fetches over the link that failed since one ended well. */
+    std::uint32_t m_failures{};
 };
 
 /*! @brief A fetch under way. */
--- a/src/distribution/links.cpp
+++ b/src/distribution/links.cpp
@@ -48,6 +48,15 @@
     return before;
 }
 
+auto merge_claims(std::vector<bit_set::word_type>& into, const source_row& row, const policy& rules,
+                  const time_point now) -> void {
+    for (const auto& claim : row.m_claims) {
+        if (now - claim.m_since <= rules.m_claim_time) {
+            merge(into, claim.m_chunk);
+        }
+    }
+}
+
 [[nodiscard]] auto taken(const swarm& state, const link_row& link, const policy& rules, const time_point now)
     -> std::vector<bit_set::word_type> {
     std::vector<bit_set::word_type> words(state.m_held.words().size());
@@ -61,7 +70,7 @@
             merge(words, row.m_held);
         }
         if (!is_stalled(row, rules, now)) {
-            std::ranges::for_each(row.m_claims, [&words](const std::uint32_t chunk) { merge(words, chunk); });
+            merge_claims(words, row, rules, now);
         }
     }
     return words;
@@ -90,18 +99,21 @@
     return from == link.m_from && chunk / regions % link.m_width == position;
 }
 
-/*! @brief Chooses the chunk of the fewest copies; the first of them for assigned ones, else the last. */
-[[nodiscard]] auto choose(const swarm& state, const link_row& link, const choice& from, const bool assigned)
-    -> std::optional<std::uint32_t> {
+/*! @brief Chooses a chunk of the fewest copies; the first of them for assigned ones, else one at random. */
+[[nodiscard]] auto choose(const swarm& state, const link_row& link, const choice& from, const bool assigned,
+                          random_bits& bits) -> std::optional<std::uint32_t> {
     std::optional<std::uint32_t> best{};
+    std::uint32_t ties = 0;
     for (std::uint32_t index = 0; index < from.m_taken.size(); ++index) {
         for (auto word = from.m_offered[index] & ~from.m_taken[index]; word != 0U; word &= word - 1U) {
             const auto chunk = index * bit_set::word_bits + static_cast<std::uint32_t>(std::countr_zero(word));
             if (chunk >= state.m_held.size() || (assigned && !is_assigned(state, link, chunk, from.m_position))) {
                 continue;
             }
-            if (!best || state.m_copies[chunk] < state.m_copies[*best] ||
-                (!assigned && state.m_copies[chunk] == state.m_copies[*best])) {
+            if (!best || state.m_copies[chunk] < state.m_copies[*best]) {
+                best = chunk;
+                ties = 1;
+            } else if (!assigned && state.m_copies[chunk] == state.m_copies[*best] && next(bits) % ++ties == 0U) {
                 best = chunk;
             }
         }
@@ -158,11 +170,11 @@
     from.m_offered = offered(state, link, now);
     const auto may_steal = link.m_lane == 0U && now - link.m_idle_since >= rules.m_steal_time;
     while (link.m_fetches < rules.m_link_parallel) {
-        auto chunk = choose(state, link, from, true);
+        auto chunk = choose(state, link, from, true, bits);
         if (chunk) {
             link.m_idle_since = now;
         } else if (may_steal) {
-            chunk = choose(state, link, from, false);
+            chunk = choose(state, link, from, false, bits);
         }
         if (!chunk) {
             return;
--- a/src/distribution/tables.cpp
+++ b/src/distribution/tables.cpp
@@ -96,13 +96,23 @@
     ++row.m_failures;
 }
 
+auto blame_link(link_row& link, const fetch_end end, const policy& rules, const time_point now) -> void {
+    constexpr std::uint32_t max_doublings = 3;
+    if (end == fetch_end::verified) {
+        link.m_failures = 0;
+    } else if (end == fetch_end::failed || link.m_direct) {
+        link.m_wait_until = now + rules.m_avoid_time * (1U << std::min(link.m_failures, max_doublings));
+        ++link.m_failures;
+    }
+}
+
 auto blame(swarm& state, const fetch_row& fetch, const fetch_end end, const policy& rules, const time_point now)
     -> void {
+    if (fetch.m_link) {
+        blame_link(state.m_links[*fetch.m_link], end, rules, now);
+    }
     auto* const row = find_row(state, fetch.m_source);
     if (row == nullptr) {
-        if (fetch.m_link && end != fetch_end::verified) {
-            state.m_links[*fetch.m_link].m_wait_until = now + rules.m_avoid_time;
-        }
         return;
     }
     switch (end) {
@@ -179,7 +189,12 @@
     row.m_held = held;
     row.m_heard = now;
     row.m_asked = !held.full();
-    row.m_claims.assign(claimed.begin(), claimed.end());
+    std::vector<claim_row> claims{};
+    for (const auto chunk : claimed) {
+        const auto known = std::ranges::find(row.m_claims, chunk, &claim_row::m_chunk);
+        claims.push_back({chunk, known != row.m_claims.end() ? known->m_since : now});
+    }
+    row.m_claims = std::move(claims);
 }
 
 auto take_chunk(swarm& state, const std::uint32_t chunk, const time_point now) -> void {
