--- a/test/distribution/manifest.cpp
+++ b/test/distribution/manifest.cpp
@@ -76,7 +76,7 @@
 }
 
 TEST_CASE("a set of chunks goes through its bytes") {
-    rc::check([] {
+    CHECK(rc::check([] {
         const auto size = *rc::gen::inRange<std::uint32_t>(0U, 300U);
         distribution::bit_set set{size};
         for (const auto chunk : *rc::gen::container<std::vector<std::uint32_t>>(rc::gen::inRange(0U, 310U))) {
@@ -88,11 +88,11 @@
         set.each([&](const std::uint32_t chunk) { visited += set.contains(chunk) ? 1U : 0U; });
         RC_ASSERT(visited == set.count());
         RC_ASSERT(distribution::from_bytes("\xff\xff", 3U).full());
-    });
+    }));
 }
 
 TEST_CASE("a bucket never gives more than its rate and burst") {
-    rc::check([] {
+    CHECK(rc::check([] {
         const auto rate = *rc::gen::inRange(1, 1'000'000);
         const auto burst = *rc::gen::inRange(1, 100'000);
         rhubarbwharf::time_point now{};
@@ -106,6 +106,6 @@
             const auto seconds = std::chrono::duration<double>{now.time_since_epoch()}.count();
             RC_ASSERT(static_cast<double>(taken) <= burst + seconds * rate + 1.0);
         }
-    });
+    }));
     CHECK(distribution::link_share(1000U, 0.9, 3U) == doctest::Approx(300.0));
 }
