--- a/include/rhubarbwharf/execution/owner.hpp
+++ b/include/rhubarbwharf/execution/owner.hpp
@@ -287,7 +287,7 @@
  * @param now The time.
  * @param out Gets what to do.
  */
-auto on_result(owner& table, const call_key& key, call_result value, time_point now, commands& out) -> void;
+auto on_result(owner& table, const call_key& key, const call_result& value, time_point now, commands& out) -> void;
 
 /*! @brief Gives all shards back: no more claims, and the lease once all has ended. @param table The tables. */
 auto give_back(owner& table) -> void;
--- a/src/agent/admin.cpp
+++ b/src/agent/admin.cpp
@@ -1,6 +1,7 @@
 #include <agent/daemon.hpp>
 
 #include <algorithm>
+#include <array>
 
 #include <boost/json.hpp>
 
@@ -77,6 +78,31 @@
     return out;
 }
 
+[[nodiscard]] auto phase_name(const execution::shard_phase value) -> std::string_view {
+    constexpr auto names =
+        std::to_array<std::string_view>({"idle", "acquiring", "reading", "taking", "owned", "releasing"});
+    return names[static_cast<std::size_t>(value)];
+}
+
+[[nodiscard]] auto dump_shards(const daemon& self) -> json::array {
+    json::array out{};
+    if (!self.m_is_journalled) {
+        return out;
+    }
+    for (const auto& item : self.m_owner.m_shards) {
+        out.push_back(json::object{{"shard", item.m_id.value()},
+                                   {"phase", phase_name(item.m_phase)},
+                                   {"token", item.m_token.value()},
+                                   {"segment", item.m_open.m_number},
+                                   {"segment_bytes", item.m_open_bytes.size()},
+                                   {"sealed", item.m_sealed.size()},
+                                   {"keys", item.m_keys.size()},
+                                   {"pending", item.m_pending.size()},
+                                   {"healthy", item.m_is_healthy}});
+    }
+    return out;
+}
+
 [[nodiscard]] auto dump_platform(const daemon& self) -> json::object {
     const auto& counts = self.m_platform.counts();
     const auto silence = steady_now() - self.m_platform.last_answer();
@@ -126,6 +152,8 @@
         {"attempts_remembered", self.m_admission.m_fates.size()},
         {"members", internal::dump_members(self)},
         {"desired", internal::dump_desired(self)},
+        {"shards", internal::dump_shards(self)},
+        {"calls_running", self.m_owner.m_running.size()},
         {"platform", internal::dump_platform(self)},
     };
     boost::system::error_code failure{};
--- a/src/agent/calls.cpp
+++ b/src/agent/calls.cpp
@@ -19,11 +19,15 @@
     std::to_array<std::string_view>({"host", "connection", "content-length", "transfer-encoding", "authorization",
                                      "x-request-id", "x-priority", "x-deadline-ms", "x-resume-tokens", "x-fencing"});
 
-[[nodiscard]] auto is_dropped(const std::string_view name) -> bool {
+[[nodiscard]] auto lower_case(const std::string_view name) -> std::string {
     std::string lower{name};
     std::ranges::transform(lower, lower.begin(),
                            [](const unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-    return std::ranges::find(dropped_headers, lower) != dropped_headers.end();
+    return lower;
+}
+
+[[nodiscard]] auto is_dropped(const std::string_view name) -> bool {
+    return std::ranges::find(dropped_headers, lower_case(name)) != dropped_headers.end();
 }
 
 [[nodiscard]] auto answer_of(const daemon& self) -> wire::Envelope {
@@ -200,7 +204,7 @@
     for (const auto& field : dispatch.headers()) {
         if (!internal::is_dropped(field.name())) {
             request.m_headers.push_back({field.name(), field.value()});
-        } else if (net::find({{field.name(), field.value()}}, "X-Request-Id").size() > 0) {
+        } else if (internal::lower_case(field.name()) == "x-request-id") {
             request_name = field.value();
         }
     }
--- a/src/agent/journal.cpp
+++ b/src/agent/journal.cpp
@@ -119,7 +119,7 @@
         result.m_kind = execution::call_result::kind::not_run;
     }
     execution::commands orders{};
-    execution::on_result(self.m_owner, key, std::move(result), steady_now(), orders);
+    execution::on_result(self.m_owner, key, result, steady_now(), orders);
     carry_out(self, orders);
 }
 
--- a/src/execution/calls.cpp
+++ b/src/execution/calls.cpp
@@ -157,7 +157,8 @@
     internal::add_claim(item, request, now);
 }
 
-auto on_result(owner& table, const call_key& key, call_result value, const time_point now, commands& out) -> void {
+auto on_result(owner& table, const call_key& key, const call_result& value, const time_point now, commands& out)
+    -> void {
     const auto found = table.m_running.find(key);
     ensure(found != table.m_running.end(), "a call that ends was running");
     const auto running = std::move(found->second);
--- a/src/execution/key.cpp
+++ b/src/execution/key.cpp
@@ -37,7 +37,7 @@
 
 auto shard_of(const call_key& key, const std::uint32_t shards) -> shard_id {
     ensure(shards > 0, "a service has at least one shard");
-    return shard_id{static_cast<std::uint32_t>(std::hash<call_key>{}(key) % shards)};
+    return shard_id{static_cast<std::uint32_t>(std::hash<call_key>{}(key) % std::max(shards, 1U))};
 }
 
 auto as_bytes(const call_key& key) noexcept -> std::string_view {
--- a/test/execution/world.cpp
+++ b/test/execution/world.cpp
@@ -227,7 +227,7 @@
                             : is_lost ? call_result::kind::unknown
                                       : call_result::kind::answered;
             result.m_answer = {200, "text/plain", m_bodies[run->m_key], false};
-            on_result(table, run->m_key, std::move(result), m_now, out);
+            on_result(table, run->m_key, result, m_now, out);
         } else {
             auto result = item.m_result;
             result.m_code = lost;
