--- a/src/agent/activation.cpp
+++ b/src/agent/activation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include <agent/engine.hpp>
 #include <rhubarbwharf/net/log.hpp>
@@ -69,10 +70,21 @@
     return request;
 }
 
+/*! @brief Forgets the version before the one fetched last; chunks that both share are kept. */
+auto drop_before(daemon& self) -> void {
+    const auto before = std::exchange(self.m_fetched_before, digest{});
+    if (before != digest{} && before != self.m_fetched) {
+        self.m_exchange.drop(before);
+    }
+}
+
 auto end_load(daemon& self, const bool accepted, const std::optional<engine_state>& read_back) -> void {
     on_loaded(self.m_gate, accepted, read_back, steady_now());
     const auto is_open = self.m_gate.m_phase == phase::serving;
     self.m_counters.add("agent_loads_total", 1.0, is_open ? "ok" : "load_failed");
+    if (is_open) {
+        drop_before(self);
+    }
     self.m_is_ready = false;
     log_change(self);
     report(self);
@@ -143,7 +155,8 @@
     if (self.m_fetched == manifest) {
         return;
     }
-    self.m_fetched = manifest;
+    drop_before(self);
+    self.m_fetched_before = std::exchange(self.m_fetched, manifest);
     self.m_exchange.want(manifest);
 }
 
--- a/src/agent/daemon.hpp
+++ b/src/agent/daemon.hpp
@@ -68,7 +68,9 @@
     bool m_is_probing{};
     bool m_is_ready{};
     time_point m_ready_since{};
+    /*! @brief Version fetched last, and the one before it until the last one is loaded. */
     digest m_fetched{};
+    digest m_fetched_before{};
     std::uint64_t m_prefixes_sent{};
 
     /*! @brief Whether the service has non-idempotent operations, and the shards of its keys. */
--- a/src/agent/gate.cpp
+++ b/src/agent/gate.cpp
@@ -33,6 +33,9 @@
         return false;
     }
     const auto& wanted = table.m_target->m_version;
+    if (wanted.m_manifest == digest{}) {
+        return true;
+    }
     return held.m_manifest == wanted.m_manifest && held.m_adapter == wanted.m_adapter &&
            role_of(held) == role_of(wanted);
 }
--- a/test/agent/gate.cpp
+++ b/test/agent/gate.cpp
@@ -111,6 +111,15 @@
     CHECK(table.m_target->m_ticket == ticket_number{7});
 }
 
+TEST_CASE("a ticket that names no version is in force with whatever whole version is there") {
+    gate table{};
+    static_cast<void>(on_probe(table, probe_of(1)));
+    CHECK(want(table, target_of(0, 4)));
+    CHECK_FALSE(needs_load(table));
+    CHECK(table.m_ticket == ticket_number{4});
+    CHECK(admits(table, digest_of(1)) == code::ok);
+}
+
 TEST_CASE("random events: no request is admitted for a version that the engine did not confirm") {
     rc::check("gate", [] {
         gate table{};
