--- a/src/routing/queue.cpp
+++ b/src/routing/queue.cpp
@@ -34,7 +34,7 @@
 
 /*! @brief Where an organisation starts that has left its share unused: a few requests ahead of the others. */
 [[nodiscard]] auto floor(const fair_queue& queue, const organisation_row& row) noexcept -> double {
-    constexpr double credit = 3.0;
+    constexpr double credit = 12.0;
     return queue.m_served - credit / row.m_weight;
 }
 
