--- a/test/entry/stage.cpp
+++ b/test/entry/stage.cpp
@@ -126,7 +126,7 @@
 
 auto stage::ask(std::string method, std::string target, std::string body, std::vector<net::header> headers)
     -> std::shared_ptr<caller> {
-    const auto out = std::make_shared<caller>();
+    auto out = std::make_shared<caller>();
     headers.push_back({"Authorization", "Bearer caller"});
     net::call_handlers handlers{};
     handlers.m_on_head = [out](const net::http_response& head) {
