--- a/include/rhubarbwharf/routing/attempt.hpp
+++ b/include/rhubarbwharf/routing/attempt.hpp
@@ -10,10 +10,10 @@
 
 /*! @brief Retries are paid from a budget that successes earn. */
 struct retry_budget {
-    double m_tokens{3.0};
+    double m_tokens{10.0};
     /*! @brief Tokens that one success earns. */
     double m_ratio{0.1};
-    double m_most{10.0};
+    double m_most{20.0};
 };
 
 /*! @brief Earns for one success. @param budget The budget. */
@@ -73,7 +73,8 @@
 
 /**
  * @brief Decides what follows an attempt. A non-idempotent call is tried again only if it surely did not run;
- * a refusal says `not_run` only if no attempt can have run.
+ * a refusal says `not_run` only if no attempt can have run. A stream that the caller has begun to get is resumed
+ * whatever the budget holds, within the limit of attempts.
  * @param state The request; `m_maybe_ran` is brought up to date.
  * @param end How the attempt ended.
  * @param budget Pays for a retry that may cost a backend server work.
--- a/include/rhubarbwharf/routing/breaker.hpp
+++ b/include/rhubarbwharf/routing/breaker.hpp
@@ -39,4 +39,7 @@
 /*! @brief Notes a failure. @param state The breaker. @param now The time. */
 auto fail(breaker& state, time_point now) noexcept -> void;
 
+/*! @brief Opens at once, as after a crash. @param state The breaker. @param now The time. */
+auto trip(breaker& state, time_point now) noexcept -> void;
+
 } // namespace rhubarbwharf::routing
--- a/src/routing/attempt.cpp
+++ b/src/routing/attempt.cpp
@@ -31,8 +31,9 @@
     return value >= code::key_missing && value <= code::in_progress;
 }
 
-[[nodiscard]] auto costs_work(const attempt_end& end) noexcept -> bool {
-    return !end.m_not_run || end.m_code == code::overloaded;
+/*! @brief Tells whether another attempt is paid for. One that has begun goes on unpaid: few streams are cut at once. */
+[[nodiscard]] auto is_paid(const flight& state, const attempt_end& end) noexcept -> bool {
+    return !state.m_head_sent && (!end.m_not_run || end.m_code == code::overloaded);
 }
 
 [[nodiscard]] auto may_repeat(const flight& state, const attempt_end& end) noexcept -> bool {
@@ -71,7 +72,7 @@
     const auto left = state.m_attempts < limits.m_max_attempts && now < state.m_deadline;
     const auto resumable = !state.m_head_sent || state.m_stream;
     if (left && resumable && internal::worth_retrying(end.m_code) && internal::may_repeat(state, end) &&
-        (!internal::costs_work(end) || pay(budget))) {
+        (!internal::is_paid(state, end) || pay(budget))) {
         ensure(!state.m_non_idempotent || !state.m_maybe_ran,
                "a non-idempotent call that may have run is not repeated");
         return {state.m_head_sent ? step::resume : step::retry, end.m_code, outcome::unknown, {}};
--- a/src/routing/breaker.cpp
+++ b/src/routing/breaker.cpp
@@ -30,4 +30,9 @@
     }
 }
 
+auto trip(breaker& state, const time_point now) noexcept -> void {
+    state.m_failures = std::max(state.m_failures, breaker_failures - 1U);
+    fail(state, now);
+}
+
 } // namespace rhubarbwharf::routing
--- a/src/routing/world.cpp
+++ b/src/routing/world.cpp
@@ -242,6 +242,7 @@
     }
     const auto arrived = all.m_now + hop;
     work.m_first = work.m_first == time_point{} ? arrived : work.m_first;
+    work.m_flight.m_head_sent = true;
     sample(all.m_entries[work.m_entry].m_backends[work.m_engine], arrived - work.m_sent);
 }
 
--- a/test/routing/attempt.cpp
+++ b/test/routing/attempt.cpp
@@ -55,6 +55,17 @@
     CHECK(waiting.m_outcome == outcome::not_run);
 }
 
+TEST_CASE("a stream that has begun is resumed without a budget, one that has not is refused") {
+    flight state{};
+    state.m_stream = true;
+    state.m_attempts = 1;
+    state.m_deadline = time_point{std::chrono::seconds{1}};
+    retry_budget empty{0.0, 0.1, 10.0};
+    CHECK(after(state, {code::cut_stream, false, {}}, empty, {}, {}).m_step == step::refuse);
+    state.m_head_sent = true;
+    CHECK(after(state, {code::cut_stream, false, {}}, empty, {}, {}).m_step == step::resume);
+}
+
 TEST_CASE("retries stay within what successes earn") {
     CHECK(rc::check([] {
         retry_budget budget{};
--- a/test/routing/choice.cpp
+++ b/test/routing/choice.cpp
@@ -89,6 +89,8 @@
     pass(state);
     succeed(state);
     CHECK(passes(state, later));
+    trip(state, later);
+    CHECK_FALSE(passes(state, later));
 }
 
 } // namespace rhubarbwharf::routing
