Send a prefix on in its own order of backend servers

Change: without a holder to spare, the next in the prefix's rendezvous order that is within the bounded load; the better of two only where none is. Not proved: above the capacity nothing changes, since what has room there is what has just been freed.

--- a/include/rhubarbwharf/routing/choice.hpp
+++ b/include/rhubarbwharf/routing/choice.hpp
@@ -86,7 +86,8 @@
 [[nodiscard]] auto has_room(const candidate& row, const choice_limits& limits) noexcept -> bool;
 
 /**
- * @brief Chooses a backend server: a prefix holder within the bounded load, else the better of two.
+ * @brief Chooses a backend server: a prefix holder within the bounded load, else the next in the prefix's own order
+ * of backend servers that is within it, else the better of two.
  * @param rows Those that hold a fit version, are live, and whose breaker passes.
  * @param prefix Hash of the prompt's prefix; 0 for none.
  * @param random Random bits.
--- a/src/routing/choice.cpp
+++ b/src/routing/choice.cpp
@@ -45,32 +45,33 @@
     return median > 0.0 && row.m_first_byte_s > median * limits.m_slow_ratio;
 }
 
-[[nodiscard]] auto home(const std::span<const candidate> rows, const std::uint64_t prefix) noexcept -> std::size_t {
-    std::size_t best = 0;
-    std::uint64_t highest = 0;
+/*! @brief Tells whether a candidate may be preferred for its prefix. */
+[[nodiscard]] auto is_spare(const candidate& row, const double bound) noexcept -> bool {
+    return row.m_load == 0U || relative_load(row) <= bound;
+}
+
+[[nodiscard]] auto best_holder(const std::span<const candidate> rows, const double bound) noexcept
+    -> std::optional<std::size_t> {
+    std::optional<std::size_t> best{};
     for (std::size_t index = 0; index < rows.size(); ++index) {
-        const auto weight = mix(prefix, rows[index].m_instance.value());
-        if (weight >= highest) {
-            highest = weight;
+        const auto fits = rows[index].m_holds_prefix && is_spare(rows[index], bound);
+        if (fits && (!best || relative_load(rows[index]) < relative_load(rows[*best]))) {
             best = index;
         }
     }
     return best;
 }
 
-[[nodiscard]] auto best_holder(const std::span<const candidate> rows, const std::uint64_t prefix,
-                               const choice_limits& limits) noexcept -> std::optional<std::size_t> {
-    const auto bound = mean_load(rows) * limits.m_bounded_load;
-    const auto first = home(rows, prefix);
+/*! @brief The first in the prefix's own order of backend servers that has spare room. */
+[[nodiscard]] auto next_home(const std::span<const candidate> rows, const std::uint64_t prefix,
+                             const double bound) noexcept -> std::optional<std::size_t> {
     std::optional<std::size_t> best{};
+    std::uint64_t highest = 0;
     for (std::size_t index = 0; index < rows.size(); ++index) {
-        const auto& row = rows[index];
-        if (!row.m_holds_prefix && index != first) {
-            continue;
-        }
-        const auto spare = row.m_load == 0U || relative_load(row) <= bound;
-        if (spare && (!best || relative_load(row) < relative_load(rows[*best]))) {
+        const auto weight = mix(prefix, rows[index].m_instance.value());
+        if (is_spare(rows[index], bound) && (!best || weight > highest)) {
             best = index;
+            highest = weight;
         }
     }
     return best;
@@ -141,9 +142,13 @@
         return std::nullopt;
     }
     if (prefix != 0U) {
-        if (const auto holder = internal::best_holder(fit, prefix, limits)) {
+        const auto bound = internal::mean_load(fit) * limits.m_bounded_load;
+        if (const auto holder = internal::best_holder(fit, bound)) {
             return places[*holder];
         }
+        if (const auto home = internal::next_home(fit, prefix, bound)) {
+            return places[*home];
+        }
     }
     const auto chosen = internal::better_of_two(fit, random);
     ensure(has_room(fit[chosen], limits), "a chosen backend server has room");
