--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -9,8 +9,6 @@
 namespace internal {
 
 constexpr std::size_t digests_each_period = 2;
-/*! @brief Periods between lists of members that nothing has changed in; agents forget a list after ten. */
-constexpr std::uint64_t periods_each_list = 4;
 constexpr duration push_again = std::chrono::seconds{1};
 
 [[nodiscard]] auto hello(const daemon& self) -> wire::Envelope {
@@ -271,9 +269,6 @@
     routing::sweep(self.m_quarantine, now);
     internal::tell_peers(self, internal::summary(self));
     internal::compare_with_some(self);
-    if (self.m_summary_sequence % internal::periods_each_list == 0U) {
-        internal::tell_members(self);
-    }
 }
 
 auto push_state(daemon& self, const std::vector<ticket::scope_entry>& entries, const std::string_view but) -> void {
