Refuse an address with foreign bytes after it

fuzz_endpoint found that an address was read up to its first zero byte: what stood behind it was kept as part of the endpoint. Only the letters of an IP number are taken now, and it is kept in its usual form.

--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -30,12 +30,15 @@
     if (bracketed) {
         address = address.substr(1U, address.size() - 2U);
     }
+    if (address.find_first_not_of("0123456789abcdefABCDEF.:") != std::string_view::npos) {
+        return std::nullopt;
+    }
     boost::system::error_code failure{};
     const auto number = boost::asio::ip::make_address(std::string{address}, failure);
     if (failure || !port || number.is_v6() != bracketed) {
         return std::nullopt;
     }
-    return endpoint{std::string{address}, *port};
+    return endpoint{number.to_string(), *port};
 }
 
 auto to_string(const endpoint& value) -> std::string {
