Send over the peer's connection at once where there is no own one

Each answer to a peer that had connected here first failed on the own socket, and cppzmq says so by an exception.

Not measured again: the overhead through entry and agent.

--- a/src/net/bus_core.cpp
+++ b/src/net/bus_core.cpp
@@ -146,11 +146,13 @@
 }
 
 auto bus_core::send_now(const std::string_view name, const std::string_view bytes) -> code {
+    const auto known = m_peers.find(name);
+    if (known == m_peers.end()) {
+        return send_on(m_listener.m_socket, name, bytes);
+    }
     const auto own = send_on(m_connector.m_socket, name, bytes);
     if (own == code::ok) {
-        if (const auto known = m_peers.find(name); known != m_peers.end()) {
-            known->second.m_hold_until = time_point{};
-        }
+        known->second.m_hold_until = time_point{};
     }
     return own == code::connection_failed ? send_on(m_listener.m_socket, name, bytes) : own;
 }
