Spread stealing over time, and stretch times to chunk size and rate

Change: each gateway has its turn for a chunk after another wait, 2 to 16 s. Our own links would do the same with large chunks.

--- a/app/rhubarbwharf-bench-distribution/main.cpp
+++ b/app/rhubarbwharf-bench-distribution/main.cpp
@@ -118,6 +118,7 @@
     print_baseline("tree", wanted, bench::tree(value), 1.0);
     auto blind = wanted;
     blind.m_blind = true;
+    blind.m_policy.m_fetch_time = std::chrono::hours{1};
     print("blind_swarm", wanted.m_seed, describe(bench::run(blind), blind));
 }
 
--- a/include/rhubarbwharf/distribution/swarm.hpp
+++ b/include/rhubarbwharf/distribution/swarm.hpp
@@ -156,6 +156,8 @@
     std::vector<link_row> m_links{};
     std::vector<fetch_row> m_fetches{};
     std::uint64_t m_next_attempt{1};
+    /*! @brief Fetches within the region that failed since one ended well. */
+    std::uint32_t m_failures{};
     time_point m_progress{};
     std::uint32_t m_uploads{};
     std::uint32_t m_link_uploads{};
@@ -167,6 +169,17 @@
 
 inline constexpr std::uint32_t no_row = UINT32_MAX;
 
+/**
+ * @brief Stretches the times of a policy to the size of the chunks and the rates they travel at.
+ * @param rules The policy.
+ * @param chunk_bytes Size of a chunk.
+ * @param link_bytes_per_second Rate of a link between regions that bulk may use; zero for no limit.
+ * @param upload_bytes_per_second Rate at which one instance may upload; zero for no limit.
+ * @return The policy with times that such a fetch ends within.
+ */
+[[nodiscard]] auto stretch(policy rules, double chunk_bytes, double link_bytes_per_second,
+                           double upload_bytes_per_second) noexcept -> policy;
+
 /*! @brief What a shell is asked to do. */
 enum class command_kind : std::uint8_t {
     /*! @brief Fetch `m_chunk` from `m_source`. */
--- a/src/distribution/links.cpp
+++ b/src/distribution/links.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <bit>
 
+#include <rhubarbwharf/core/digest.hpp>
+
 #include "distribution/tables.hpp"
 
 namespace rhubarbwharf::distribution::internal {
@@ -99,15 +101,34 @@
     return from == link.m_from && chunk / regions % link.m_width == position;
 }
 
+/**
+ * @brief Tells whether the link has been idle long enough to fetch a chunk of another link's part.
+ *
+ * Each gateway instance has its turn for a chunk at another time, so that they seldom take the same one.
+ */
+[[nodiscard]] auto may_steal(const swarm& state, const link_row& link, const std::uint32_t chunk, const policy& rules,
+                             const time_point now) -> bool {
+    constexpr std::uint64_t turns = 8;
+    if (link.m_lane != 0U) {
+        return false;
+    }
+    const auto place = mix(mix(state.m_self_hash, link.m_from.value()), chunk);
+    const auto turn = static_cast<duration::rep>(place % turns) + 1;
+    return now - link.m_idle_since >= rules.m_steal_time * turn;
+}
+
 /*! @brief Chooses a chunk of the fewest copies; the first of them for assigned ones, else one at random. */
 [[nodiscard]] auto choose(const swarm& state, const link_row& link, const choice& from, const bool assigned,
-                          random_bits& bits) -> std::optional<std::uint32_t> {
+                          const policy& rules, const time_point now, random_bits& bits)
+    -> std::optional<std::uint32_t> {
     std::optional<std::uint32_t> best{};
     std::uint32_t ties = 0;
     for (std::uint32_t index = 0; index < from.m_taken.size(); ++index) {
         for (auto word = from.m_offered[index] & ~from.m_taken[index]; word != 0U; word &= word - 1U) {
             const auto chunk = index * bit_set::word_bits + static_cast<std::uint32_t>(std::countr_zero(word));
-            if (chunk >= state.m_held.size() || (assigned && !is_assigned(state, link, chunk, from.m_position))) {
+            const auto is_open =
+                assigned ? is_assigned(state, link, chunk, from.m_position) : may_steal(state, link, chunk, rules, now);
+            if (chunk >= state.m_held.size() || !is_open) {
                 continue;
             }
             if (!best || state.m_copies[chunk] < state.m_copies[*best]) {
@@ -168,13 +189,12 @@
         return;
     }
     from.m_offered = offered(state, link, now);
-    const auto may_steal = link.m_lane == 0U && now - link.m_idle_since >= rules.m_steal_time;
     while (link.m_fetches < rules.m_link_parallel) {
-        auto chunk = choose(state, link, from, true, bits);
+        auto chunk = choose(state, link, from, true, rules, now, bits);
         if (chunk) {
             link.m_idle_since = now;
-        } else if (may_steal) {
-            chunk = choose(state, link, from, false, bits);
+        } else {
+            chunk = choose(state, link, from, false, rules, now, bits);
         }
         if (!chunk) {
             return;
--- a/src/distribution/plan.cpp
+++ b/src/distribution/plan.cpp
@@ -10,10 +10,14 @@
 
 namespace internal {
 
+/*! @brief Gives up fetches that take too long; the time grows while none ends well, so that slow paths still end. */
 auto give_up(swarm& state, const policy& rules, const time_point now, std::vector<command>& commands) -> void {
+    constexpr std::uint32_t max_doublings = 6;
+    constexpr std::uint32_t tries = 4;
     for (std::size_t place = 0; place < state.m_fetches.size();) {
         const auto fetch = state.m_fetches[place];
-        if (now - fetch.m_started <= rules.m_fetch_time) {
+        const auto failures = fetch.m_link ? state.m_links[*fetch.m_link].m_failures : state.m_failures;
+        if (now - fetch.m_started <= rules.m_fetch_time * (1U << std::min(failures / tries, max_doublings))) {
             ++place;
             continue;
         }
--- a/src/distribution/tables.cpp
+++ b/src/distribution/tables.cpp
@@ -108,6 +108,11 @@
 
 auto blame(swarm& state, const fetch_row& fetch, const fetch_end end, const policy& rules, const time_point now)
     -> void {
+    if (!fetch.m_link && end == fetch_end::verified) {
+        state.m_failures = 0;
+    } else if (!fetch.m_link && end == fetch_end::failed) {
+        ++state.m_failures;
+    }
     if (fetch.m_link) {
         blame_link(state.m_links[*fetch.m_link], end, rules, now);
     }
@@ -161,6 +166,22 @@
 
 } // namespace internal
 
+auto stretch(policy rules, const double chunk_bytes, const double link_bytes_per_second,
+             const double upload_bytes_per_second) noexcept -> policy {
+    constexpr double microseconds = 1e6;
+    constexpr double claim_factor = 2.0;
+    constexpr double fetch_factor = 3.0;
+    const auto seconds = [chunk_bytes](const double rate, const std::uint32_t at_once) {
+        return rate > 0.0 ? chunk_bytes * at_once / rate : 0.0;
+    };
+    const auto link = seconds(link_bytes_per_second, rules.m_link_parallel * rules.m_gateways);
+    const auto region = seconds(upload_bytes_per_second, rules.m_uploads + rules.m_link_parallel);
+    const auto spent = std::max(link, region) * microseconds;
+    rules.m_claim_time = std::max(rules.m_claim_time, duration{static_cast<duration::rep>(spent * claim_factor)});
+    rules.m_fetch_time = std::max(rules.m_fetch_time, duration{static_cast<duration::rep>(spent * fetch_factor)});
+    return rules;
+}
+
 auto make_swarm(const instance_id self, const std::uint64_t version_hash, bit_set held, const time_point now) -> swarm {
     swarm state{};
     state.m_self = self;
--- a/src/exchange/fetch.cpp
+++ b/src/exchange/fetch.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint16_t status_partial = 206;
 constexpr std::uint16_t status_not_found = 404;
 constexpr std::uint16_t status_unavailable = 503;
+/*! @brief Bounds what the decisions may stretch a fetch to. */
+constexpr int most_stretch = 128;
 constexpr double link_burst_seconds = 0.25;
 constexpr double least_link_burst_bytes = 64.0 * 1024.0;
 
@@ -73,7 +75,7 @@
 auto end_fetch(node& state, const download& item, const distribution::fetch_end end) -> void {
     const auto found = state.m_versions.find(item.m_version);
     if (found != state.m_versions.end() && found->second.m_manifest) {
-        distribution::take_end(found->second.m_swarm, item.m_attempt, end, state.m_rules, steady_now());
+        distribution::take_end(found->second.m_swarm, item.m_attempt, end, found->second.m_rules, steady_now());
     }
 }
 
@@ -173,8 +175,8 @@
         }
     };
     net::call_limits limits{};
-    limits.m_total_time = state.m_rules.m_fetch_time * 2;
-    limits.m_idle_time = state.m_rules.m_fetch_time;
+    limits.m_total_time = entry.m_rules.m_fetch_time * most_stretch;
+    limits.m_idle_time = entry.m_rules.m_fetch_time;
     state.m_downloads.push_back(item);
     item->m_call = state.m_http.send(server, std::move(request), limits, std::move(handlers));
 }
@@ -234,7 +236,7 @@
             continue;
         }
         orders.clear();
-        distribution::plan(entry.m_swarm, state.m_rules, now, state.m_random(), orders);
+        distribution::plan(entry.m_swarm, entry.m_rules, now, state.m_random(), orders);
         for (const auto& order : orders) {
             carry_out(state, name, entry, order);
         }
--- a/src/exchange/manifests.cpp
+++ b/src/exchange/manifests.cpp
@@ -50,6 +50,11 @@
     const auto now = steady_now();
     entry.m_manifest = *read;
     entry.m_text = std::move(text);
+    const auto share = state.m_settings.m_bulk_share;
+    entry.m_rules =
+        distribution::stretch(state.m_rules, entry.m_manifest->m_chunk_bytes,
+                              distribution::link_share(state.m_settings.m_region_link_bytes_per_second, share, 1U),
+                              static_cast<double>(state.m_settings.m_upload_bytes_per_second) * share);
     const auto& chunks = entry.m_manifest->m_chunks;
     distribution::bit_set held{static_cast<std::uint32_t>(chunks.size())};
     for (std::uint32_t chunk = 0; chunk < chunks.size(); ++chunk) {
@@ -61,7 +66,7 @@
     constexpr instance_id self{0};
     entry.m_swarm = distribution::make_swarm(self, stable_hash(as_bytes(name)), std::move(held), now);
     distribution::set_members(entry.m_swarm, state.m_members, state.m_region_hashes, state.m_origin_region,
-                              state.m_rules, now);
+                              entry.m_rules, now);
 }
 
 auto take_answer(node& state, const digest& name, const net::call_end& end, net::http_response answer) -> void {
--- a/src/exchange/node.hpp
+++ b/src/exchange/node.hpp
@@ -57,6 +57,7 @@
     std::optional<distribution::manifest> m_manifest{};
     std::string m_text{};
     distribution::swarm m_swarm{};
+    distribution::policy m_rules{};
     bool m_manifest_asked{};
     std::uint32_t m_manifest_tries{};
     time_point m_manifest_next{};
--- a/src/exchange/peers.cpp
+++ b/src/exchange/peers.cpp
@@ -39,7 +39,7 @@
     for (auto& [name, entry] : state.m_versions) {
         if (entry.m_manifest) {
             distribution::set_members(entry.m_swarm, state.m_members, state.m_region_hashes, state.m_origin_region,
-                                      state.m_rules, steady_now());
+                                      entry.m_rules, steady_now());
         }
     }
 }
--- a/src/exchange/serve.cpp
+++ b/src/exchange/serve.cpp
@@ -83,7 +83,7 @@
         refuse(to, code::bad_request);
         return;
     }
-    const auto verdict = distribution::begin_upload(entry.m_swarm, chunk, asker, remote, state.m_rules, steady_now());
+    const auto verdict = distribution::begin_upload(entry.m_swarm, chunk, asker, remote, entry.m_rules, steady_now());
     if (verdict != distribution::fetch_end::verified) {
         refuse(to, verdict == distribution::fetch_end::busy ? code::overloaded : code::not_found);
         return;
