Make every instance of a region of three or less a gateway of each link

Cause: with two links, two gateways a link and three instances, one instance can bring in half of the chunks and send each to both others: 1.25 copies up where 0.83 would do. Change: in regions of up to three all share each link.

--- a/app/rhubarbwharf-bench-distribution/fleet.cpp
+++ b/app/rhubarbwharf-bench-distribution/fleet.cpp
@@ -403,9 +403,13 @@
     std::vector<double> times{};
     double messages = 0.0;
     double tables = 0.0;
-    for (const auto& item : state.m_instances) {
+    got.m_region_seconds.resize(state.m_wanted.m_regions);
+    for (std::size_t index = 0; index < state.m_instances.size(); ++index) {
+        const auto& item = state.m_instances[index];
         if (item.m_live && !item.m_excused) {
             times.push_back(item.m_whole_at);
+            auto& last = got.m_region_seconds[state.m_net.m_machines[index].m_region];
+            last = std::max(last, item.m_whole_at);
         }
         const auto own = static_cast<double>(item.m_messages) / state.m_now;
         messages += own;
--- a/app/rhubarbwharf-bench-distribution/fleet.hpp
+++ b/app/rhubarbwharf-bench-distribution/fleet.hpp
@@ -65,6 +65,8 @@
     double m_most_table_bytes{};
     double m_plan_microseconds{};
     std::vector<double> m_link_bytes{};
+    /*! @brief Seconds until each region was whole. */
+    std::vector<double> m_region_seconds{};
 };
 
 /*! @brief Runs the decisions of every instance over the fake links. */
--- a/app/rhubarbwharf-bench-distribution/main.cpp
+++ b/app/rhubarbwharf-bench-distribution/main.cpp
@@ -94,6 +94,7 @@
         links.emplace_back(bytes / size);
     }
     values["link_copies"] = std::move(links);
+    values["region_seconds"] = boost::json::array(got.m_region_seconds.begin(), got.m_region_seconds.end());
     return values;
 }
 
@@ -176,6 +177,8 @@
     add("baselines", "also run the baselines", cxxopts::value(chosen.m_baselines));
     add("degree", "neighbours", cxxopts::value(chosen.m_policy.m_degree)->default_value("24"));
     add("gateways", "gateways a link", cxxopts::value(chosen.m_policy.m_gateways)->default_value("2"));
+    add("small-region", "size of a region up to which all are gateways",
+        cxxopts::value(chosen.m_policy.m_small_region)->default_value("3"));
     add("readers", "readers of the origin", cxxopts::value(chosen.m_policy.m_origin_readers)->default_value("4"));
     add("parallel", "parallel fetches", cxxopts::value(chosen.m_policy.m_parallel)->default_value("4"));
     add("link-parallel", "parallel fetches a link",
--- a/include/rhubarbwharf/distribution/swarm.hpp
+++ b/include/rhubarbwharf/distribution/swarm.hpp
@@ -21,6 +21,8 @@
     std::uint32_t m_degree{24};
     /*! @brief Gateway instances that use one link between regions at once. */
     std::uint32_t m_gateways{2};
+    /*! @brief Size up to which every instance of a region is a gateway of each link. */
+    std::uint32_t m_small_region{3};
     /*! @brief Gateway instances that stand by for each link. */
     std::uint32_t m_spares{2};
     /*! @brief Copies that may be read from the origin. */
--- a/src/distribution/members.cpp
+++ b/src/distribution/members.cpp
@@ -69,6 +69,9 @@
     link.m_width = link.m_direct ? rules.m_origin_readers : rules.m_gateways;
     const auto place = mix(mix(all.m_hashes[to.value()], all.m_hashes[from.value()]), lane);
     const auto region = all.of(to);
+    if (region.size() <= rules.m_small_region) {
+        link.m_width = static_cast<std::uint32_t>(region.size());
+    }
     link.m_width = std::clamp(link.m_width, 1U, std::max(1U, static_cast<std::uint32_t>(region.size())));
     link.m_candidates = rank(members, region, mix(version_hash, place), link.m_width + rules.m_spares);
     return link;
--- a/src/distribution/tables.cpp
+++ b/src/distribution/tables.cpp
@@ -169,12 +169,13 @@
 auto stretch(policy rules, const double chunk_bytes, const double link_bytes_per_second,
              const double upload_bytes_per_second) noexcept -> policy {
     constexpr double microseconds = 1e6;
-    constexpr double claim_factor = 2.0;
-    constexpr double fetch_factor = 3.0;
+    constexpr double claim_factor = 1.5;
+    constexpr double fetch_factor = 2.2;
     const auto seconds = [chunk_bytes](const double rate, const std::uint32_t at_once) {
         return rate > 0.0 ? chunk_bytes * at_once / rate : 0.0;
     };
-    const auto link = seconds(link_bytes_per_second, rules.m_link_parallel * rules.m_gateways);
+    const auto link =
+        seconds(link_bytes_per_second, rules.m_link_parallel * std::max(rules.m_gateways, rules.m_small_region));
     const auto region = seconds(upload_bytes_per_second, rules.m_uploads + rules.m_link_parallel);
     const auto spent = std::max(link, region) * microseconds;
     rules.m_claim_time = std::max(rules.m_claim_time, duration{static_cast<duration::rep>(spent * claim_factor)});
