--- a/include/rhubarbwharf/routing/quarantine.hpp
+++ b/include/rhubarbwharf/routing/quarantine.hpp
@@ -15,7 +15,10 @@
 
 /*! @brief Crashes at which a request was running. */
 struct crash_row {
-    std::uint32_t m_crashes{};
+    /*! @brief Those that this process saw. */
+    std::uint32_t m_own{};
+    /*! @brief Those that others saw, by the hash of their name. */
+    std::unordered_map<std::uint64_t, std::uint32_t> m_others{};
     time_point m_until{};
 };
 
@@ -29,25 +32,27 @@
  * @param table The table.
  * @param content Keyed digest of the request.
  * @param until When it may be forgotten.
- * @return Crashes noted so far.
+ * @return Crashes that this process has seen.
  */
 auto blame(quarantine& table, std::uint64_t content, time_point until) -> std::uint32_t;
 
 /**
- * @brief Takes over what another process has noted; a count never falls.
+ * @brief Takes over what another process has seen; its count never falls, and the counts of all add up.
  * @param table The table.
  * @param content Keyed digest of the request.
- * @param crashes Crashes noted there.
+ * @param source Hash of the other process's name.
+ * @param crashes Crashes that it has seen.
  * @param until When it may be forgotten.
  * @return Whether the table changed.
  */
-auto merge(quarantine& table, std::uint64_t content, std::uint32_t crashes, time_point until) -> bool;
+auto merge(quarantine& table, std::uint64_t content, std::uint64_t source, std::uint32_t crashes, time_point until)
+    -> bool;
 
 /*! @brief Notes that a request ended well, which clears it below the limit. @param table The table.
  * @param content Keyed digest of the request. */
 auto clear(quarantine& table, std::uint64_t content) -> void;
 
-/*! @brief Returns the crashes noted for a request. @param table The table. @param content Keyed digest.
+/*! @brief Returns the crashes that all have seen of a request. @param table The table. @param content Keyed digest.
  * @param now The time. @return The count. */
 [[nodiscard]] auto crashes(const quarantine& table, std::uint64_t content, time_point now) noexcept -> std::uint32_t;
 
--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -9,8 +9,6 @@
 namespace internal {
 
 constexpr std::size_t digests_each_period = 2;
-/*! @brief Periods between lists of members that nothing has changed in; agents forget a list after ten. */
-constexpr std::uint64_t periods_each_list = 4;
 constexpr duration push_again = std::chrono::seconds{1};
 
 [[nodiscard]] auto hello(const daemon& self) -> wire::Envelope {
@@ -150,9 +148,9 @@
     other.m_heard = steady_now();
 }
 
-auto on_quarantine(daemon& self, const wire::Quarantine& said) -> void {
+auto on_quarantine(daemon& self, const std::string_view from, const wire::Quarantine& said) -> void {
     const auto until = steady_now() + std::chrono::seconds{said.ttl_s()};
-    routing::merge(self.m_quarantine, said.digest(), said.crashes(), until);
+    routing::merge(self.m_quarantine, said.digest(), stable_hash(from), said.crashes(), until);
 }
 
 auto dispatch(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
@@ -177,7 +175,7 @@
     case wire::Envelope::kAnswerEnd:
         return on_answer(self, from, message);
     case wire::Envelope::kQuarantine:
-        return on_quarantine(self, message.quarantine());
+        return on_quarantine(self, from, message.quarantine());
     case wire::Envelope::kMembersPull:
         return forget_told(self, from);
     case wire::Envelope::kDumpPull:
@@ -271,9 +269,6 @@
     routing::sweep(self.m_quarantine, now);
     internal::tell_peers(self, internal::summary(self));
     internal::compare_with_some(self);
-    if (self.m_summary_sequence % internal::periods_each_list == 0U) {
-        internal::tell_members(self);
-    }
 }
 
 auto push_state(daemon& self, const std::vector<ticket::scope_entry>& entries, const std::string_view but) -> void {
--- a/src/routing/quarantine.cpp
+++ b/src/routing/quarantine.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <numeric>
 
 #include <rhubarbwharf/routing/quarantine.hpp>
 
@@ -15,33 +16,39 @@
     return table.m_rows[content];
 }
 
+[[nodiscard]] auto total(const crash_row& row) noexcept -> std::uint32_t {
+    return std::accumulate(row.m_others.begin(), row.m_others.end(), row.m_own,
+                           [](const std::uint32_t sum, const auto& other) { return sum + other.second; });
+}
+
 } // namespace internal
 
 auto blame(quarantine& table, const std::uint64_t content, const time_point until) -> std::uint32_t {
     auto& row = internal::emplace(table, content);
     row.m_until = std::max(row.m_until, until);
-    return ++row.m_crashes;
+    return ++row.m_own;
 }
 
-auto merge(quarantine& table, const std::uint64_t content, const std::uint32_t crashes, const time_point until)
-    -> bool {
+auto merge(quarantine& table, const std::uint64_t content, const std::uint64_t source, const std::uint32_t crashes,
+           const time_point until) -> bool {
     auto& row = internal::emplace(table, content);
-    const auto raised = crashes > row.m_crashes;
-    row.m_crashes = std::max(row.m_crashes, crashes);
+    auto& held = row.m_others[source];
+    const auto raised = crashes > held;
+    held = std::max(held, crashes);
     row.m_until = std::max(row.m_until, until);
     return raised;
 }
 
 auto clear(quarantine& table, const std::uint64_t content) -> void {
     const auto found = table.m_rows.find(content);
-    if (found != table.m_rows.end() && found->second.m_crashes < quarantine_crashes) {
+    if (found != table.m_rows.end() && internal::total(found->second) < quarantine_crashes) {
         table.m_rows.erase(found);
     }
 }
 
 auto crashes(const quarantine& table, const std::uint64_t content, const time_point now) noexcept -> std::uint32_t {
     const auto found = table.m_rows.find(content);
-    return found != table.m_rows.end() && now < found->second.m_until ? found->second.m_crashes : 0U;
+    return found != table.m_rows.end() && now < found->second.m_until ? internal::total(found->second) : 0U;
 }
 
 auto is_held(const quarantine& table, const std::uint64_t content, const time_point now) noexcept -> bool {
--- a/test/routing/queue.cpp
+++ b/test/routing/queue.cpp
@@ -101,13 +101,27 @@
     CHECK(blame(table, 7, until) == 2U);
     clear(table, 7);
     CHECK(is_held(table, 7, time_point{}));
-    CHECK_FALSE(merge(table, 7, 1, until));
+    CHECK(merge(table, 7, 100, 1, until));
+    CHECK_FALSE(merge(table, 7, 100, 1, until));
     CHECK(is_held(table, 7, time_point{}));
     CHECK_FALSE(is_held(table, 7, until));
     sweep(table, until);
     CHECK(table.m_rows.empty());
-    CHECK(merge(table, 8, 2, until));
+    CHECK(merge(table, 8, 100, 2, until));
     CHECK(is_held(table, 8, time_point{}));
 }
 
+TEST_CASE("crashes that two processes saw at once add up, however often they tell of them") {
+    quarantine table{};
+    const auto until = time_point{std::chrono::seconds{10}};
+    blame(table, 7, until);
+    CHECK_FALSE(is_held(table, 7, time_point{}));
+    CHECK(merge(table, 7, 100, 1, until));
+    CHECK(is_held(table, 7, time_point{}));
+    CHECK_FALSE(merge(table, 7, 100, 1, until));
+    CHECK(crashes(table, 7, time_point{}) == 2U);
+    clear(table, 7);
+    CHECK(is_held(table, 7, time_point{}));
+}
+
 } // namespace rhubarbwharf::routing
