Trip the breaker only where a backend server can't be reached

Change: an end with no_backend_server trips, a crash counts as one failure, and a report of another phase or version closes the breaker.

--- a/include/rhubarbwharf/routing/breaker.hpp
+++ b/include/rhubarbwharf/routing/breaker.hpp
@@ -39,7 +39,7 @@
 /*! @brief Notes a failure. @param state The breaker. @param now The time. */
 auto fail(breaker& state, time_point now) noexcept -> void;
 
-/*! @brief Opens at once, as after a crash. @param state The breaker. @param now The time. */
+/*! @brief Opens at once, as when the backend server can't be reached. @param state The breaker. @param now The time. */
 auto trip(breaker& state, time_point now) noexcept -> void;
 
 } // namespace rhubarbwharf::routing
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -113,10 +113,10 @@
     if (end.code() == 0U) {
         return routing::succeed(load.m_breaker);
     }
-    if (end.crashed() || end.code() == static_cast<std::uint32_t>(code::no_backend_server)) {
+    if (end.code() == static_cast<std::uint32_t>(code::no_backend_server)) {
         return routing::trip(load.m_breaker, steady_now());
     }
-    const auto failed = end.code() == static_cast<std::uint32_t>(code::backend_server_failed) ||
+    const auto failed = end.crashed() || end.code() == static_cast<std::uint32_t>(code::backend_server_failed) ||
                         end.code() == static_cast<std::uint32_t>(code::timed_out);
     return failed ? routing::fail(load.m_breaker, steady_now()) : routing::release(load.m_breaker);
 }
--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -78,6 +78,7 @@
         routing::remember(load, prefix);
     }
     if (done == membership::applied::changed) {
+        load.m_breaker = {};
         net::log(net::level::info, "entry",
                  news.m_instance + " is " + std::string{membership::to_string(news.m_phase)} + " under ticket " +
                      std::to_string(news.m_ticket.value()));
