--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -78,6 +78,7 @@
         routing::remember(load, prefix);
     }
     if (done == membership::applied::changed) {
+        load.m_breaker = {};
         net::log(net::level::info, "entry",
                  news.m_instance + " is " + std::string{membership::to_string(news.m_phase)} + " under ticket " +
                      std::to_string(news.m_ticket.value()));
@@ -148,9 +149,9 @@
     other.m_heard = steady_now();
 }
 
-auto on_quarantine(daemon& self, const wire::Quarantine& said) -> void {
+auto on_quarantine(daemon& self, const std::string_view from, const wire::Quarantine& said) -> void {
     const auto until = steady_now() + std::chrono::seconds{said.ttl_s()};
-    routing::merge(self.m_quarantine, said.digest(), said.crashes(), until);
+    routing::merge(self.m_quarantine, said.digest(), stable_hash(from), said.crashes(), until);
 }
 
 auto dispatch(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
@@ -175,7 +176,7 @@
     case wire::Envelope::kAnswerEnd:
         return on_answer(self, from, message);
     case wire::Envelope::kQuarantine:
-        return on_quarantine(self, message.quarantine());
+        return on_quarantine(self, from, message.quarantine());
     case wire::Envelope::kMembersPull:
         return forget_told(self, from);
     case wire::Envelope::kDumpPull:
