--- a/include/rhubarbwharf/execution/owner.hpp
+++ b/include/rhubarbwharf/execution/owner.hpp
@@ -31,6 +31,8 @@
     duration m_group_commit{std::chrono::milliseconds{5}};
     std::size_t m_segment_bytes{65'536};
     std::size_t m_answer_bytes{1'024};
+    /*! @brief Journal writes a second of all shards together; a second's worth is saved up. */
+    double m_writes_per_second{100.0};
 };
 
 /*! @brief Largest difference of two processes' wall clocks; keys from further ahead are refused. */
@@ -180,6 +182,9 @@
     bool m_is_suspended{};
     std::uint64_t m_last_operation{};
     std::uint64_t m_last_write{};
+    /*! @brief Journal writes saved up, and when that was reckoned. */
+    double m_writes_saved{};
+    time_point m_saved_at{};
     std::vector<shard> m_shards{};
     std::unordered_map<call_key, running_call> m_running{};
     owner_counts m_counts{};
--- a/src/agent/journal.cpp
+++ b/src/agent/journal.cpp
@@ -11,6 +11,8 @@
 
 namespace internal {
 
+/*! @brief Share of the process's writes a second that the journal takes; the rest is for leases and owners' keys. */
+constexpr double journal_share = 0.8;
 /*! @brief Time after a start within which the entries tell who else there is. */
 constexpr duration members_time = std::chrono::seconds{3};
 
@@ -27,6 +29,7 @@
     chosen.m_group_commit = std::chrono::milliseconds{given.m_group_commit_ms};
     chosen.m_segment_bytes = given.m_segment_bytes;
     chosen.m_answer_bytes = given.m_answer_bytes;
+    chosen.m_writes_per_second = settings.m_platform.m_writes_per_second * journal_share;
     return chosen;
 }
 
@@ -181,11 +184,14 @@
 auto carry(daemon& self, const execution::write_key& order) -> void {
     const auto shard = order.m_shard;
     const auto operation = order.m_operation;
-    self.m_platform.put(order.m_key, order.m_value, order.m_expected, order.m_lease,
-                        completion(self, [&self, shard, operation](auto& orders, const auto& outcome) {
-                            execution::on_written(self.m_owner, shard, operation, result_of(outcome), steady_now(),
-                                                  orders);
-                        }));
+    self.m_platform.put(
+        order.m_key, order.m_value, order.m_expected, order.m_lease,
+        completion(self, [&self, shard, operation](auto& orders, const auto& outcome) {
+            if (outcome.m_code != code::ok) {
+                self.m_counters.add("agent_journal_failures_total", 1.0, describe(outcome.m_code).m_name);
+            }
+            execution::on_written(self.m_owner, shard, operation, result_of(outcome), steady_now(), orders);
+        }));
 }
 
 auto carry(daemon& self, const execution::remove_key& order) -> void {
--- a/src/execution/journal.cpp
+++ b/src/execution/journal.cpp
@@ -82,16 +82,25 @@
     return !item.m_is_healthy || has_claims || has_ends;
 }
 
-auto flush(owner& table, shard& item, const time_point now, commands& out) -> void {
-    if (!is_held(item) || item.m_is_in_flight || now < item.m_retry_at || !is_due(table, item, now)) {
-        return;
-    }
+[[nodiscard]] auto may_write(const owner& table, const shard& item, const time_point now) -> bool {
+    return is_held(item) && !item.m_is_in_flight && now >= item.m_retry_at && is_due(table, item, now);
+}
+
+auto save_writes(owner& table, const time_point now) -> void {
+    const auto rate = table.m_options.m_writes_per_second;
+    const auto passed = std::chrono::duration<double>{now - table.m_saved_at}.count();
+    table.m_writes_saved = std::min(table.m_writes_saved + passed * rate, std::max(rate, 1.0));
+    table.m_saved_at = now;
+}
+
+auto write_batch(owner& table, shard& item, const time_point now, commands& out) -> void {
     if (!holds_lease(table, now)) {
         refuse_pending(item, out);
     }
     if (item.m_pending.empty() && item.m_is_healthy) {
         return;
     }
+    --table.m_writes_saved;
     const auto bytes = take_batch(table, item);
     mark_writing(item);
     item.m_is_sealing = item.m_writing.empty() && !item.m_pending.empty();
@@ -108,6 +117,23 @@
                                encode_header(header) + item.m_open_bytes + bytes, item.m_open_revision, 0});
 }
 
+auto flush(owner& table, const time_point now, commands& out) -> void {
+    save_writes(table, now);
+    std::vector<shard*> due{};
+    for (auto& item : table.m_shards) {
+        if (may_write(table, item, now)) {
+            due.push_back(&item);
+        }
+    }
+    std::ranges::sort(due, {}, [](const shard* const item) { return std::pair{item->m_sent_at, item->m_id}; });
+    for (auto* const item : due) {
+        if (table.m_writes_saved < 1.0) {
+            return;
+        }
+        write_batch(table, *item, now, out);
+    }
+}
+
 auto start_call(owner& table, shard& item, const record& claim, commands& out) -> void {
     auto& entry = item.m_keys.at(claim.m_key);
     ensure(entry.m_state == key_state::writing, "a call starts only once its claim is written under the own token");
@@ -200,9 +226,12 @@
 }
 
 auto give_up_write(owner& table, shard& item, const write_result& value, const time_point now, commands& out) -> void {
-    item.m_is_healthy = false;
     item.m_is_sealing = false;
     item.m_retry_at = now + journal_retry_time;
+    if (value.m_code == code::rate_limited && value.m_written == outcome::not_run) {
+        return put_back(item);
+    }
+    item.m_is_healthy = false;
     const auto is_unknown = value.m_written == outcome::unknown;
     table.m_counts.m_unknown_writes += is_unknown ? 1U : 0U;
     for (const auto& written : item.m_writing) {
@@ -294,7 +323,7 @@
         [[fallthrough]];
     case shard_phase::owned:
         internal::end_append(table, item, value, now, out);
-        return internal::flush(table, item, now, out);
+        return internal::flush(table, now, out);
     case shard_phase::idle:
     case shard_phase::reading:
         return;
--- a/src/execution/owner.cpp
+++ b/src/execution/owner.cpp
@@ -133,9 +133,9 @@
     internal::step_listing(table, now, out);
     for (auto& item : table.m_shards) {
         internal::step_ownership(table, item, now, out);
-        internal::flush(table, item, now, out);
         internal::fold(table, item, wall, out);
     }
+    internal::flush(table, now, out);
     internal::step_giving_back(table, out);
 }
 
--- a/src/execution/shard.hpp
+++ b/src/execution/shard.hpp
@@ -28,9 +28,9 @@
 /*! @brief Refuses the claims that wait to be written. @param item The shard. @param out Gets the answers. */
 auto refuse_pending(shard& item, commands& out) -> void;
 
-/*! @brief Writes what is due to the open segment. @param table The tables. @param item The shard. @param now The time.
- * @param out Gets the write. */
-auto flush(owner& table, shard& item, time_point now, commands& out) -> void;
+/*! @brief Writes what is due in all shards as far as the rate of writes allows, longest wait first. @param table The
+ * tables. @param now The time. @param out Gets the writes. */
+auto flush(owner& table, time_point now, commands& out) -> void;
 
 /*! @brief Ends a write to the open segment. @param table The tables. @param item The shard. @param value How.
  * @param now The time. @param out Gets calls to start and answers. */
