Report what changed, and a short pulse else

Ruled out: a longer period (suspicion and load would lag with it); dropping the report for load on answers alone (an idle or dead agent would not be told apart). Change: a pulse with load, cached prefixes, chunks held and the number of the report that still holds; a whole report at each change, after Hello, and every thirtieth time. An entry that lacks that report sends Hello. InForce goes out at a change and every fifth time.

--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -10,6 +10,8 @@
 namespace internal {
 
 constexpr std::uint32_t list_periods_kept = 10;
+constexpr std::uint64_t pulses_each_report = 30;
+constexpr std::uint64_t reports_each_in_force = 5;
 
 auto take_state(daemon& self, const std::string_view peer, const wire::StatePush& push) -> void {
     const auto taken = ticket::merge(self.m_desired, entries_of(push));
@@ -171,6 +173,50 @@
     if (self.m_gate.m_target && self.m_gate.m_ticket < self.m_gate.m_target->m_ticket) {
         out.add_scopes_behind("group:" + self.m_settings.m_backend.m_group);
     }
+    auto bytes = out.SerializeAsString();
+    auto& told = self.m_told;
+    if (bytes == told.m_in_force && self.m_sequence - told.m_in_force_sequence < reports_each_in_force) {
+        return;
+    }
+    told.m_in_force = std::move(bytes);
+    told.m_in_force_sequence = self.m_sequence;
+    send_to_entries(self, message);
+}
+
+/*! @brief A report without the figures that a pulse carries. */
+[[nodiscard]] auto lasting_part(const wire::Report& whole) -> std::string {
+    auto part = whole;
+    part.clear_sequence();
+    part.clear_running();
+    part.clear_waiting();
+    part.clear_cached_prefixes();
+    part.clear_chunks_held();
+    return part.SerializeAsString();
+}
+
+[[nodiscard]] auto pulse_of(const daemon& self, const wire::Report& whole) -> wire::Envelope {
+    auto message = envelope(self);
+    auto& out = *message.mutable_pulse();
+    out.set_sequence(whole.sequence());
+    out.set_report(self.m_told.m_sequence);
+    out.set_running(whole.running());
+    out.set_waiting(whole.waiting());
+    *out.mutable_cached_prefixes() = whole.cached_prefixes();
+    out.set_chunks_held(whole.chunks_held());
+    return message;
+}
+
+/*! @brief Sends a pulse if all but its figures still holds, else the whole report. */
+auto send_report(daemon& self, const wire::Envelope& message) -> void {
+    const auto& whole = message.report();
+    auto& told = self.m_told;
+    auto lasting = lasting_part(whole);
+    const auto is_due = told.m_sequence == 0U || whole.sequence() - told.m_sequence >= pulses_each_report;
+    if (!is_due && lasting == told.m_lasting) {
+        return send_to_entries(self, pulse_of(self, whole));
+    }
+    told.m_sequence = whole.sequence();
+    told.m_lasting = std::move(lasting);
     send_to_entries(self, message);
 }
 
@@ -245,7 +291,7 @@
     internal::fill_fetch(self, out);
     self.m_engine.m_cached_prefixes.clear();
     self.m_reported = self.m_gate.m_phase;
-    send_to_entries(self, message);
+    internal::send_report(self, message);
     internal::send_in_force(self);
 }
 
@@ -278,6 +324,7 @@
         return internal::give_dump(self, peer, message.dump_pull().number());
     case wire::Envelope::kHello:
         internal::send_hello(self);
+        self.m_told = {};
         return report(self);
     default:
         self.m_counters.add("agent_frames_dropped_total", 1.0, "unexpected");
--- a/src/agent/daemon.hpp
+++ b/src/agent/daemon.hpp
@@ -28,6 +28,17 @@
 /*! @brief Version of the frames between the system's processes. */
 inline constexpr std::uint32_t protocol_version = 1;
 
+/*! @brief What the entries were told last. */
+struct told_report {
+    /*! @brief Sequence of the last whole report; zero lets the next one be whole. */
+    std::uint64_t m_sequence{};
+    /*! @brief That report without the figures that a pulse carries. */
+    std::string m_lasting{};
+    /*! @brief The last InForce, and the sequence of the report that went with it. */
+    std::string m_in_force{};
+    std::uint64_t m_in_force_sequence{};
+};
+
 /*! @brief All that one agent holds; the functions below run over it on the loop's thread. */
 struct daemon {
     explicit daemon(const config::settings& settings);
@@ -59,6 +70,7 @@
 
     std::uint64_t m_epoch{};
     std::uint64_t m_sequence{};
+    told_report m_told{};
     phase m_reported{phase::unknown};
     bool m_is_probing{};
     bool m_is_ready{};
--- a/src/entry/daemon.hpp
+++ b/src/entry/daemon.hpp
@@ -57,6 +57,8 @@
     digest m_state{};
     /*! @brief When the whole state was pushed to it last. */
     time_point m_pushed{};
+    /*! @brief Sequence of its last whole report. */
+    std::uint64_t m_report{};
 };
 
 /*! @brief A caller's request from its arrival to its one final answer. */
--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -56,8 +56,7 @@
     forget_told(self, from);
 }
 
-auto on_report(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
-    const auto news = report_of(from, message);
+auto take_report(daemon& self, const std::string_view from, const membership::report& news) -> void {
     const auto* const before = membership::find(self.m_members, from);
     const auto replaced = before != nullptr && before->m_report.m_incarnation != news.m_incarnation;
     const auto done = membership::apply(self.m_members, news, steady_now());
@@ -86,6 +85,30 @@
     pump(self);
 }
 
+auto on_report(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
+    self.m_agents[std::string{from}].m_report = message.report().sequence();
+    take_report(self, from, report_of(from, message));
+}
+
+/*! @brief Takes a pulse as the report it refers to with newer figures, or asks for a whole report. */
+auto on_pulse(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
+    const auto& pulse = message.pulse();
+    const auto* const row = membership::find(self.m_members, from);
+    const auto is_known = row != nullptr && row->m_report.m_incarnation == message.incarnation();
+    if (!is_known || self.m_agents[std::string{from}].m_report != pulse.report()) {
+        self.m_counters.add("entry_reports_pulled_total");
+        send(self, from, hello(self));
+        return;
+    }
+    auto news = row->m_report;
+    news.m_sequence = pulse.sequence();
+    news.m_running = pulse.running();
+    news.m_waiting = pulse.waiting();
+    news.m_cached_prefixes.assign(pulse.cached_prefixes().begin(), pulse.cached_prefixes().end());
+    news.m_chunks_held = pulse.chunks_held();
+    take_report(self, from, news);
+}
+
 auto on_leave(daemon& self, const std::string_view from, const std::uint64_t incarnation) -> void {
     if (const auto found = self.m_peers.find(from); found != self.m_peers.end()) {
         found->second.m_leaving = true;
@@ -160,6 +183,8 @@
         return on_hello(self, from, message.hello());
     case wire::Envelope::kReport:
         return on_report(self, from, message);
+    case wire::Envelope::kPulse:
+        return on_pulse(self, from, message);
     case wire::Envelope::kLeave:
         return on_leave(self, from, message.incarnation());
     case wire::Envelope::kStateDigest:
