Call a ticket in force everywhere only after the entry could hear its agents

Ruled out: counting the platform's list of instances (it lags, and agents are not all on it). Change: not in force before the entry has run for routing.suspect_ms. Not proved: no test of its own yet; the demo and the process tests wait by it.

--- a/src/entry/tickets.cpp
+++ b/src/entry/tickets.cpp
@@ -274,7 +274,8 @@
     }
     auto agents = internal::agents_behind(self, ticket_number{value});
     auto entries = internal::entries_behind(self, ticket_number{value});
-    const auto in_force = agents.empty() && entries.empty();
+    const auto has_heard_all = steady_now() - self.m_started > self.m_bounds.m_suspect;
+    const auto in_force = has_heard_all && agents.empty() && entries.empty();
     internal::answer_json(answer, 200,
                           {{"number", value},
                            {"in_force", in_force},
