Hold have-maps to their sum of 50 a second exactly

Cause: the gap between have-maps was divided in whole seconds, so that 51 to 99 targets got one each second: up to 75 a second, 9.6 KB, over the limit of 8 KB. Change: the division is made in microseconds.

--- a/src/distribution/plan.cpp
+++ b/src/distribution/plan.cpp
@@ -117,7 +117,7 @@
     const auto targets = std::ranges::count_if(state.m_sources, [](const source_row& row) {
         return row.m_live && (row.m_target || row.m_asked) && !row.m_held.full();
     });
-    const duration shared{std::chrono::seconds{targets} / std::max(1U, rules.m_announces_per_second)};
+    const auto shared = duration{std::chrono::seconds{targets}} / std::max(1U, rules.m_announces_per_second);
     return std::max(rules.m_announce_gap, shared);
 }
 
