--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -56,8 +56,7 @@
     forget_told(self, from);
 }
 
-auto on_report(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
-    const auto news = report_of(from, message);
+auto take_report(daemon& self, const std::string_view from, const membership::report& news) -> void {
     const auto* const before = membership::find(self.m_members, from);
     const auto replaced = before != nullptr && before->m_report.m_incarnation != news.m_incarnation;
     const auto done = membership::apply(self.m_members, news, steady_now());
@@ -78,6 +77,7 @@
         routing::remember(load, prefix);
     }
     if (done == membership::applied::changed) {
+        load.m_breaker = {};
         net::log(net::level::info, "entry",
                  news.m_instance + " is " + std::string{membership::to_string(news.m_phase)} + " under ticket " +
                      std::to_string(news.m_ticket.value()));
@@ -85,6 +85,30 @@
     pump(self);
 }
 
+auto on_report(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
+    self.m_agents[std::string{from}].m_report = message.report().sequence();
+    take_report(self, from, report_of(from, message));
+}
+
+/*! @brief Takes a pulse as the report it refers to with newer figures, or asks for a whole report. */
+auto on_pulse(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
+    const auto& pulse = message.pulse();
+    const auto* const row = membership::find(self.m_members, from);
+    const auto is_known = row != nullptr && row->m_report.m_incarnation == message.incarnation();
+    if (!is_known || self.m_agents[std::string{from}].m_report != pulse.report()) {
+        self.m_counters.add("entry_reports_pulled_total");
+        send(self, from, hello(self));
+        return;
+    }
+    auto news = row->m_report;
+    news.m_sequence = pulse.sequence();
+    news.m_running = pulse.running();
+    news.m_waiting = pulse.waiting();
+    news.m_cached_prefixes.assign(pulse.cached_prefixes().begin(), pulse.cached_prefixes().end());
+    news.m_chunks_held = pulse.chunks_held();
+    take_report(self, from, news);
+}
+
 auto on_leave(daemon& self, const std::string_view from, const std::uint64_t incarnation) -> void {
     if (const auto found = self.m_peers.find(from); found != self.m_peers.end()) {
         found->second.m_leaving = true;
@@ -148,9 +172,9 @@
     other.m_heard = steady_now();
 }
 
-auto on_quarantine(daemon& self, const wire::Quarantine& said) -> void {
+auto on_quarantine(daemon& self, const std::string_view from, const wire::Quarantine& said) -> void {
     const auto until = steady_now() + std::chrono::seconds{said.ttl_s()};
-    routing::merge(self.m_quarantine, said.digest(), said.crashes(), until);
+    routing::merge(self.m_quarantine, said.digest(), stable_hash(from), said.crashes(), until);
 }
 
 auto dispatch(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
@@ -159,6 +183,8 @@
         return on_hello(self, from, message.hello());
     case wire::Envelope::kReport:
         return on_report(self, from, message);
+    case wire::Envelope::kPulse:
+        return on_pulse(self, from, message);
     case wire::Envelope::kLeave:
         return on_leave(self, from, message.incarnation());
     case wire::Envelope::kStateDigest:
@@ -175,7 +201,7 @@
     case wire::Envelope::kAnswerEnd:
         return on_answer(self, from, message);
     case wire::Envelope::kQuarantine:
-        return on_quarantine(self, message.quarantine());
+        return on_quarantine(self, from, message.quarantine());
     case wire::Envelope::kMembersPull:
         return forget_told(self, from);
     case wire::Envelope::kDumpPull:
