--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::uint32_t list_periods_kept = 10;
 constexpr std::uint64_t pulses_each_report = 30;
-constexpr std::uint64_t reports_each_in_force = 5;
+constexpr std::uint64_t reports_each_in_force = 10;
 
 auto take_state(daemon& self, const std::string_view peer, const wire::StatePush& push) -> void {
     const auto taken = ticket::merge(self.m_desired, entries_of(push));
