Keep in one place what both roles read, write and set up alike

Cause: reading as a newcomer: the limits of listeners, the platform client's settings, the drawing of an incarnation, the check of a bearer key and the entries of a StatePush stood in entry and in agent, slightly different (the agent compared keys in a time that depends on them, and took entries without a scope). Ruled out: moving envelope() and send() as well (each needs its daemon's counters).

--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -11,6 +11,7 @@
 #include <rhubarbwharf/execution/segment.hpp>
 #include <rhubarbwharf/net/http.hpp>
 #include <rhubarbwharf/ticket/json.hpp>
+#include <rhubarbwharf/wire/state.hpp>
 
 #include "agent/engine.hpp"
 #include "agent/events.hpp"
@@ -86,7 +87,7 @@
     }
     if (message.has_state_push()) {
         wire::StatePush again{};
-        entry::fill(again, entry::entries_of(message.state_push()));
+        wire::fill(again, wire::entries_of(message.state_push()));
     }
 }
 
--- a/src/agent/admin.cpp
+++ b/src/agent/admin.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json.hpp>
 
+#include <rhubarbwharf/setup/settings.hpp>
+
 namespace rhubarbwharf::agent {
 
 namespace internal {
@@ -14,7 +16,6 @@
 constexpr std::uint16_t status_ok = 200;
 constexpr std::uint16_t status_accepted = 202;
 constexpr std::uint16_t status_unavailable = 503;
-constexpr std::string_view bearer = "Bearer ";
 
 [[nodiscard]] auto text_answer(const std::uint16_t status, std::string type, std::string body) -> net::http_response {
     net::http_response answer{};
@@ -24,15 +25,6 @@
     return answer;
 }
 
-[[nodiscard]] auto is_operator(const daemon& self, const net::http_request& request) -> bool {
-    const auto field = net::find(request.m_headers, "Authorization");
-    if (!field.starts_with(bearer)) {
-        return false;
-    }
-    const auto given = sha256(field.substr(bearer.size()));
-    return std::ranges::any_of(self.m_settings.m_operators, [&](const auto& key) { return key.m_key_sha256 == given; });
-}
-
 [[nodiscard]] auto dump_gate(const daemon& self) -> json::object {
     const auto& gate = self.m_gate;
     json::object out{
@@ -126,7 +118,7 @@
     if (request.m_method != "POST") {
         return net::problem(code::method_not_allowed, outcome::not_run, "drain takes POST", duration::zero());
     }
-    if (!is_operator(self, request)) {
+    if (setup::owner_of(self.m_settings.m_operators, request.m_headers) == nullptr) {
         return net::problem(code::unauthorised, outcome::not_run, "an operator's key is needed", duration::zero());
     }
     stop(self, 1);
--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include <agent/desired.hpp>
 #include <rhubarbwharf/net/log.hpp>
+#include <rhubarbwharf/wire/state.hpp>
 
 namespace rhubarbwharf::agent {
 
@@ -14,7 +14,7 @@
 constexpr std::uint64_t reports_each_in_force = 10;
 
 auto take_state(daemon& self, const std::string_view peer, const wire::StatePush& push) -> void {
-    const auto taken = ticket::merge(self.m_desired, entries_of(push));
+    const auto taken = ticket::merge(self.m_desired, wire::entries_of(push));
     if (taken > 0) {
         self.m_counters.add("agent_scopes_taken_total", static_cast<double>(taken));
         apply_desired(self);
@@ -39,7 +39,11 @@
 
 auto give_state(daemon& self, const std::string_view peer) -> void {
     auto push = envelope(self);
-    *push.mutable_state_push() = push_of(self.m_desired);
+    auto& out = *push.mutable_state_push();
+    wire::fill(out, self.m_desired.m_entries);
+    const auto own = ticket::fingerprint(self.m_desired);
+    out.set_digest(std::string{as_bytes(own)});
+    out.set_whole(true);
     send(self, peer, push);
 }
 
@@ -301,7 +305,7 @@
         self.m_counters.add("agent_frames_dropped_total", 1.0, "malformed_frame");
         return;
     }
-    if (message.protocol() != protocol_version) {
+    if (message.protocol() != wire::protocol_version) {
         self.m_counters.add("agent_frames_dropped_total", 1.0, "wrong_protocol");
         return;
     }
--- a/src/agent/daemon.cpp
+++ b/src/agent/daemon.cpp
@@ -1,10 +1,11 @@
 #include <agent/daemon.hpp>
-#include <agent/journal.hpp>
 
 #include <algorithm>
-#include <random>
 
+#include <agent/journal.hpp>
 #include <rhubarbwharf/net/log.hpp>
+#include <rhubarbwharf/setup/settings.hpp>
+#include <rhubarbwharf/wire/state.hpp>
 
 namespace rhubarbwharf::agent {
 
@@ -13,39 +14,10 @@
 constexpr duration activate_period = std::chrono::milliseconds{50};
 constexpr duration journal_period = std::chrono::milliseconds{20};
 constexpr std::uint32_t bulk_body_bytes = 4096;
-constexpr unsigned word_bits = 32;
-
-[[nodiscard]] auto draw_incarnation() -> std::uint64_t {
-    std::random_device device{};
-    return (std::uint64_t{device()} << word_bits) | device();
-}
-
-[[nodiscard]] auto bus_limits_of(const config::limit_settings& limits) -> net::bus_limits {
-    return {limits.m_message_bytes, static_cast<int>(limits.m_queue_messages)};
-}
 
-[[nodiscard]] auto http_limits_of(const config::limit_settings& limits, const std::uint32_t body_bytes)
-    -> net::http_limits {
-    net::http_limits chosen{};
-    chosen.m_header_bytes = limits.m_header_bytes;
-    chosen.m_body_bytes = body_bytes;
-    chosen.m_connections = limits.m_connections;
-    chosen.m_request_time = std::chrono::milliseconds{limits.m_request_ms};
-    chosen.m_idle_time = std::chrono::milliseconds{limits.m_idle_ms};
-    chosen.m_send_queue_bytes = limits.m_send_queue_bytes;
-    return chosen;
-}
-
-[[nodiscard]] auto client_settings_of(const config::platform_settings& settings) -> platform::client_settings {
-    platform::client_settings chosen{};
-    for (const auto& address : settings.m_addresses) {
-        if (const auto server = net::parse_endpoint(address)) {
-            chosen.m_servers.push_back(*server);
-        }
-    }
-    chosen.m_reads_per_second = settings.m_reads_per_second;
-    chosen.m_writes_per_second = settings.m_writes_per_second;
-    chosen.m_call_time = std::chrono::milliseconds{settings.m_call_ms};
+[[nodiscard]] auto bulk_limits_of(const config::limit_settings& limits) -> net::http_limits {
+    auto chosen = setup::http_limits_of(limits);
+    chosen.m_body_bytes = bulk_body_bytes;
     return chosen;
 }
 
@@ -77,12 +49,12 @@
 
 daemon::daemon(const config::settings& settings)
     : m_settings{settings},
-      m_incarnation{internal::draw_incarnation()}, m_http{m_loop}, m_bus{m_loop, settings.m_instance,
-                                                                         internal::bus_limits_of(settings.m_limits),
-                                                                         [this](const auto peer, const auto bytes) {
-                                                                             on_frame(*this, peer, bytes);
-                                                                         }},
-      m_platform{m_loop, m_http, internal::client_settings_of(settings.m_platform)},
+      m_incarnation{setup::draw_incarnation()}, m_http{m_loop}, m_bus{m_loop, settings.m_instance,
+                                                                      setup::bus_limits_of(settings.m_limits),
+                                                                      [this](const auto peer, const auto bytes) {
+                                                                          on_frame(*this, peer, bytes);
+                                                                      }},
+      m_platform{m_loop, m_http, setup::client_settings_of(settings.m_platform)},
       m_exchange{m_loop,
                  m_http,
                  m_counters,
@@ -91,12 +63,11 @@
                  [this](const digest&) {
                      activate(*this);
                  }},
-      m_bulk{m_loop, internal::http_limits_of(settings.m_limits, internal::bulk_body_bytes),
+      m_bulk{m_loop, internal::bulk_limits_of(settings.m_limits),
              [this](auto request, auto answer) {
                  m_exchange.serve(std::move(request), std::move(answer));
              }},
-      m_admin{m_loop, internal::http_limits_of(settings.m_limits, settings.m_limits.m_body_bytes),
-              [this](const auto& request, const auto& answer) {
+      m_admin{m_loop, setup::http_limits_of(settings.m_limits), [this](const auto& request, const auto& answer) {
                   serve_admin(*this, request, *answer);
               }} {
     m_backend = net::parse_endpoint(settings.m_backend.m_address).value_or(net::endpoint{});
@@ -108,7 +79,7 @@
 
 auto envelope(const daemon& self) -> wire::Envelope {
     wire::Envelope message{};
-    message.set_protocol(protocol_version);
+    message.set_protocol(wire::protocol_version);
     message.set_incarnation(self.m_incarnation);
     return message;
 }
@@ -130,7 +101,7 @@
     self.m_bus.connect(peer, found->second);
     self.m_connected.insert(name);
     auto framed = message;
-    framed.set_protocol(protocol_version);
+    framed.set_protocol(wire::protocol_version);
     framed.set_incarnation(self.m_incarnation);
     send(self, peer, framed);
 }
--- a/src/agent/daemon.hpp
+++ b/src/agent/daemon.hpp
@@ -25,9 +25,6 @@
 
 namespace rhubarbwharf::agent {
 
-/*! @brief Version of the frames between the system's processes. */
-inline constexpr std::uint32_t protocol_version = 1;
-
 /*! @brief What the entries were told last. */
 struct told_report {
     /*! @brief Sequence of the last whole report; zero lets the next one be whole. */
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -1,4 +1,5 @@
 #include <entry/daemon.hpp>
+#include <rhubarbwharf/setup/settings.hpp>
 
 namespace rhubarbwharf::entry {
 
@@ -53,7 +54,7 @@
 
 auto on_write(daemon& self, const net::http_request& incoming, const std::shared_ptr<net::responder>& answer) -> void {
     constexpr std::uint16_t status_accepted = 202;
-    if (owner_of(self.m_settings.m_operators, incoming.m_headers) == nullptr) {
+    if (setup::owner_of(self.m_settings.m_operators, incoming.m_headers) == nullptr) {
         return answer->respond(net::problem(code::unauthorised, outcome::not_run, "no operator has this key", {}));
     }
     if (incoming.m_target == tickets_path) {
--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -7,6 +7,7 @@
 
 #include <entry/daemon.hpp>
 #include <rhubarbwharf/entry/key_time.hpp>
+#include <rhubarbwharf/setup/settings.hpp>
 
 namespace rhubarbwharf::entry {
 
@@ -241,7 +242,7 @@
     if (incoming.m_target == "/v1/entries" && incoming.m_method == "GET") {
         return internal::show_entries(self, answer);
     }
-    const auto* const owner = owner_of(self.m_settings.m_organisations, incoming.m_headers);
+    const auto* const owner = setup::owner_of(self.m_settings.m_organisations, incoming.m_headers);
     if (owner == nullptr) {
         self.m_counters.add("entry_refusals_total", 1.0, describe(code::unauthorised).m_name);
         return answer->respond(net::problem(code::unauthorised, outcome::not_run, "no organisation has this key", {}));
--- a/src/entry/daemon.hpp
+++ b/src/entry/daemon.hpp
@@ -32,8 +32,6 @@
 
 namespace rhubarbwharf::entry {
 
-/*! @brief Version of the frames between processes. */
-inline constexpr std::uint32_t protocol_version = 1;
 /*! @brief Key of the desired state in the key-value service. */
 inline constexpr std::string_view state_key = "rhubarbwharf/state";
 /*! @brief Time between looks at queues and deadlines. */
@@ -154,11 +152,6 @@
 
 // keys.cpp
 
-/*! @brief Finds who a bearer key belongs to, in a time that does not depend on it. @param keys The keys.
- * @param headers The request's headers. @return The owner's settings, or null. */
-[[nodiscard]] auto owner_of(const std::vector<config::key_settings>& keys, const std::vector<net::header>& headers)
-    -> const config::key_settings*;
-
 /*! @brief Digests a request's content with the key that the entries share. @param self The entry.
  * @param organisation Name of the organisation. @param content What to digest. @return The digest. */
 [[nodiscard]] auto keyed_digest(const daemon& self, std::string_view organisation, std::string_view content)
--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -3,6 +3,7 @@
 #include <entry/daemon.hpp>
 #include <entry/wire.hpp>
 #include <rhubarbwharf/net/log.hpp>
+#include <rhubarbwharf/wire/state.hpp>
 
 namespace rhubarbwharf::entry {
 
@@ -29,7 +30,7 @@
 [[nodiscard]] auto whole_state(const daemon& self) -> wire::Envelope {
     auto message = envelope(self);
     auto& push = *message.mutable_state_push();
-    fill(push, self.m_desired.m_entries);
+    wire::fill(push, self.m_desired.m_entries);
     push.set_digest(std::string{as_bytes(self.m_fingerprint)});
     push.set_whole(true);
     return message;
@@ -155,7 +156,7 @@
 }
 
 auto on_push(daemon& self, const std::string_view from, const wire::StatePush& push) -> void {
-    take_state(self, entries_of(push), from);
+    take_state(self, wire::entries_of(push), from);
     const auto theirs = digest_from_bytes(push.digest());
     if (!push.whole() && theirs && *theirs != self.m_fingerprint) {
         auto pull = envelope(self);
@@ -269,7 +270,7 @@
 
 auto envelope(const daemon& self) -> wire::Envelope {
     wire::Envelope message{};
-    message.set_protocol(protocol_version);
+    message.set_protocol(wire::protocol_version);
     message.set_incarnation(self.m_incarnation);
     return message;
 }
@@ -288,7 +289,7 @@
         self.m_counters.add("entry_frames_dropped_total", 1.0, describe(code::malformed_frame).m_name);
         return;
     }
-    if (message.protocol() != protocol_version) {
+    if (message.protocol() != wire::protocol_version) {
         self.m_counters.add("entry_frames_dropped_total", 1.0, describe(code::wrong_protocol).m_name);
         return;
     }
@@ -328,7 +329,7 @@
 auto push_state(daemon& self, const std::vector<ticket::scope_entry>& entries, const std::string_view but) -> void {
     auto message = envelope(self);
     auto& push = *message.mutable_state_push();
-    fill(push, entries);
+    wire::fill(push, entries);
     push.set_digest(std::string{as_bytes(self.m_fingerprint)});
     for (const auto& agent : internal::live_agents(self)) {
         send(self, agent, message);
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -3,6 +3,7 @@
 #include <entry/daemon.hpp>
 #include <rhubarbwharf/entry/run.hpp>
 #include <rhubarbwharf/net/log.hpp>
+#include <rhubarbwharf/setup/settings.hpp>
 
 namespace rhubarbwharf::entry {
 
@@ -14,40 +15,6 @@
 constexpr duration tell_again = std::chrono::milliseconds{200};
 constexpr duration members_period = std::chrono::milliseconds{250};
 
-[[nodiscard]] auto http_limits_of(const config::limit_settings& limits) -> net::http_limits {
-    net::http_limits out{};
-    out.m_header_bytes = limits.m_header_bytes;
-    out.m_body_bytes = limits.m_body_bytes;
-    out.m_connections = limits.m_connections;
-    out.m_request_time = std::chrono::milliseconds{limits.m_request_ms};
-    out.m_idle_time = std::chrono::milliseconds{limits.m_idle_ms};
-    out.m_send_queue_bytes = limits.m_send_queue_bytes;
-    return out;
-}
-
-[[nodiscard]] auto bus_limits_of(const config::limit_settings& limits) -> net::bus_limits {
-    return {limits.m_message_bytes, static_cast<int>(limits.m_queue_messages)};
-}
-
-[[nodiscard]] auto client_settings_of(const config::platform_settings& settings) -> platform::client_settings {
-    platform::client_settings out{};
-    for (const auto& address : settings.m_addresses) {
-        if (const auto where = net::parse_endpoint(address)) {
-            out.m_servers.push_back(*where);
-        }
-    }
-    out.m_reads_per_second = settings.m_reads_per_second;
-    out.m_writes_per_second = settings.m_writes_per_second;
-    out.m_call_time = std::chrono::milliseconds{settings.m_call_ms};
-    return out;
-}
-
-[[nodiscard]] auto draw() -> std::uint64_t {
-    std::random_device source{};
-    constexpr unsigned half = 32;
-    return (static_cast<std::uint64_t>(source()) << half) | source();
-}
-
 [[nodiscard]] auto quarantine_key_of(const config::settings& settings) -> digest {
     std::string text{"quarantine"};
     for (const auto& owner : settings.m_organisations) {
@@ -100,22 +67,22 @@
 } // namespace internal
 
 daemon::daemon(const config::settings& settings)
-    : m_settings{settings}, m_incarnation{internal::draw()}, m_random{internal::draw()},
+    : m_settings{settings}, m_incarnation{setup::draw_incarnation()}, m_random{setup::draw_incarnation()},
       m_quarantine_key{internal::quarantine_key_of(settings)}, m_started{steady_now()}, m_http{m_loop},
-      m_bus{m_loop, settings.m_instance, internal::bus_limits_of(settings.m_limits),
+      m_bus{m_loop, settings.m_instance, setup::bus_limits_of(settings.m_limits),
             [this](const std::string_view from, const std::string_view bytes) {
                 on_frame(*this, from, bytes);
             }},
-      m_callers{m_loop, internal::http_limits_of(settings.m_limits),
+      m_callers{m_loop, setup::http_limits_of(settings.m_limits),
                 [this](net::http_request incoming, std::shared_ptr<net::responder> answer) {
                     on_caller(*this, std::move(incoming), std::move(answer));
                 }},
-      m_admin{m_loop, internal::http_limits_of(settings.m_limits),
+      m_admin{m_loop, setup::http_limits_of(settings.m_limits),
               [this](const net::http_request& incoming, const std::shared_ptr<net::responder>& answer) {
                   on_admin(*this, incoming, answer);
               }},
-      m_platform{m_loop, m_http, internal::client_settings_of(settings.m_platform)},
-      m_fingerprint{ticket::fingerprint({})}, m_last_request{internal::draw()} {
+      m_platform{m_loop, m_http, setup::client_settings_of(settings.m_platform)},
+      m_fingerprint{ticket::fingerprint({})}, m_last_request{setup::draw_incarnation()} {
     m_bounds.m_suspect = std::chrono::milliseconds{settings.m_routing.m_suspect_ms};
     m_choice.m_bounded_load = settings.m_routing.m_bounded_load;
     m_budget.m_ratio = settings.m_routing.m_retry_ratio;
--- a/src/entry/wire.cpp
+++ b/src/entry/wire.cpp
@@ -53,36 +53,6 @@
     return out;
 }
 
-auto entries_of(const wire::StatePush& push) -> std::vector<ticket::scope_entry> {
-    std::vector<ticket::scope_entry> entries{};
-    for (const auto& entry : push.entries()) {
-        const auto manifest = internal::digest_of(entry.state().manifest());
-        if (manifest && !entry.scope().empty()) {
-            const auto& state = entry.state();
-            entries.push_back({entry.scope(),
-                               ticket_number{entry.ticket()},
-                               {state.model(), *manifest, state.adapter(), state.role(), state.traffic()}});
-        }
-    }
-    return entries;
-}
-
-auto fill(wire::StatePush& push, const std::vector<ticket::scope_entry>& entries) -> void {
-    for (const auto& entry : entries) {
-        auto& out = *push.add_entries();
-        out.set_scope(entry.m_scope);
-        out.set_ticket(entry.m_ticket.value());
-        auto& state = *out.mutable_state();
-        state.set_model(entry.m_state.m_model);
-        if (entry.m_state.m_manifest != digest{}) {
-            state.set_manifest(std::string{as_bytes(entry.m_state.m_manifest)});
-        }
-        state.set_adapter(entry.m_state.m_adapter);
-        state.set_role(entry.m_state.m_role);
-        state.set_traffic(entry.m_state.m_traffic);
-    }
-}
-
 auto member_of(const membership::member& row) -> wire::Member {
     wire::Member out{};
     out.set_instance(row.m_report.m_instance);
--- /dev/null
+++ b/src/wire/state.cpp
@@ -0,0 +1,37 @@
+#include <rhubarbwharf/wire/state.hpp>
+
+#include <rhubarbwharf.pb.h>
+
+namespace rhubarbwharf::wire {
+
+auto entries_of(const StatePush& push) -> std::vector<ticket::scope_entry> {
+    std::vector<ticket::scope_entry> entries{};
+    for (const auto& entry : push.entries()) {
+        const auto& state = entry.state();
+        const auto manifest = state.manifest().empty() ? digest{} : digest_from_bytes(state.manifest());
+        if (manifest && !entry.scope().empty()) {
+            entries.push_back({entry.scope(),
+                               ticket_number{entry.ticket()},
+                               {state.model(), *manifest, state.adapter(), state.role(), state.traffic()}});
+        }
+    }
+    return entries;
+}
+
+auto fill(StatePush& push, const std::span<const ticket::scope_entry> entries) -> void {
+    for (const auto& entry : entries) {
+        auto& out = *push.add_entries();
+        out.set_scope(entry.m_scope);
+        out.set_ticket(entry.m_ticket.value());
+        auto& state = *out.mutable_state();
+        state.set_model(entry.m_state.m_model);
+        if (entry.m_state.m_manifest != digest{}) {
+            state.set_manifest(std::string{as_bytes(entry.m_state.m_manifest)});
+        }
+        state.set_adapter(entry.m_state.m_adapter);
+        state.set_role(entry.m_state.m_role);
+        state.set_traffic(entry.m_state.m_traffic);
+    }
+}
+
+} // namespace rhubarbwharf::wire
--- a/test/entry/stage.cpp
+++ b/test/entry/stage.cpp
@@ -1,5 +1,7 @@
 #include "stage.hpp"
 
+#include <rhubarbwharf/wire/state.hpp>
+
 #include <doctest/doctest.h>
 
 namespace rhubarbwharf::entry {
@@ -36,7 +38,7 @@
 }
 
 auto fake_agent::say(wire::Envelope message) -> void {
-    message.set_protocol(protocol_version);
+    message.set_protocol(wire::protocol_version);
     message.set_incarnation(m_incarnation);
     CHECK(m_bus.send("entry-1", message.SerializeAsString()) == code::ok);
 }
