--- a/app/rhubarbwharf-report/main.cpp
+++ b/app/rhubarbwharf-report/main.cpp
@@ -17,12 +17,12 @@
 [[nodiscard]] auto make_parser() -> cxxopts::Options {
     cxxopts::Options parser{"rhubarbwharf-report",
                             "Reads JSON lines of the benches from standard input; writes a Markdown table, or with "
-                            "--x and --y a plot as SVG."};
+                            "--x-axis and --y-axis a plot as SVG."};
     auto add = parser.add_options();
     add("bench", "Only lines of this bench", cxxopts::value<std::string>()->default_value(""));
     add("columns", "Columns of the table, by commas", cxxopts::value<std::vector<std::string>>());
-    add("x", "Field of the horizontal axis", cxxopts::value<std::string>());
-    add("y", "Field of the vertical axis", cxxopts::value<std::string>());
+    add("x-axis", "Field of the horizontal axis", cxxopts::value<std::string>());
+    add("y-axis", "Field of the vertical axis", cxxopts::value<std::string>());
     add("series", "Field that tells lines apart", cxxopts::value<std::string>()->default_value(""));
     add("title", "Title of the plot", cxxopts::value<std::string>()->default_value(""));
     add("log-x", "Logarithmic horizontal axis");
@@ -34,11 +34,11 @@
 [[nodiscard]] auto make_page(const std::vector<report::record>& rows, const cxxopts::ParseResult& given)
     -> std::string {
     const auto bench = given["bench"].as<std::string>();
-    if (given.count("x") != 0U && given.count("y") != 0U) {
+    if (given.count("x-axis") != 0U && given.count("y-axis") != 0U) {
         return report::draw(rows, {.m_title = given["title"].as<std::string>(),
                                    .m_bench = bench,
-                                   .m_x = given["x"].as<std::string>(),
-                                   .m_y = given["y"].as<std::string>(),
+                                   .m_x = given["x-axis"].as<std::string>(),
+                                   .m_y = given["y-axis"].as<std::string>(),
                                    .m_series = given["series"].as<std::string>(),
                                    .m_log_x = given.count("log-x") != 0U,
                                    .m_log_y = given.count("log-y") != 0U});
--- a/include/rhubarbwharf/report/record.hpp
+++ b/include/rhubarbwharf/report/record.hpp
@@ -21,7 +21,8 @@
 /**
  * @brief One line of a bench, flat: `bench`, `case`, `seed` and all figures.
  *
- * A case in the form `key=value key=value` gives a field for each key as well; members of a case or of figures that
+ * A case in the form `key=value key=value` gives a field for each key as well, one in the form `a/b/c` the fields
+ * `case.1`, `case.2` and so on; members of a case or of figures that
  * are objects are joined by a dot.
  */
 struct record {
--- a/src/report/record.cpp
+++ b/src/report/record.cpp
@@ -23,8 +23,20 @@
     return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional{value} : std::nullopt;
 }
 
-auto add_words(record& row, const std::string_view text) -> void {
-    std::istringstream words{std::string{text}};
+auto add_parts(record& row, const std::string& text) -> void {
+    std::istringstream parts{text};
+    std::size_t number = 0;
+    for (std::string part; std::getline(parts, part, '/');) {
+        const auto value = number_of(part);
+        row.m_fields.push_back({"case." + std::to_string(++number), std::move(part), value});
+    }
+}
+
+auto add_words(record& row, const std::string& text) -> void {
+    if (text.find('/') != std::string::npos) {
+        return add_parts(row, text);
+    }
+    std::istringstream words{text};
     for (std::string word; words >> word;) {
         const auto equals = word.find('=');
         if (equals != std::string::npos) {
--- a/test/report/report.cpp
+++ b/test/report/report.cpp
@@ -26,6 +26,13 @@
     CHECK(report::find(rows->at(2), "p95") == nullptr);
 }
 
+TEST_CASE("the parts of a case between slashes are fields") {
+    const auto rows = report::parse(R"({"bench":"a","case":"ours/none/0.8","seed":1,"figures":{}})");
+    REQUIRE(rows);
+    CHECK(report::find(rows->at(0), "case.1")->m_text == "ours");
+    CHECK(report::find(rows->at(0), "case.3")->m_number == 0.8);
+}
+
 TEST_CASE("a line that is no object is refused") {
     CHECK_FALSE(report::parse("{}\n[1]\n"));
 }
