--- a/src/agent/admission.cpp
+++ b/src/agent/admission.cpp
@@ -45,6 +45,19 @@
     return std::tuple{right.m_priority, left.m_deadline} < std::tuple{left.m_priority, right.m_deadline};
 }
 
+/*! @brief Whether the backend server has room for an attempt. */
+[[nodiscard]] auto has_room_for(const admission& table, const waiting_attempt& attempt) -> bool {
+    const auto is_apart = !attempt.m_suspect || table.m_suspects_running == 0U;
+    return table.m_running < table.m_capacity && is_apart;
+}
+
+auto enter(admission& table, const bool suspect) -> void {
+    ++table.m_running;
+    table.m_suspects_running += suspect ? 1U : 0U;
+    ensure(table.m_running <= table.m_capacity, "no more attempts run than the backend server has room for");
+    ensure(table.m_suspects_running <= 1U, "a suspect runs beside no other one");
+}
+
 } // namespace internal
 
 auto offer(admission& table, const waiting_attempt& attempt, const code gate_code, const time_point now)
@@ -58,7 +71,10 @@
     if (attempt.m_deadline <= now) {
         return internal::turn_away(table, attempt.m_id, code::deadline_passed, now);
     }
-    const auto has_room = table.m_running < table.m_capacity && table.m_waiting.empty();
+    const auto comes_first = [&table](const waiting_attempt& other) {
+        return internal::has_room_for(table, other);
+    };
+    const auto has_room = internal::has_room_for(table, attempt) && std::ranges::none_of(table.m_waiting, comes_first);
     if (!has_room && table.m_waiting.size() >= table.m_queue_limit) {
         return internal::turn_away(table, attempt.m_id, code::overloaded, now);
     }
@@ -66,7 +82,7 @@
         return {admission_verdict::kind::refuse, code::overloaded, false, internal::overload_retry_time};
     }
     if (has_room) {
-        ++table.m_running;
+        internal::enter(table, attempt.m_suspect);
         return {admission_verdict::kind::run, code::ok, false, duration::zero()};
     }
     table.m_waiting.push_back(attempt);
@@ -77,24 +93,26 @@
     return internal::remember(table, id, attempt_fate::refused, now);
 }
 
-auto leave(admission& table) -> void {
+auto leave(admission& table, const bool suspect) -> void {
     ensure(table.m_running > 0, "an attempt that leaves was running");
+    ensure(!suspect || table.m_suspects_running > 0, "a suspect that leaves was running");
     --table.m_running;
+    table.m_suspects_running -= suspect ? 1U : 0U;
 }
 
 auto next(admission& table, const time_point now) -> std::optional<attempt_id> {
-    if (table.m_running >= table.m_capacity) {
-        return std::nullopt;
+    auto chosen = table.m_waiting.end();
+    for (auto each = table.m_waiting.begin(); each != table.m_waiting.end(); ++each) {
+        const auto is_first = chosen == table.m_waiting.end() || internal::is_more_urgent(*each, *chosen);
+        chosen = internal::has_room_for(table, *each) && is_first ? each : chosen;
     }
-    const auto chosen = std::ranges::min_element(table.m_waiting, internal::is_more_urgent);
     if (chosen == table.m_waiting.end() || chosen->m_deadline <= now) {
         return std::nullopt;
     }
-    const auto id = chosen->m_id;
+    const auto taken = *chosen;
     table.m_waiting.erase(chosen);
-    ++table.m_running;
-    ensure(table.m_running <= table.m_capacity, "no more attempts run than the backend server has room for");
-    return id;
+    internal::enter(table, taken.m_suspect);
+    return taken.m_id;
 }
 
 auto withdraw(admission& table, const attempt_id& id) -> bool {
--- a/src/agent/admission.hpp
+++ b/src/agent/admission.hpp
@@ -38,6 +38,8 @@
     attempt_id m_id{};
     std::uint32_t m_priority{};
     time_point m_deadline{};
+    /*! @brief Whether its request was running at a crash. */
+    bool m_suspect{};
 };
 
 /*! @brief What is known of an attempt that has come once. */
@@ -50,6 +52,8 @@
     /*! @brief Attempts remembered at most. */
     std::size_t m_memory_limit{1U << 16U};
     std::size_t m_running{};
+    /*! @brief Suspects among those running: one at most, so that a second crash blames no neighbour twice. */
+    std::size_t m_suspects_running{};
     /*! @brief In order of arrival. */
     std::vector<waiting_attempt> m_waiting{};
     std::unordered_map<attempt_id, attempt_fate, attempt_hash> m_fates{};
@@ -91,11 +95,13 @@
  */
 [[nodiscard]] auto refuse(admission& table, const attempt_id& id, time_point now) -> bool;
 
-/*! @brief Gives back the room of an attempt that ran. @param table The table. */
-auto leave(admission& table) -> void;
+/*! @brief Gives back the room of an attempt that ran. @param table The table. @param suspect Whether it was a suspect.
+ */
+auto leave(admission& table, bool suspect) -> void;
 
 /**
- * @brief Takes the most urgent waiting attempt if there is room: the highest priority, then the earliest deadline.
+ * @brief Takes the most urgent waiting attempt that has room: the highest priority, then the earliest deadline. A
+ * suspect has none beside another.
  * @param table The table.
  * @param now The time.
  * @return The attempt, which counts as running; nothing if there is no room or none waits.
--- a/src/agent/calls.cpp
+++ b/src/agent/calls.cpp
@@ -229,7 +229,7 @@
 }
 
 auto end_relay(daemon& self, const relay& target) -> void {
-    leave(self.m_admission);
+    leave(self.m_admission, target.m_dispatch.suspect());
     self.m_relays.erase(target.m_id);
 }
 
@@ -283,8 +283,8 @@
     target->m_is_non_idempotent = dispatch.non_idempotent() || is_non_idempotent(self, dispatch);
     const auto now = steady_now();
     const auto gate_code = admits(self.m_gate, internal::wanted_manifest(dispatch));
-    const auto verdict =
-        offer(self.m_admission, {target->m_id, dispatch.priority(), target->m_deadline}, gate_code, now);
+    const auto verdict = offer(
+        self.m_admission, {target->m_id, dispatch.priority(), target->m_deadline, dispatch.suspect()}, gate_code, now);
     switch (verdict.m_kind) {
     case admission_verdict::kind::run:
         self.m_relays.emplace(target->m_id, target);
@@ -341,7 +341,7 @@
             start_relay(self, target);
             continue;
         }
-        leave(self.m_admission);
+        leave(self.m_admission, target->m_dispatch.suspect());
         internal::refuse_waiting(self, *id, still);
     }
 }
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -62,6 +62,7 @@
     out.set_deadline_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1)));
     out.set_ticket(highest.value());
     out.set_resume_tokens(target.m_tokens);
+    out.set_suspect(target.m_suspect);
     if (target.m_version != digest{}) {
         out.set_manifest(std::string{as_bytes(target.m_version)});
     }
--- a/test/agent/admission.cpp
+++ b/test/agent/admission.cpp
@@ -30,7 +30,7 @@
     CHECK(refused.m_code == code::overloaded);
     CHECK(refused.m_not_run);
     CHECK(refused.m_retry_after > duration::zero());
-    leave(table);
+    leave(table, false);
     const auto again = offer(table, attempt(3), code::ok, start);
     CHECK(again.m_code == code::refused_late);
     CHECK(again.m_not_run);
@@ -44,12 +44,29 @@
     static_cast<void>(offer(table, attempt(3, 5, std::chrono::seconds{9}), code::ok, start));
     static_cast<void>(offer(table, attempt(4, 5, std::chrono::seconds{2}), code::ok, start));
     CHECK_FALSE(next(table, start));
-    leave(table);
+    leave(table, false);
     CHECK(next(table, start)->m_request == request_id{4});
-    leave(table);
+    leave(table, false);
     CHECK(next(table, start)->m_request == request_id{3});
 }
 
+TEST_CASE("a suspect runs beside no other one, and holds up nothing else") {
+    auto table = table_of(4, 8);
+    auto first = attempt(1);
+    auto second = attempt(2, 9);
+    first.m_suspect = true;
+    second.m_suspect = true;
+    CHECK(offer(table, first, code::ok, start).m_kind == admission_verdict::kind::run);
+    CHECK(offer(table, second, code::ok, start).m_kind == admission_verdict::kind::wait);
+    CHECK(offer(table, attempt(3), code::ok, start).m_kind == admission_verdict::kind::run);
+    CHECK_FALSE(next(table, start));
+    leave(table, false);
+    CHECK_FALSE(next(table, start));
+    leave(table, true);
+    CHECK(next(table, start)->m_request == request_id{2});
+    CHECK(table.m_suspects_running == 1U);
+}
+
 TEST_CASE("what can't be remembered is not called not run") {
     auto table = table_of(1, 1);
     table.m_memory_limit = 1;
