--- a/include/rhubarbwharf/distribution/fwd.hpp
+++ b/include/rhubarbwharf/distribution/fwd.hpp
@@ -11,7 +11,6 @@
 struct byte_range;
 struct token_bucket;
 struct policy;
-struct member;
 struct claim_row;
 struct source_row;
 struct refused_row;
