--- a/app/rhubarbwharfd/main.cpp
+++ b/app/rhubarbwharfd/main.cpp
@@ -6,17 +6,11 @@
 #include <cxxopts.hpp>
 #include <google/protobuf/stubs/logging.h>
 
+#include <rhubarbwharf/agent/run.hpp>
 #include <rhubarbwharf/config/load.hpp>
 #include <rhubarbwharf/entry/run.hpp>
 #include <rhubarbwharf/net/log.hpp>
 
-#if __has_include(<rhubarbwharf/agent/run.hpp>)
-#include <rhubarbwharf/agent/run.hpp>
-#define RHUBARBWHARF_HAS_AGENT 1
-#else
-#define RHUBARBWHARF_HAS_AGENT 0
-#endif
-
 namespace {
 
 constexpr int status_faulty = 2;
@@ -48,12 +42,7 @@
     if (settings.m_role == rhubarbwharf::config::role::entry) {
         return rhubarbwharf::entry::run(settings);
     }
-#if RHUBARBWHARF_HAS_AGENT
     return rhubarbwharf::agent::run(settings);
-#else
-    std::cerr << "this build has no agent\n";
-    return status_faulty;
-#endif
 }
 
 auto load_and_run(const std::string& file) -> int {
--- a/src/agent/control.cpp
+++ b/src/agent/control.cpp
@@ -13,36 +13,37 @@
 constexpr std::uint64_t pulses_each_report = 30;
 constexpr std::uint64_t reports_each_in_force = 10;
 
+auto pull_state(daemon& self, const std::string_view peer) -> void {
+    auto pull = envelope(self);
+    pull.mutable_state_pull();
+    send(self, peer, pull);
+}
+
 auto take_state(daemon& self, const std::string_view peer, const wire::StatePush& push) -> void {
     const auto taken = ticket::merge(self.m_desired, wire::entries_of(push));
     if (taken > 0) {
+        self.m_fingerprint = ticket::fingerprint(self.m_desired);
         self.m_counters.add("agent_scopes_taken_total", static_cast<double>(taken));
         apply_desired(self);
     }
     const auto theirs = digest_from_bytes(push.digest());
-    if (!push.whole() && theirs && *theirs != ticket::fingerprint(self.m_desired)) {
-        auto pull = envelope(self);
-        pull.mutable_state_pull();
-        send(self, peer, pull);
+    if (!push.whole() && theirs && *theirs != self.m_fingerprint) {
+        pull_state(self, peer);
     }
 }
 
 auto compare_state(daemon& self, const std::string_view peer, const wire::StateDigest& theirs) -> void {
     const auto digest = digest_from_bytes(theirs.digest());
-    if (!digest || *digest == ticket::fingerprint(self.m_desired)) {
-        return;
+    if (digest && *digest != self.m_fingerprint) {
+        pull_state(self, peer);
     }
-    auto pull = envelope(self);
-    pull.mutable_state_pull();
-    send(self, peer, pull);
 }
 
 auto give_state(daemon& self, const std::string_view peer) -> void {
     auto push = envelope(self);
     auto& out = *push.mutable_state_push();
     wire::fill(out, self.m_desired.m_entries);
-    const auto own = ticket::fingerprint(self.m_desired);
-    out.set_digest(std::string{as_bytes(own)});
+    out.set_digest(std::string{as_bytes(self.m_fingerprint)});
     out.set_whole(true);
     send(self, peer, push);
 }
@@ -172,8 +173,7 @@
     auto message = envelope(self);
     auto& out = *message.mutable_in_force();
     out.set_ticket(ticket::highest(self.m_desired).value());
-    const auto digest = ticket::fingerprint(self.m_desired);
-    out.set_digest(std::string{as_bytes(digest)});
+    out.set_digest(std::string{as_bytes(self.m_fingerprint)});
     if (self.m_gate.m_target && self.m_gate.m_ticket < self.m_gate.m_target->m_ticket) {
         out.add_scopes_behind("group:" + self.m_settings.m_backend.m_group);
     }
--- a/src/agent/daemon.hpp
+++ b/src/agent/daemon.hpp
@@ -55,6 +55,8 @@
     gate m_gate{};
     admission m_admission{};
     ticket::desired_state m_desired{};
+    /*! @brief Digest of `m_desired`; made anew when it changes. */
+    digest m_fingerprint{ticket::fingerprint({})};
     std::unordered_map<std::string, member_list> m_lists{};
     /*! @brief Other members of the own group. */
     std::vector<member> m_members{};
--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -126,6 +126,12 @@
     }
 }
 
+auto pull_state(daemon& self, const std::string_view from) -> void {
+    auto pull = envelope(self);
+    pull.mutable_state_pull();
+    send(self, from, pull);
+}
+
 auto compare_state(daemon& self, const std::string_view from, const std::string& theirs, const std::uint64_t highest)
     -> void {
     const auto seen = digest_from_bytes(theirs);
@@ -137,9 +143,7 @@
         found->second.m_ticket = ticket_number{highest};
     }
     if (*seen != self.m_fingerprint) {
-        auto pull = envelope(self);
-        pull.mutable_state_pull();
-        send(self, from, pull);
+        pull_state(self, from);
     }
 }
 
@@ -159,9 +163,7 @@
     take_state(self, wire::entries_of(push), from);
     const auto theirs = digest_from_bytes(push.digest());
     if (!push.whole() && theirs && *theirs != self.m_fingerprint) {
-        auto pull = envelope(self);
-        pull.mutable_state_pull();
-        send(self, from, pull);
+        pull_state(self, from);
     }
 }
 
