--- /dev/null
+++ b/include/rhubarbwharf/dispatch/choice.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <rhubarbwharf/core/time.hpp>
+#include <rhubarbwharf/dispatch/fwd.hpp>
+#include <rhubarbwharf/dispatch/health.hpp>
+#include <rhubarbwharf/fleet/configuration.hpp>
+#include <rhubarbwharf/fleet/server.hpp>
+#include <rhubarbwharf/net/http.hpp>
+
+namespace rhubarbwharf::dispatch {
+
+/*! @brief What one gateway knows of the load of a backend server. */
+struct backend {
+    std::string m_id{};
+    std::uint64_t m_started{};
+    std::string m_service{};
+    net::endpoint m_address{};
+    std::string m_data_centre{};
+    unsigned m_slots{1};
+    bool m_draining{false};
+    /*! @brief Whether it has left the list; kept until the own requests there have ended. */
+    bool m_gone{false};
+    std::vector<fleet::held_model> m_models{};
+    /*! @brief Own requests in progress there. */
+    unsigned m_own{};
+    /*! @brief Own prompt tokens sent there whose answer has not begun. */
+    double m_unread{};
+    /*! @brief Requests of others there by the last report. */
+    double m_others{};
+    /*! @brief Requests of others that waited there by the last report. */
+    double m_others_waiting{};
+    /*! @brief When the last report came; the epoch if none has. */
+    time_point m_reported{};
+    /*! @brief Whether it is loading weights, and so begins nothing new. */
+    bool m_busy{false};
+    /*! @brief Its times over the usual ones. */
+    double m_pace{1.0};
+    health m_health{};
+};
+
+/*! @brief What one request asks for. */
+struct demand {
+    /*! @brief Prompt tokens; 0 for a plain service. */
+    double m_prompt{};
+    /*! @brief Model whose weights are needed; empty for none. */
+    std::string_view m_model{};
+    /*! @brief Layers of that model. */
+    unsigned m_layers{};
+    /*! @brief Oldest version that may answer; 0 for any. */
+    std::uint64_t m_least_version{};
+    /*! @brief Only version that may answer, as when a stream goes on; 0 for any. */
+    std::uint64_t m_version{};
+    /*! @brief Backend servers that it has been sent to. */
+    std::span<const std::string> m_tried{};
+};
+
+/*! @brief Inputs of a choice that all requests share. */
+struct choice_limits {
+    std::string_view m_data_centre{};
+    /*! @brief Added to the predicted time of a backend server in another data centre, in ms. */
+    double m_far_ms{6.0};
+    /*! @brief Requests beyond its slots that a backend server may hold. */
+    double m_beyond_slots{1.0};
+    /*! @brief Spread added to each prediction, so that gateways with the same reports choose differently, in ms. */
+    double m_spread_ms{8.0};
+};
+
+/*! @brief Backend server chosen, and why. */
+struct choice {
+    std::size_t m_index{};
+    /*! @brief Predicted time to the first byte, in ms. */
+    double m_first_ms{};
+    /*! @brief Requests thought to be there. */
+    double m_load{};
+};
+
+/*! @brief Estimates the requests at a backend server. @param row It. @return Running and waiting ones. */
+[[nodiscard]] auto load(const backend& row) noexcept -> double;
+
+/**
+ * @brief Predicts the time to the first byte of an answer.
+ * @param row The backend server.
+ * @param engine How it works; null for a plain service.
+ * @param prompt Prompt tokens.
+ * @return The time in ms.
+ */
+[[nodiscard]] auto predict_first(const backend& row, const fleet::engine* engine, double prompt) noexcept -> double;
+
+/*! @brief Tells whether a backend server may run a request at all, full or not. @param row It. @param wanted The
+ * request. @param now The time. @return Whether it may. */
+[[nodiscard]] auto is_fit(const backend& row, const demand& wanted, time_point now) noexcept -> bool;
+
+/*! @brief Tells whether a backend server may be sent one more. @param row It. @param limits The limits.
+ * @return Whether it may. */
+[[nodiscard]] auto has_room(const backend& row, const choice_limits& limits) noexcept -> bool;
+
+/**
+ * @brief Chooses the backend server with the least predicted time to the first byte among those that are fit and have
+ * room. Answers bursts: each own request counts at once, while reports lag.
+ * @param rows Backend servers of one service.
+ * @param engine How they work; null for a plain service.
+ * @param wanted The request.
+ * @param limits The limits.
+ * @param random Random bits.
+ * @param now The time.
+ * @return The choice, or nothing if none has room.
+ */
+[[nodiscard]] auto choose(std::span<const backend* const> rows, const fleet::engine* engine, const demand& wanted,
+                          const choice_limits& limits, std::uint64_t random, time_point now) -> std::optional<choice>;
+
+} // namespace rhubarbwharf::dispatch
--- /dev/null
+++ b/include/rhubarbwharf/fleet/member.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <rhubarbwharf/core/time.hpp>
+#include <rhubarbwharf/fleet/fwd.hpp>
+#include <rhubarbwharf/net/http.hpp>
+
+namespace rhubarbwharf::fleet {
+
+/*! @brief A process of the system, as it registered itself. */
+struct member {
+    std::string m_instance{};
+    std::string m_region{};
+    std::string m_data_centre{};
+    /*! @brief Draws anew with each start. */
+    std::uint64_t m_incarnation{};
+    /*! @brief Where callers connect; port 0 for a loader. */
+    net::endpoint m_callers{};
+    /*! @brief Where messages between processes arrive. */
+    net::endpoint m_bus{};
+    /*! @brief Where weight pieces are served; port 0 for a gateway. */
+    net::endpoint m_bulk{};
+    /*! @brief Service whose weights a loader holds. */
+    std::string m_service{};
+
+    [[nodiscard]] auto is_gateway() const noexcept -> bool { return m_callers.m_port != 0U; }
+};
+
+/*! @brief Signs of life of a member. */
+struct sighting {
+    member m_member{};
+    /*! @brief Whether the platform's store lists it now. */
+    bool m_listed{false};
+    /*! @brief When it was last heard itself. */
+    time_point m_heard{};
+    bool m_ready{true};
+    bool m_leaving{false};
+};
+
+/*! @brief Members by instance name. */
+using member_table = std::map<std::string, sighting, std::less<>>;
+
+/*! @brief Time without a word after which a gateway is no longer named to callers: five missed heartbeats. */
+inline constexpr duration silent_time = std::chrono::milliseconds{1'500};
+/*! @brief Time after which a silent member that is not listed is forgotten. */
+inline constexpr duration forget_time = std::chrono::seconds{20};
+
+/**
+ * @brief Lists the gateways that callers may be sent to: ready and heard, those of the caller's data centre first,
+ * then those of its region. If none is heard, all that are listed and not leaving.
+ * @param table The members, own process included.
+ * @param region The caller's region.
+ * @param data_centre The caller's data centre.
+ * @param now The time.
+ * @return Addresses, nearest first.
+ */
+[[nodiscard]] auto gateways_for(const member_table& table, std::string_view region, std::string_view data_centre,
+                                time_point now) -> std::vector<net::endpoint>;
+
+/*! @brief Forgets members that are neither listed nor heard. @param table The members. @param now The time.
+ * @return Those forgotten. */
+auto sweep(member_table& table, time_point now) -> std::vector<std::string>;
+
+} // namespace rhubarbwharf::fleet
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -54,6 +54,8 @@
     std::string m_target{"/"};
     std::vector<header> m_headers{};
     std::string m_body{};
+    /*! @brief For clients: value of `Host`; the server's address if empty. */
+    std::string m_host{};
     /*! @brief Address of the sender; set by the server. */
     endpoint m_remote{};
 };
@@ -147,6 +149,12 @@
     /*! @brief Takes no new connections, and ends idle ones; requests in progress go on. */
     auto drain() -> void;
 
+    /*! @brief Ends each connection after its next response, and goes on taking new ones. */
+    auto retire() -> void;
+
+    /*! @brief Sets the limits of what arrives from now on. @param limits The limits. */
+    auto set_limits(const http_limits& limits) -> void;
+
     /*! @brief Returns the count of open connections. @return The count. */
     [[nodiscard]] auto connections() const noexcept -> std::size_t;
 
@@ -187,6 +195,11 @@
     /*! @brief Longest time without a byte. */
     duration m_idle_time{std::chrono::seconds{30}};
     duration m_connect_time{std::chrono::seconds{2}};
+    /*! @brief A kept connection that has been idle for longer is not used for this call. */
+    duration m_kept_time{std::chrono::seconds{20}};
+    /*! @brief Field that the response must repeat unchanged if it has it; a response with another value answers an
+     * earlier request and is skipped. An empty name checks nothing. */
+    header m_echo{};
 };
 
 /*! @brief A call in progress. */
--- a/include/rhubarbwharf/net/loop.hpp
+++ b/include/rhubarbwharf/net/loop.hpp
@@ -63,6 +63,9 @@
      */
     auto on_stop_signal(std::function<void(int)> handler) -> void;
 
+    /*! @brief Calls a handler on each SIGHUP. @param handler The handler. */
+    auto on_reload_signal(std::function<void()> handler) -> void;
+
     /*! @brief Returns the Asio context, for the sources of this module. @return The context. */
     [[nodiscard]] auto context() noexcept -> boost::asio::io_context&;
 
--- a/src/config/form.cpp
+++ b/src/config/form.cpp
@@ -76,6 +76,8 @@
         return is_address(text, 0U);
     case form::role:
         return text == "entry" || text == "agent";
+    case form::node_role:
+        return text == "gateway" || text == "loader";
     case form::level:
         return std::ranges::find(levels, text) != levels.end();
     case form::operation:
@@ -96,6 +98,8 @@
         return "IP:PORT, port 0 (any free one) to 65535";
     case form::role:
         return "entry or agent";
+    case form::node_role:
+        return "gateway or loader";
     case form::level:
         return "debug, info, warn or error";
     case form::operation:
--- a/src/config/load.cpp
+++ b/src/config/load.cpp
@@ -1,10 +1,9 @@
 #include <rhubarbwharf/config/load.hpp>
 
-#include <fstream>
 #include <set>
 #include <sstream>
 
-#include <config/reader.hpp>
+#include <config/parse.hpp>
 
 namespace rhubarbwharf::config {
 
@@ -12,24 +11,6 @@
 
 namespace {
 
-/*! @brief Notes faults that lie between keys. */
-struct cross_check {
-    std::string_view m_file{};
-    std::vector<fault>& m_faults;
-
-    auto require(const bool holds, const std::string_view key, const std::string_view value,
-                 const std::string_view allowed) -> void {
-        if (!holds) {
-            m_faults.push_back(fault{.m_code = code::settings_range,
-                                     .m_file = std::string{m_file},
-                                     .m_line = 0U,
-                                     .m_key = std::string{key},
-                                     .m_value = std::string{value},
-                                     .m_allowed = std::string{allowed}});
-        }
-    }
-};
-
 auto check_role(cross_check& check, const settings& values) -> void {
     if (values.m_role == role::entry) {
         check.require(!values.m_listen.m_callers.empty(), "listen.callers", "", "set for role entry");
@@ -75,8 +56,7 @@
                   std::to_string(execution.m_answer_bytes), "at most half of execution.segment_bytes");
 }
 
-auto check_between(const settings& values, const std::string_view file, std::vector<fault>& faults) -> void {
-    cross_check check{file, faults};
+auto check_between(cross_check& check, const settings& values) -> void {
     check_role(check, values);
     check_names(check, values);
     check_times(check, values);
@@ -106,50 +86,15 @@
 }
 
 auto parse(const std::string_view text, const std::string_view file) -> std::variant<settings, std::vector<fault>> {
-    auto read = internal::read(text);
-    if (!read.m_read) {
-        return std::vector{fault{.m_code = code::settings_syntax,
-                                 .m_file = std::string{file},
-                                 .m_line = read.m_line,
-                                 .m_key = {},
-                                 .m_value = {},
-                                 .m_allowed = "JSON with comments: " + read.m_message}};
-    }
-    if (read.m_root.m_kind != internal::kind::object) {
-        return std::vector{fault{.m_code = code::settings_type,
-                                 .m_file = std::string{file},
-                                 .m_line = read.m_root.m_line,
-                                 .m_key = {},
-                                 .m_value = {},
-                                 .m_allowed = "an object"}};
-    }
-    settings values{};
-    std::vector<fault> faults{};
-    internal::reader root{read.m_root, {}, file, faults};
-    internal::visit(root, values);
-    root.finish();
-    if (faults.empty()) {
-        internal::check_between(values, file, faults);
-    }
-    if (!faults.empty()) {
-        return faults;
-    }
-    return values;
+    return internal::parse_as<settings>(text, file, internal::check_between);
 }
 
 auto load(const std::string_view file) -> std::variant<settings, std::vector<fault>> {
-    std::ifstream stream{std::string{file}};
-    std::ostringstream text{};
-    text << stream.rdbuf();
-    if (!stream) {
-        return std::vector{fault{.m_code = code::settings_unreadable,
-                                 .m_file = std::string{file},
-                                 .m_line = 0U,
-                                 .m_key = {},
-                                 .m_value = {},
-                                 .m_allowed = "a file that can be read"}};
+    auto text = internal::read_file(file);
+    if (auto* const faults = std::get_if<std::vector<fault>>(&text)) {
+        return std::move(*faults);
     }
-    return parse(text.str(), file);
+    return parse(std::get<std::string>(text), file);
 }
 
 } // namespace rhubarbwharf::config
--- a/src/config/reference.cpp
+++ b/src/config/reference.cpp
@@ -4,6 +4,7 @@
 #include <type_traits>
 
 #include <config/form.hpp>
+#include <config/node_schema.hpp>
 
 namespace rhubarbwharf::config {
 
@@ -92,6 +93,12 @@
     internal::writer rows{page, {}};
     settings values{};
     internal::visit(rows, values);
+    page << "\n## Gateways and loaders\n\n"
+            "Settings of the roles that run beside a platform's own store. Names a placeholder may fill stand in\n"
+            "`deploy/gateway.json` and `deploy/loader.json`.\n\n"
+            "| key | default | allowed | meaning |\n|---|---|---|---|\n";
+    node_settings node{};
+    internal::visit(rows, node);
     return page.str();
 }
 
--- a/src/config/schema.hpp
+++ b/src/config/schema.hpp
@@ -7,7 +7,7 @@
 namespace rhubarbwharf::config::internal {
 
 /*! @brief What text a setting may hold. */
-enum class form : unsigned char { any, name, address, listen_address, role, level, operation };
+enum class form : unsigned char { any, name, address, listen_address, role, node_role, level, operation };
 
 /*! @brief What a setting may hold, and what it means. */
 struct rule {
--- /dev/null
+++ b/src/dispatch/wait.cpp
@@ -0,0 +1,81 @@
+#include <algorithm>
+#include <cmath>
+
+#include <rhubarbwharf/dispatch/wait.hpp>
+
+namespace rhubarbwharf::dispatch {
+
+namespace {
+
+/*! @brief Time over which the rate of places is smoothed. */
+constexpr double smoothing_s = 1.0;
+/*! @brief Rate taken before anything has been sent, so that the first requests may wait. */
+constexpr double least_rate = 2.0;
+
+[[nodiscard]] auto seconds(const duration time) noexcept -> double {
+    return std::chrono::duration<double>{time}.count();
+}
+
+} // namespace
+
+auto rate(const wait_queue& queue, const time_point now) noexcept -> double {
+    return queue.m_rate * std::exp(-seconds(now - queue.m_rate_at) / smoothing_s);
+}
+
+auto note_sent(wait_queue& queue, const time_point now) noexcept -> void {
+    queue.m_rate = rate(queue, now) + 1.0 / smoothing_s;
+    queue.m_rate_at = now;
+}
+
+auto expected_wait(const wait_queue& queue, const unsigned priority, const time_point now) noexcept -> duration {
+    const auto ahead =
+        std::ranges::count_if(queue.m_rows, [priority](const waiting& each) { return each.m_priority <= priority; });
+    const auto wait = static_cast<double>(ahead) / std::max(least_rate, rate(queue, now));
+    const auto most = seconds(longest_estimate);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{std::min(wait, most)});
+}
+
+auto refuse_after(const wait_queue& queue, const waiting& wanted, const time_point now) -> std::optional<duration> {
+    const auto wait = expected_wait(queue, wanted.m_priority, now);
+    const auto usable = wanted.m_useful_until > now ? wanted.m_useful_until : wanted.m_until;
+    if (now + wait <= usable) {
+        return std::nullopt;
+    }
+    return wait;
+}
+
+auto push(wait_queue& queue, const waiting& entry) -> void {
+    queue.m_rows.push_back(entry);
+}
+
+auto order(const wait_queue& queue, const time_point now) -> std::vector<waiting> {
+    auto out = queue.m_rows;
+    const auto before = [now](const waiting& left, const waiting& right) {
+        if (left.m_priority != right.m_priority) {
+            return left.m_priority < right.m_priority;
+        }
+        const auto left_late = left.m_useful_until <= now;
+        const auto right_late = right.m_useful_until <= now;
+        return left_late != right_late ? right_late : left.m_since < right.m_since;
+    };
+    std::ranges::stable_sort(out, before);
+    return out;
+}
+
+auto erase(wait_queue& queue, const request_id request) -> bool {
+    return std::erase_if(queue.m_rows, [request](const waiting& each) { return each.m_request == request; }) > 0U;
+}
+
+auto expire(wait_queue& queue, const time_point now) -> std::vector<waiting> {
+    std::vector<waiting> out{};
+    std::erase_if(queue.m_rows, [&](const waiting& each) {
+        if (each.m_until > now) {
+            return false;
+        }
+        out.push_back(each);
+        return true;
+    });
+    return out;
+}
+
+} // namespace rhubarbwharf::dispatch
--- /dev/null
+++ b/src/fleet/configuration.cpp
@@ -0,0 +1,67 @@
+#include <algorithm>
+
+#include <rhubarbwharf/fleet/configuration.hpp>
+
+namespace rhubarbwharf::fleet {
+
+auto index_routes(configuration& value) -> void {
+    value.m_by_host.clear();
+    for (std::size_t index = 0U; index < value.m_routes.size(); ++index) {
+        value.m_by_host[value.m_routes[index].m_host].push_back(index);
+    }
+    const auto length = [&value](const std::size_t index) {
+        return value.m_routes[index].m_prefix.size();
+    };
+    for (auto& [host, indices] : value.m_by_host) {
+        std::ranges::stable_sort(indices, std::ranges::greater{}, length);
+    }
+}
+
+auto find_route(const configuration& value, std::string_view host, std::string_view target) -> const route* {
+    host = host.substr(0U, host.find(':'));
+    target = target.substr(0U, target.find('?'));
+    const auto found = value.m_by_host.find(std::string{host});
+    if (found == value.m_by_host.end()) {
+        return nullptr;
+    }
+    for (const auto index : found->second) {
+        if (target.starts_with(value.m_routes[index].m_prefix)) {
+            return &value.m_routes[index];
+        }
+    }
+    return nullptr;
+}
+
+auto find_service(const configuration& value, const std::string_view name) -> const service* {
+    const auto found = std::ranges::find(value.m_services, name, &service::m_name);
+    return found == value.m_services.end() ? nullptr : &*found;
+}
+
+auto find_origin(const configuration& value) -> const origin* {
+    const auto found =
+        std::ranges::find_if(value.m_services, [](const auto& each) { return each.m_origin.has_value(); });
+    return found == value.m_services.end() ? nullptr : &*found->m_origin;
+}
+
+auto find_owner(const configuration& value, const std::string& key) -> const organisation* {
+    const auto found = value.m_keys.find(key);
+    return found == value.m_keys.end() ? nullptr : &value.m_organisations[found->second];
+}
+
+auto pick_service(const route& from, const std::uint64_t random) -> std::string_view {
+    constexpr double steps = 1'048'576.0;
+    double whole{};
+    for (const auto& each : from.m_shares) {
+        whole += each.m_weight;
+    }
+    auto left = whole * (static_cast<double>(random % static_cast<std::uint64_t>(steps)) / steps);
+    for (const auto& each : from.m_shares) {
+        if (left < each.m_weight) {
+            return each.m_service;
+        }
+        left -= each.m_weight;
+    }
+    return from.m_shares.empty() ? std::string_view{} : std::string_view{from.m_shares.back().m_service};
+}
+
+} // namespace rhubarbwharf::fleet
--- /dev/null
+++ b/src/fleet/member.cpp
@@ -0,0 +1,66 @@
+#include <algorithm>
+
+#include <rhubarbwharf/fleet/member.hpp>
+
+namespace rhubarbwharf::fleet {
+
+namespace {
+
+/*! @brief Addresses that one answer to a caller holds. */
+constexpr std::size_t most_addresses = 64U;
+
+[[nodiscard]] auto distance(const member& row, const std::string_view region, const std::string_view data_centre)
+    -> int {
+    if (row.m_data_centre == data_centre) {
+        return 0;
+    }
+    return row.m_region == region ? 1 : 2;
+}
+
+} // namespace
+
+auto gateways_for(const member_table& table, const std::string_view region, const std::string_view data_centre,
+                  const time_point now) -> std::vector<net::endpoint> {
+    struct candidate {
+        int m_distance{};
+        const member* m_member{};
+    };
+
+    const auto pick = [&](const auto& fits) {
+        std::vector<candidate> rows{};
+        for (const auto& [name, row] : table) {
+            if (row.m_member.is_gateway() && !row.m_leaving && fits(row)) {
+                rows.push_back({distance(row.m_member, region, data_centre), &row.m_member});
+            }
+        }
+        return rows;
+    };
+    auto rows = pick([now](const sighting& row) { return row.m_ready && now - row.m_heard <= silent_time; });
+    if (rows.empty()) {
+        rows = pick([](const sighting& row) { return row.m_listed; });
+    }
+    std::ranges::stable_sort(rows, {}, &candidate::m_distance);
+    std::vector<net::endpoint> out{};
+    for (const auto& row : rows) {
+        const auto wanted = rows.front().m_distance == row.m_distance || out.size() < 2U;
+        if (wanted && out.size() < most_addresses) {
+            out.push_back(row.m_member->m_callers);
+        }
+    }
+    return out;
+}
+
+auto sweep(member_table& table, const time_point now) -> std::vector<std::string> {
+    std::vector<std::string> gone{};
+    for (const auto& [name, row] : table) {
+        if (!row.m_listed && now - row.m_heard > forget_time) {
+            gone.push_back(name);
+        }
+    }
+    for (const auto& name : gone) {
+        table.erase(name);
+    }
+    return gone;
+}
+
+} // namespace rhubarbwharf::fleet
--- /dev/null
+++ b/src/fleet/server.cpp
@@ -0,0 +1,71 @@
+#include <algorithm>
+#include <set>
+
+#include <rhubarbwharf/fleet/server.hpp>
+
+namespace rhubarbwharf::fleet {
+
+namespace {
+
+/*! @brief Removals that are remembered at most; the oldest go first. */
+constexpr std::size_t most_removed = 1024U;
+
+} // namespace
+
+auto put(servers& table, backend_server row) -> bool {
+    const auto gone = table.m_removed.find(row.m_id);
+    if (gone != table.m_removed.end() && gone->second >= row.m_revision) {
+        return false;
+    }
+    const auto found = table.m_rows.find(row.m_id);
+    if (found != table.m_rows.end() && found->second.m_revision >= row.m_revision) {
+        return false;
+    }
+    table.m_revision = std::max(table.m_revision, row.m_revision);
+    table.m_rows.insert_or_assign(row.m_id, std::move(row));
+    return true;
+}
+
+auto remove(servers& table, const std::string_view id, const std::uint64_t revision) -> bool {
+    table.m_revision = std::max(table.m_revision, revision);
+    auto& gone = table.m_removed[std::string{id}];
+    gone = std::max(gone, revision);
+    if (table.m_removed.size() > most_removed) {
+        table.m_removed.erase(
+            std::ranges::min_element(table.m_removed, {}, [](const auto& each) { return each.second; }));
+    }
+    const auto found = table.m_rows.find(id);
+    if (found == table.m_rows.end() || found->second.m_revision > revision) {
+        return false;
+    }
+    table.m_rows.erase(found);
+    return true;
+}
+
+auto replace(servers& table, std::vector<backend_server> rows, const std::uint64_t revision)
+    -> std::vector<std::string> {
+    std::set<std::string, std::less<>> listed{};
+    for (auto& row : rows) {
+        listed.insert(row.m_id);
+        put(table, std::move(row));
+    }
+    std::vector<std::string> dropped{};
+    for (const auto& [id, row] : table.m_rows) {
+        if (!listed.contains(id) && row.m_revision <= revision) {
+            dropped.push_back(id);
+        }
+    }
+    for (const auto& id : dropped) {
+        remove(table, id, revision);
+    }
+    table.m_revision = std::max(table.m_revision, revision);
+    return dropped;
+}
+
+auto version_of(const std::vector<held_model>& models, const std::string_view model, const unsigned layers)
+    -> std::uint64_t {
+    const auto found = std::ranges::find(models, model, &held_model::m_name);
+    return found == models.end() || found->m_layers.value_or(layers) < layers ? 0U : found->m_version;
+}
+
+} // namespace rhubarbwharf::fleet
--- /dev/null
+++ b/src/loader/daemon.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <rhubarbwharf/loader/fwd.hpp>
+#include <rhubarbwharf/loader/plan.hpp>
+#include <rhubarbwharf/net/http.hpp>
+
+#include <node/core.hpp>
+#include <platform/decode.hpp>
+
+namespace rhubarbwharf::loader {
+
+/*! @brief Time between looks at the runner beside this process. */
+inline constexpr duration report_period = std::chrono::milliseconds{150};
+/*! @brief Time between looks at what to fetch. */
+inline constexpr duration fetch_period = std::chrono::milliseconds{50};
+
+/*! @brief What a model is at beside the runner. */
+enum class stage : std::uint8_t {
+    /*! @brief Nothing to do. */
+    settled,
+    /*! @brief Pieces are being fetched. */
+    fetching,
+    /*! @brief All pieces are staged; they are read back before the order. */
+    verifying,
+    /*! @brief The runner has been told to load them. */
+    ordered,
+};
+
+/*! @brief One model of the service. */
+struct model_state {
+    std::string m_name{};
+    std::uint64_t m_version{};
+    time_point m_wanted_since{};
+    stage m_stage{stage::settled};
+    std::optional<adapter::manifest> m_manifest{};
+    bool m_manifest_asked{false};
+    std::vector<piece_state> m_pieces{};
+    /*! @brief Whether what lay staged at the start has been looked at. */
+    bool m_staged_read{false};
+    bool m_staged_asked{false};
+    std::vector<peer> m_peers{};
+    time_point m_asked_peers{};
+    unsigned m_origin_fetches{};
+    unsigned m_fetches{};
+    /*! @brief Pieces that did not have their digest since the manifest came. */
+    unsigned m_spoilt{};
+    time_point m_ordered{};
+};
+
+/*! @brief All state of one loader; only its loop's thread touches it. */
+struct daemon {
+    daemon(const config::node_settings& settings, std::string file);
+
+    std::string m_file{};
+    node::core m_core;
+    net::http_server m_bulk;
+    net::http_server m_metrics;
+    net::endpoint m_runner{};
+
+    std::map<std::string, model_state, std::less<>> m_models{};
+    fleet::load_report m_report{};
+    bool m_report_known{false};
+    bool m_report_asked{false};
+    bool m_alive{false};
+    time_point m_told{};
+    std::string m_told_text{};
+};
+
+/*! @brief Asks the runner for its report. @param self The loader. */
+auto look_at_runner(daemon& self) -> void;
+
+/*! @brief Tells the gateways what the runner says. @param self The loader. @param at_once Whether unchanged news is
+ * told as well. */
+auto tell_gateways(daemon& self, bool at_once) -> void;
+
+/*! @brief Takes over which versions are wanted. @param self The loader. */
+auto refresh_models(daemon& self) -> void;
+
+/*! @brief Does the next step for each model. @param self The loader. */
+auto advance(daemon& self) -> void;
+
+/*! @brief Begins fetches as far as there is room. @param self The loader. @param model The model. */
+auto fetch_pieces(daemon& self, model_state& model) -> void;
+
+/*! @brief Reads all staged pieces back, then orders the load. @param self The loader. @param model The model. */
+auto verify_and_order(daemon& self, model_state& model) -> void;
+
+/*! @brief Reads which of the pieces staged earlier belong to the wanted version. @param self The loader.
+ * @param model The model. */
+auto read_staged(daemon& self, model_state& model) -> void;
+
+/*! @brief Answers other loaders. @param self The loader. @param incoming The request. @param answer Its answer. */
+auto on_bulk(daemon& self, const net::http_request& incoming, const std::shared_ptr<net::responder>& answer) -> void;
+
+/*! @brief Returns the layers of the service's models. @param self The loader. @return The count; 1 if unknown. */
+[[nodiscard]] auto layers_of(const daemon& self) -> unsigned;
+
+/*! @brief Limits of a call to the runner on this machine. @return The limits. */
+[[nodiscard]] auto local_limits() -> net::call_limits;
+
+/*! @brief Finds a model that is still wanted in a version. @param self The loader. @param name The model.
+ * @param version The version. @return It, or null. */
+[[nodiscard]] auto find_model(daemon& self, const std::string& name, std::uint64_t version) -> model_state*;
+
+} // namespace rhubarbwharf::loader
--- /dev/null
+++ b/src/loader/pieces.cpp
@@ -0,0 +1,449 @@
+#include <algorithm>
+
+#include <loader/daemon.hpp>
+#include <platform/encode.hpp>
+#include <rhubarbwharf/core/digest.hpp>
+
+namespace rhubarbwharf::loader {
+
+namespace internal {
+
+constexpr std::uint16_t status_ok = 200U;
+constexpr std::uint16_t status_made = 300U;
+/*! @brief Pieces fetched at once; two keep the link full while a third is on its way. */
+constexpr unsigned most_fetches = 4U;
+/*! @brief Pieces fetched from the origin at once by one loader. */
+constexpr unsigned most_origin_fetches = 2U;
+/*! @brief Time for one piece: its bytes at a tenth of the link's rate. */
+constexpr duration piece_time = std::chrono::milliseconds{2'500};
+/*! @brief Time for which a peer that failed is left alone. */
+constexpr duration avoid_time = std::chrono::milliseconds{700};
+/*! @brief Time between questions to peers about what they have. */
+constexpr duration ask_period = std::chrono::milliseconds{200};
+/*! @brief Time for a peer to say what it has. */
+constexpr duration ask_time = std::chrono::milliseconds{800};
+/*! @brief Time in which peers are asked before the origin is read. */
+constexpr duration first_word = std::chrono::milliseconds{80};
+/*! @brief Spoilt pieces after which the manifest is read again, as it may be what is spoilt. */
+constexpr unsigned most_spoilt = 3U;
+constexpr char bit_set = '1';
+constexpr char bit_clear = '0';
+constexpr std::string_view has_field = "Pieces-Held";
+
+namespace {
+
+[[nodiscard]] auto peer_target(const std::string_view kind, const model_state& model) -> std::string {
+    return "/" + std::string{kind} + "?model=" + model.m_name + "&version=" + std::to_string(model.m_version);
+}
+
+[[nodiscard]] auto bits_of(const std::string_view text) -> std::vector<bool> {
+    std::vector<bool> out(text.size());
+    std::transform(text.begin(), text.end(), out.begin(), [](const char letter) { return letter == bit_set; });
+    return out;
+}
+
+auto refresh_peers(daemon& self, model_state& model) -> void {
+    std::vector<peer> fresh{};
+    for (const auto& [name, row] : self.m_core.m_members) {
+        const auto& member = row.m_member;
+        if (member.m_bulk.m_port == 0U || member.m_service != self.m_core.m_self.m_service ||
+            name == self.m_core.m_self.m_instance) {
+            continue;
+        }
+        const auto known = std::ranges::find(model.m_peers, name, &peer::m_instance);
+        fresh.push_back(known != model.m_peers.end() ? *known : peer{name, member.m_region, {}, 0U, {}});
+    }
+    model.m_peers = std::move(fresh);
+}
+
+[[nodiscard]] auto find_peer(model_state& model, const std::string& name) -> peer* {
+    const auto found = std::ranges::find(model.m_peers, name, &peer::m_instance);
+    return found == model.m_peers.end() ? nullptr : &*found;
+}
+
+auto note_has(model_state& model, const std::string& name, const net::http_response& got) -> void {
+    const auto text = net::find(got.m_headers, has_field);
+    auto* const row = find_peer(model, name);
+    if (row != nullptr && text.size() == model.m_pieces.size()) {
+        row->m_has = bits_of(text);
+    }
+}
+
+auto ask_peer(daemon& self, const model_state& model, const std::string& name) -> void {
+    net::call_limits limits{};
+    limits.m_total_time = ask_time;
+    limits.m_connect_time = ask_time;
+    net::http_request ask{};
+    ask.m_target = peer_target("have", model);
+    const auto address = self.m_core.m_members[name].m_member.m_bulk;
+    self.m_core.m_http.fetch(address, std::move(ask), limits,
+                             [&self, name, model_name = model.m_name,
+                              version = model.m_version](const net::call_end&, const net::http_response& got) {
+                                 if (auto* const current = find_model(self, model_name, version)) {
+                                     note_has(*current, name, got);
+                                     fetch_pieces(self, *current);
+                                 }
+                             });
+}
+
+/*! @brief Asks all peers at first, then a few at a time. */
+auto ask_peers(daemon& self, model_state& model, const time_point now) -> void {
+    if (now - model.m_asked_peers < ask_period || model.m_peers.empty()) {
+        return;
+    }
+    const auto first = model.m_asked_peers == time_point{};
+    model.m_asked_peers = now;
+    if (first) {
+        for (const auto& each : model.m_peers) {
+            ask_peer(self, model, each.m_instance);
+        }
+        return;
+    }
+    constexpr int asked_at_once = 3;
+    for (int count = 0; count < asked_at_once; ++count) {
+        ask_peer(self, model, model.m_peers[self.m_core.m_random() % model.m_peers.size()].m_instance);
+    }
+}
+
+auto ask_manifest(daemon& self, model_state& model) -> void {
+    const auto* const from = self.m_core.m_configuration ? fleet::find_origin(*self.m_core.m_configuration) : nullptr;
+    if (model.m_manifest_asked || from == nullptr) {
+        return;
+    }
+    model.m_manifest_asked = true;
+    net::call_limits limits{};
+    limits.m_total_time = piece_time;
+    self.m_core.m_http.fetch(
+        from->m_address, adapter::encode_manifest_call(model.m_name, model.m_version), limits,
+        [&self, name = model.m_name, version = model.m_version](const net::call_end&, const net::http_response& got) {
+            auto* const current = find_model(self, name, version);
+            if (current == nullptr) {
+                return;
+            }
+            auto read = got.m_status == status_ok ? adapter::decode_manifest(got.m_body) : std::nullopt;
+            if (!read || read->m_version != version) {
+                self.m_core.m_events.write("manifest.failed", {{"model", name},
+                                                               {"version", static_cast<std::int64_t>(version)},
+                                                               {"status", static_cast<std::int64_t>(got.m_status)}});
+                self.m_core.m_loop.after(ask_period, [&self, name, version] {
+                    if (auto* const again = find_model(self, name, version)) {
+                        again->m_manifest_asked = false;
+                    }
+                });
+                return;
+            }
+            current->m_spoilt = 0U;
+            current->m_pieces.resize(read->m_pieces.size(), piece_state::missing);
+            current->m_manifest = std::move(read);
+            advance(self);
+        });
+}
+
+/*! @brief Stages a piece that has its digest. */
+auto stage_piece(daemon& self, const model_state& model, const std::size_t piece, std::string bytes) -> void {
+    self.m_core.m_http.fetch(
+        self.m_runner, adapter::encode_stage_put(model.m_name, piece, std::move(bytes)), local_limits(),
+        [&self, name = model.m_name, version = model.m_version, piece](const net::call_end&,
+                                                                       const net::http_response& got) {
+            auto* const current = find_model(self, name, version);
+            if (current == nullptr || piece >= current->m_pieces.size()) {
+                return;
+            }
+            const auto done = got.m_status >= status_ok && got.m_status < status_made;
+            current->m_pieces[piece] = done ? piece_state::held : piece_state::missing;
+            if (!done) {
+                self.m_core.m_events.write("stage.failed", {{"model", name},
+                                                            {"piece", static_cast<std::int64_t>(piece)},
+                                                            {"status", static_cast<std::int64_t>(got.m_status)}});
+            }
+            advance(self);
+        });
+}
+
+auto note_spoilt(daemon& self, model_state& model, const std::size_t piece, const std::string& from) -> void {
+    self.m_core.m_events.write("piece.spoilt", {{"model", model.m_name},
+                                                {"version", static_cast<std::int64_t>(model.m_version)},
+                                                {"piece", static_cast<std::int64_t>(piece)},
+                                                {"from", from}});
+    self.m_core.m_counters.add("pieces_spoilt_total");
+    if (++model.m_spoilt >= most_spoilt) {
+        model.m_manifest_asked = false;
+        ask_manifest(self, model);
+    }
+}
+
+auto on_piece(daemon& self, model_state& model, const std::size_t piece, const std::string& from,
+              net::http_response got) -> void {
+    --model.m_fetches;
+    auto* const row = find_peer(model, from);
+    if (row != nullptr) {
+        row->m_fetches -= std::min(row->m_fetches, 1U);
+        note_has(model, from, got);
+    }
+    if (from.empty()) {
+        --model.m_origin_fetches;
+        self.m_core.m_counters.add("origin_bytes_total", static_cast<double>(got.m_body.size()));
+    }
+    const auto whole =
+        got.m_status == status_ok && model.m_manifest && sha256(got.m_body) == model.m_manifest->m_pieces[piece];
+    if (whole) {
+        stage_piece(self, model, piece, std::move(got.m_body));
+        fetch_pieces(self, model);
+        return;
+    }
+    model.m_pieces[piece] = piece_state::missing;
+    if (got.m_status == status_ok) {
+        note_spoilt(self, model, piece, from.empty() ? "origin" : from);
+    }
+    if (row != nullptr) {
+        row->m_avoid_until = steady_now() + avoid_time;
+    }
+}
+
+auto begin_fetch(daemon& self, model_state& model, const fetch& chosen) -> void {
+    const auto piece = chosen.m_piece;
+    net::endpoint where{};
+    net::http_request ask{};
+    std::string from{};
+    if (chosen.m_peer) {
+        auto& row = model.m_peers[*chosen.m_peer];
+        ++row.m_fetches;
+        from = row.m_instance;
+        where = self.m_core.m_members[from].m_member.m_bulk;
+        ask.m_target = peer_target("piece", model) + "&index=" + std::to_string(piece);
+    } else {
+        const auto* const origin = fleet::find_origin(*self.m_core.m_configuration);
+        where = origin->m_address;
+        ask = adapter::encode_piece_call(model.m_name, model.m_version, piece);
+        ++model.m_origin_fetches;
+    }
+    ++model.m_fetches;
+    model.m_pieces[piece] = piece_state::fetching;
+    net::call_limits limits{};
+    limits.m_total_time = piece_time;
+    self.m_core.m_http.fetch(where, std::move(ask), limits,
+                             [&self, name = model.m_name, version = model.m_version, piece,
+                              from](const net::call_end&, net::http_response got) {
+                                 if (auto* const current = find_model(self, name, version)) {
+                                     on_piece(self, *current, piece, from, std::move(got));
+                                 }
+                             });
+}
+
+} // namespace
+
+} // namespace internal
+
+auto fetch_pieces(daemon& self, model_state& model) -> void {
+    const auto now = steady_now();
+    if (model.m_stage != stage::fetching) {
+        return;
+    }
+    internal::ask_manifest(self, model);
+    if (!model.m_manifest || !model.m_staged_read) {
+        return;
+    }
+    internal::refresh_peers(self, model);
+    internal::ask_peers(self, model, now);
+    const auto* const origin = fleet::find_origin(*self.m_core.m_configuration);
+    const auto age = now - model.m_wanted_since;
+    while (model.m_fetches < internal::most_fetches) {
+        plan_input in{};
+        in.m_instance = self.m_core.m_self.m_instance;
+        in.m_region = self.m_core.m_self.m_region;
+        in.m_version = model.m_version;
+        in.m_pieces = model.m_pieces;
+        in.m_peers = model.m_peers;
+        in.m_age = age;
+        in.m_now = now;
+        in.m_random = self.m_core.m_random();
+        const auto room =
+            internal::most_origin_fetches - std::min(model.m_origin_fetches, internal::most_origin_fetches);
+        in.m_origin_room = origin != nullptr && age >= internal::first_word ? room : 0U;
+        const auto chosen = next_fetch(in);
+        if (!chosen) {
+            return;
+        }
+        internal::begin_fetch(self, model, *chosen);
+    }
+}
+
+namespace internal {
+
+namespace {
+
+/*! @brief Reads staged pieces one after the other, and hands each with its index on. */
+struct staged_reader : std::enable_shared_from_this<staged_reader> {
+    daemon& m_self;
+    std::string m_model{};
+    std::uint64_t m_version{};
+    std::vector<std::size_t> m_left{};
+    /*! @brief Gets the pieces that have their digests, and those that do not. */
+    std::function<void(std::vector<std::size_t>, std::vector<std::size_t>)> m_done{};
+    std::vector<std::size_t> m_good{};
+    std::vector<std::size_t> m_bad{};
+
+    explicit staged_reader(daemon& self) : m_self{self} {}
+
+    auto next() -> void {
+        if (m_left.empty()) {
+            m_done(std::move(m_good), std::move(m_bad));
+            return;
+        }
+        const auto piece = m_left.back();
+        m_left.pop_back();
+        m_self.m_core.m_http.fetch(
+            m_self.m_runner, adapter::encode_stage_get(m_model, piece), local_limits(),
+            [me = shared_from_this(), piece](const net::call_end&, const net::http_response& got) {
+                me->on_piece(piece, got);
+            });
+    }
+
+    auto on_piece(const std::size_t piece, const net::http_response& got) -> void {
+        const auto* const model = find_model(m_self, m_model, m_version);
+        if (model == nullptr || !model->m_manifest) {
+            return;
+        }
+        const auto good = got.m_status == status_ok && piece < model->m_manifest->m_pieces.size() &&
+                          sha256(got.m_body) == model->m_manifest->m_pieces[piece];
+        (good ? m_good : m_bad).push_back(piece);
+        next();
+    }
+};
+
+auto read_pieces(daemon& self, const model_state& model, std::vector<std::size_t> pieces,
+                 std::function<void(std::vector<std::size_t>, std::vector<std::size_t>)> done) -> void {
+    auto reader = std::make_shared<staged_reader>(self);
+    reader->m_model = model.m_name;
+    reader->m_version = model.m_version;
+    reader->m_left = std::move(pieces);
+    reader->m_done = std::move(done);
+    reader->next();
+}
+
+auto order_load(daemon& self, model_state& model) -> void {
+    model.m_stage = stage::ordered;
+    model.m_ordered = steady_now();
+    self.m_report.m_busy = true;
+    tell_gateways(self, true);
+    self.m_core.m_events.write("load.ordered", {{"model", model.m_name},
+                                                {"version", static_cast<std::int64_t>(model.m_version)},
+                                                {"orders", static_cast<std::int64_t>(self.m_report.m_orders)}});
+    const adapter::load_order order{model.m_name, model.m_version, self.m_report.m_orders};
+    self.m_core.m_http.fetch(
+        self.m_runner, adapter::encode_order(order), local_limits(),
+        [&self, name = model.m_name, version = model.m_version](const net::call_end&, const net::http_response& got) {
+            self.m_core.m_events.write("load.answered", {{"model", name},
+                                                         {"version", static_cast<std::int64_t>(version)},
+                                                         {"status", static_cast<std::int64_t>(got.m_status)}});
+            constexpr std::uint16_t accepted = 202U;
+            auto* const current = find_model(self, name, version);
+            const auto lost = got.m_status == 0U;
+            if (current != nullptr && !lost && got.m_status != accepted && got.m_status != status_ok) {
+                current->m_stage = stage::fetching;
+            }
+        });
+}
+
+} // namespace
+
+} // namespace internal
+
+auto read_staged(daemon& self, model_state& model) -> void {
+    self.m_core.m_http.fetch(
+        self.m_runner, adapter::encode_stage_get(model.m_name, std::nullopt), local_limits(),
+        [&self, name = model.m_name, version = model.m_version](const net::call_end&, const net::http_response& got) {
+            auto* const current = find_model(self, name, version);
+            if (current == nullptr) {
+                return;
+            }
+            internal::read_pieces(
+                self, *current, adapter::decode_staged(got.m_body),
+                [&self, name, version](const std::vector<std::size_t>& good, std::vector<std::size_t>) {
+                    auto* const model_now = find_model(self, name, version);
+                    if (model_now == nullptr) {
+                        return;
+                    }
+                    for (const auto piece : good) {
+                        model_now->m_pieces[piece] = piece_state::held;
+                    }
+                    model_now->m_staged_read = true;
+                    self.m_core.m_events.write("stage.read", {{"model", name},
+                                                              {"version", static_cast<std::int64_t>(version)},
+                                                              {"held", static_cast<std::int64_t>(good.size())}});
+                    advance(self);
+                });
+        });
+}
+
+auto verify_and_order(daemon& self, model_state& model) -> void {
+    model.m_stage = stage::verifying;
+    std::vector<std::size_t> all(model.m_pieces.size());
+    for (std::size_t index = 0U; index < all.size(); ++index) {
+        all[index] = index;
+    }
+    internal::read_pieces(self, model, std::move(all),
+                          [&self, name = model.m_name, version = model.m_version](const std::vector<std::size_t>& good,
+                                                                                  const std::vector<std::size_t>& bad) {
+                              auto* const current = find_model(self, name, version);
+                              if (current == nullptr || current->m_stage != stage::verifying) {
+                                  return;
+                              }
+                              if (bad.empty() && good.size() == current->m_pieces.size()) {
+                                  internal::order_load(self, *current);
+                                  return;
+                              }
+                              for (const auto piece : bad) {
+                                  current->m_pieces[piece] = piece_state::missing;
+                                  internal::note_spoilt(self, *current, piece, "staged");
+                              }
+                              current->m_stage = stage::fetching;
+                          });
+}
+
+auto on_bulk(daemon& self, const net::http_request& incoming, const std::shared_ptr<net::responder>& answer) -> void {
+    const auto name = adapter::query_value(incoming.m_target, "model");
+    const auto version = adapter::query_value(incoming.m_target, "version");
+    const auto found = self.m_models.find(name);
+    const auto refuse = [&answer] {
+        answer->respond(net::problem(code::chunk_unavailable, outcome::not_run, {}, duration::zero()));
+    };
+    if (found == self.m_models.end() || std::to_string(found->second.m_version) != version) {
+        refuse();
+        return;
+    }
+    auto& model = found->second;
+    std::string bits(model.m_pieces.size(), internal::bit_clear);
+    std::ranges::transform(model.m_pieces, bits.begin(), [](const piece_state each) {
+        return each == piece_state::held ? internal::bit_set : internal::bit_clear;
+    });
+    const std::vector<net::header> headers{{std::string{internal::has_field}, bits}};
+    if (incoming.m_target.starts_with("/have")) {
+        answer->respond({internal::status_ok, headers, {}});
+        return;
+    }
+    const auto text = adapter::query_value(incoming.m_target, "index");
+    const auto piece = text.empty() ? bits.size() : static_cast<std::size_t>(std::strtoull(text.c_str(), nullptr, 10));
+    if (piece >= bits.size() || bits[piece] != internal::bit_set) {
+        refuse();
+        return;
+    }
+    self.m_core.m_http.fetch(
+        self.m_runner, adapter::encode_stage_get(name, piece), local_limits(),
+        [&self, answer, headers, piece, name, version = model.m_version](const net::call_end&, net::http_response got) {
+            auto* const current = find_model(self, name, version);
+            const auto good = got.m_status == internal::status_ok && current != nullptr && current->m_manifest &&
+                              sha256(got.m_body) == current->m_manifest->m_pieces[piece];
+            if (good) {
+                answer->respond({internal::status_ok, headers, std::move(got.m_body)});
+                return;
+            }
+            if (current != nullptr && got.m_status == internal::status_ok && current->m_manifest) {
+                current->m_pieces[piece] = piece_state::missing;
+                internal::note_spoilt(self, *current, piece, "staged");
+            }
+            answer->respond(net::problem(code::chunk_unavailable, outcome::not_run, {}, duration::zero()));
+        });
+}
+
+} // namespace rhubarbwharf::loader
--- /dev/null
+++ b/src/loader/plan.cpp
@@ -0,0 +1,131 @@
+#include <algorithm>
+#include <map>
+
+#include <rhubarbwharf/loader/plan.hpp>
+
+namespace rhubarbwharf::loader {
+
+namespace {
+
+/*! @brief Mixes a name, a version and a piece into one number (FNV-1a with a final mix). */
+[[nodiscard]] auto weight(const std::string_view name, const std::uint64_t version, const std::uint64_t piece) noexcept
+    -> std::uint64_t {
+    constexpr std::uint64_t offset = 14'695'981'039'346'656'037ULL;
+    constexpr std::uint64_t prime = 1'099'511'628'211ULL;
+    constexpr std::uint64_t mixer = 0x9e3779b97f4a7c15ULL;
+    constexpr unsigned half = 32U;
+    auto out = offset;
+    for (const auto letter : name) {
+        out = (out ^ static_cast<unsigned char>(letter)) * prime;
+    }
+    out = (out ^ (version * mixer)) * prime;
+    out = (out ^ (piece * mixer)) * prime;
+    return out ^ (out >> half);
+}
+
+/*! @brief Place of this loader in the lines for one piece. */
+struct standing {
+    /*! @brief Loaders of the own region that come first. */
+    std::size_t m_in_region{};
+    /*! @brief Regions whose first loader comes first. */
+    std::size_t m_of_regions{};
+};
+
+[[nodiscard]] auto standing_of(const plan_input& in, const std::size_t piece) -> standing {
+    const auto own = weight(in.m_instance, in.m_version, piece);
+    standing out{};
+    std::map<std::string_view, std::uint64_t> best{};
+    auto best_own = own;
+    for (const auto& each : in.m_peers) {
+        const auto theirs = weight(each.m_instance, in.m_version, piece);
+        if (each.m_region == in.m_region) {
+            out.m_in_region += theirs > own ? 1U : 0U;
+            best_own = std::max(best_own, theirs);
+        } else {
+            auto& most = best[each.m_region];
+            most = std::max(most, theirs);
+        }
+    }
+    out.m_of_regions = static_cast<std::size_t>(
+        std::ranges::count_if(best, [best_own](const auto& each) { return each.second > best_own; }));
+    return out;
+}
+
+/*! @brief Peers that have a piece, near or far. */
+struct holders {
+    std::vector<std::size_t> m_near{};
+    std::vector<std::size_t> m_far{};
+    std::size_t m_count{};
+};
+
+[[nodiscard]] auto holders_of(const plan_input& in, const std::size_t piece) -> holders {
+    holders out{};
+    for (std::size_t index = 0U; index < in.m_peers.size(); ++index) {
+        const auto& each = in.m_peers[index];
+        if (piece >= each.m_has.size() || !each.m_has[piece]) {
+            continue;
+        }
+        ++out.m_count;
+        if (each.m_fetches < most_fetches_of_peer && in.m_now >= each.m_avoid_until) {
+            (each.m_region == in.m_region ? out.m_near : out.m_far).push_back(index);
+        }
+    }
+    return out;
+}
+
+[[nodiscard]] auto pick(const std::vector<std::size_t>& from, const std::uint64_t random) -> std::size_t {
+    return from[random % from.size()];
+}
+
+/*! @brief Tells whether a peer of the own region has a piece, busy or not. */
+[[nodiscard]] auto is_near(const plan_input& in, const std::size_t piece) -> bool {
+    return std::ranges::any_of(in.m_peers, [&](const peer& each) {
+        return each.m_region == in.m_region && in.m_now >= each.m_avoid_until && piece < each.m_has.size() &&
+               each.m_has[piece];
+    });
+}
+
+} // namespace
+
+auto next_fetch(const plan_input& in) -> std::optional<fetch> {
+    std::optional<fetch> best{};
+    std::size_t best_count{};
+    const auto count = in.m_pieces.size();
+    for (std::size_t step = 0U; step < count; ++step) {
+        const auto piece = (step + in.m_random) % count;
+        if (in.m_pieces[piece] != piece_state::missing) {
+            continue;
+        }
+        const auto have = holders_of(in, piece);
+        if (best && have.m_count >= best_count) {
+            continue;
+        }
+        const auto place = standing_of(in, piece);
+        const auto may_bring = in.m_age >= region_stagger * static_cast<int>(place.m_in_region);
+        const auto line = region_stagger * static_cast<int>(place.m_in_region) +
+                          origin_stagger * static_cast<int>(place.m_of_regions);
+        if (!have.m_near.empty()) {
+            best = fetch{piece, pick(have.m_near, in.m_random)};
+        } else if (is_near(in, piece)) {
+            continue;
+        } else if (!have.m_far.empty() && may_bring) {
+            best = fetch{piece, pick(have.m_far, in.m_random)};
+        } else if (have.m_far.empty() && in.m_origin_room > 0U && in.m_age >= line) {
+            best = fetch{piece, std::nullopt};
+        } else {
+            continue;
+        }
+        best_count = have.m_count;
+    }
+    return best;
+}
+
+auto load_place(const std::string_view instance, const std::span<const peer> peers, const std::uint64_t version)
+    -> double {
+    const auto own = weight(instance, version, 0U);
+    const auto before =
+        std::ranges::count_if(peers, [&](const peer& each) { return weight(each.m_instance, version, 0U) > own; });
+    return static_cast<double>(before) / static_cast<double>(peers.size() + 1U);
+}
+
+} // namespace rhubarbwharf::loader
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -1,5 +1,8 @@
 #include <netinet/tcp.h>
 
+#include <algorithm>
+#include <charconv>
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
@@ -17,9 +20,13 @@
 
 namespace {
 
-constexpr int keep_idle_seconds = 5;
-constexpr int keep_interval_seconds = 2;
-constexpr int keep_probes = 3;
+constexpr int keep_idle_seconds = 1;
+constexpr int keep_interval_seconds = 1;
+constexpr int keep_probes = 2;
+/*! @brief Time before the server's own time limit from which an idle connection is no longer used. */
+constexpr duration keep_alive_margin = std::chrono::milliseconds{300};
+/*! @brief Time after which the kernel gives up on bytes that the server does not acknowledge. */
+constexpr unsigned unacknowledged_ms = 3'000;
 
 /*! @brief Sends parts at once, and has the kernel find out about a server that has gone silently. */
 auto prepare(tcp_socket& socket) -> void {
@@ -30,6 +37,7 @@
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &keep_idle_seconds, sizeof(int));
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &keep_interval_seconds, sizeof(int));
     setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &keep_probes, sizeof(int));
+    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms, sizeof(unsigned));
     socket.non_blocking(true, ignored);
 }
 
@@ -38,7 +46,7 @@
     message.version(http_1_1);
     message.method_string(request.m_method);
     message.target(request.m_target);
-    message.set(http::field::host, to_string(server));
+    message.set(http::field::host, request.m_host.empty() ? to_string(server) : request.m_host);
     for (const auto& field : request.m_headers) {
         const auto known = http::string_to_field(field.m_name);
         if (known != http::field::host && known != http::field::content_length &&
@@ -70,7 +78,7 @@
     if (!m_owner->m_sweeping_calls) {
         m_owner->sweep();
     }
-    if (auto kept = m_owner->take(m_server)) {
+    if (auto kept = m_owner->take(m_server, now, m_limits.m_kept_time)) {
         begin(std::move(kept), true);
     } else {
         connect();
@@ -108,6 +116,7 @@
 }
 
 auto client_call::begin_response() -> void {
+    m_skipping = false;
     m_parser.emplace(*this);
     m_parser->eager(true);
     m_parser->skip(m_is_head_request);
@@ -165,6 +174,12 @@
     if (m_ended || m_connection != on) {
         return;
     }
+    if (failure == asio::error::eof && m_head_seen && m_parser->need_eof()) {
+        boost::system::error_code ended{};
+        m_parser->put_eof(ended);
+        end(ended ? code::cut_stream : code::ok);
+        return;
+    }
     if (failure) {
         fail();
         return;
@@ -180,7 +195,7 @@
     boost::system::error_code failure{};
     m_parsing = true;
     while (on->m_input.size() > 0U && !failure && !m_ended) {
-        if (m_parser->is_done() && m_parser->is_interim()) {
+        if (m_parser->is_done() && (m_parser->is_interim() || m_skipping)) {
             begin_response();
         }
         if (m_parser->is_done()) {
@@ -192,7 +207,7 @@
     if (m_ended) {
         return;
     }
-    if (m_parser->is_done() && !m_parser->is_interim()) {
+    if (m_parser->is_done() && !m_parser->is_interim() && !m_skipping) {
         finish();
     } else if (failure && failure != http::error::need_more) {
         fail();
@@ -210,20 +225,41 @@
     const auto whole_exchange = m_request.size() == 0U && on->m_input.size() == 0U;
     if (whole_exchange && !m_parser->need_eof() && m_parser->keep_alive()) {
         m_connection = nullptr;
-        m_owner->keep(m_server, on);
+        m_owner->keep(m_server, on, m_kept_time);
     }
     end(code::ok);
 }
 
 auto client_call::on_head(const http_response& head) -> void {
+    const auto echoed =
+        m_limits.m_echo.m_name.empty() ? std::string_view{} : find(head.m_headers, m_limits.m_echo.m_name);
+    if (!echoed.empty() && echoed != m_limits.m_echo.m_value) {
+        m_skipping = true;
+        return;
+    }
     m_head_seen = true;
+    note_keep_alive(head);
     if (!m_ended && m_handlers.m_on_head) {
         m_handlers.m_on_head(head);
     }
 }
 
+auto client_call::note_keep_alive(const http_response& head) -> void {
+    constexpr std::string_view parameter = "timeout=";
+    const auto field = find(head.m_headers, "Keep-Alive");
+    const auto at = field.find(parameter);
+    if (at == std::string_view::npos) {
+        return;
+    }
+    unsigned seconds{};
+    const auto* const first = field.data() + at + parameter.size();
+    if (std::from_chars(first, field.data() + field.size(), seconds).ec == std::errc{}) {
+        m_kept_time = std::min(most_kept_time, duration{std::chrono::seconds{seconds}} - keep_alive_margin);
+    }
+}
+
 auto client_call::on_part(const std::string_view part) -> void {
-    if (!m_ended && m_handlers.m_on_part) {
+    if (!m_ended && !m_skipping && m_handlers.m_on_part) {
         m_handlers.m_on_part(part);
     }
 }
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -8,7 +8,6 @@
 
 constexpr auto sweep_period = std::chrono::milliseconds{20};
 constexpr auto quiet_sweep_period = std::chrono::seconds{1};
-constexpr auto most_kept_time = std::chrono::seconds{20};
 constexpr std::size_t most_kept_connections = 256U;
 constexpr std::size_t most_fetched_bytes = std::size_t{256} * 1024U * 1024U;
 
@@ -23,24 +22,26 @@
 
 } // namespace
 
-auto client_state::take(const endpoint& server) -> std::shared_ptr<connection> {
+auto client_state::take(const endpoint& server, const time_point now, const duration most_idle)
+    -> std::shared_ptr<connection> {
     const auto found = m_idle.find({server.m_address, server.m_port});
     while (found != m_idle.end() && !found->second.empty()) {
         auto kept = std::move(found->second.back());
         found->second.pop_back();
-        if (is_sound(*kept)) {
+        if (now < kept->m_idle_until && now - kept->m_idle_since <= most_idle && is_sound(*kept)) {
             return kept;
         }
     }
     return nullptr;
 }
 
-auto client_state::keep(const endpoint& server, std::shared_ptr<connection> kept) -> void {
+auto client_state::keep(const endpoint& server, std::shared_ptr<connection> kept, const duration keep_time) -> void {
     auto& idle = m_idle[{server.m_address, server.m_port}];
-    if (m_closed || idle.size() >= most_kept_connections) {
+    if (m_closed || idle.size() >= most_kept_connections || keep_time <= duration::zero()) {
         return;
     }
     kept->m_idle_since = steady_now();
+    kept->m_idle_until = kept->m_idle_since + keep_time;
     kept->m_input.clear();
     kept->m_input.shrink_to_fit();
     idle.push_back(std::move(kept));
@@ -48,7 +49,7 @@
 
 auto client_state::drop_idle(const time_point now) -> void {
     const auto is_old = [now](const std::shared_ptr<connection>& kept) {
-        return now - kept->m_idle_since >= most_kept_time || !is_sound(*kept);
+        return now >= kept->m_idle_until || !is_sound(*kept);
     };
     for (auto& [server, idle] : m_idle) {
         std::erase_if(idle, is_old);
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -26,8 +26,13 @@
     tcp_socket m_socket;
     beast::flat_buffer m_input{};
     time_point m_idle_since{};
+    /*! @brief Until when the server is thought to keep it open. */
+    time_point m_idle_until{};
 };
 
+/*! @brief Longest time that an idle connection is kept. */
+constexpr duration most_kept_time = std::chrono::seconds{20};
+
 /*! @brief What the calls of one client share. */
 struct client_state : std::enable_shared_from_this<client_state> {
     using server_key = std::pair<std::string, std::uint16_t>;
@@ -43,11 +48,22 @@
     bool m_sweeping_calls{};
     bool m_closed{};
 
-    /*! @brief Takes a kept connection that is still sound. @param server The server. @return It, or nothing. */
-    [[nodiscard]] auto take(const endpoint& server) -> std::shared_ptr<connection>;
-
-    /*! @brief Keeps a connection for later calls. @param server The server. @param kept The connection. */
-    auto keep(const endpoint& server, std::shared_ptr<connection> kept) -> void;
+    /**
+     * @brief Takes a kept connection that is still sound.
+     * @param server The server.
+     * @param now The time.
+     * @param most_idle Longest time that it may have been idle.
+     * @return It, or nothing.
+     */
+    [[nodiscard]] auto take(const endpoint& server, time_point now, duration most_idle) -> std::shared_ptr<connection>;
+
+    /**
+     * @brief Keeps a connection for later calls.
+     * @param server The server.
+     * @param kept The connection.
+     * @param keep_time Time for which the server keeps it open.
+     */
+    auto keep(const endpoint& server, std::shared_ptr<connection> kept, duration keep_time) -> void;
 
     /*! @brief Looks for calls past their deadline and connections kept too long, while there are any. */
     auto sweep() -> void;
@@ -127,6 +143,7 @@
     auto read() -> void;
     auto on_read(const shared_connection& on, boost::system::error_code failure, std::size_t count) -> void;
     auto parse() -> void;
+    auto note_keep_alive(const http_response& head) -> void;
     auto fail() -> void;
     auto finish() -> void;
     auto end(code value) -> void;
@@ -151,6 +168,8 @@
     bool m_reading{};
     bool m_parsing{};
     bool m_head_seen{};
+    bool m_skipping{};
+    duration m_kept_time{most_kept_time};
     bool m_paused{};
     bool m_ended{};
 };
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -43,6 +43,8 @@
     asio::io_context m_context{internal::one_thread};
     asio::executor_work_guard<asio::io_context::executor_type> m_guard{m_context.get_executor()};
     asio::signal_set m_signals{m_context};
+    asio::signal_set m_reload_signals{m_context};
+    std::function<void()> m_on_reload{};
     std::function<void(int)> m_on_signal{};
     int m_signal_count{};
     asio::thread_pool m_worker{internal::one_thread};
@@ -57,6 +59,16 @@
             wait_for_signal();
         });
     }
+
+    auto wait_for_reload() -> void {
+        m_reload_signals.async_wait([this](const boost::system::error_code failure, int) {
+            if (failure) {
+                return;
+            }
+            m_on_reload();
+            wait_for_reload();
+        });
+    }
 };
 
 loop::loop() : m_state{std::make_unique<state>()} {}
@@ -111,6 +123,15 @@
     }
 }
 
+auto loop::on_reload_signal(std::function<void()> handler) -> void {
+    const auto first = !m_state->m_on_reload;
+    m_state->m_on_reload = std::move(handler);
+    if (first) {
+        m_state->m_reload_signals.add(SIGHUP);
+        m_state->wait_for_reload();
+    }
+}
+
 auto loop::context() noexcept -> asio::io_context& {
     return m_state->m_context;
 }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -128,6 +128,14 @@
     }
 }
 
+auto http_server::retire() -> void {
+    m_state->m_draining = true;
+}
+
+auto http_server::set_limits(const http_limits& limits) -> void {
+    m_state->m_limits = limits;
+}
+
 auto http_server::connections() const noexcept -> std::size_t {
     return m_state->m_sessions.size();
 }
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -61,7 +61,7 @@
 }
 
 auto session::start() -> void {
-    m_deadline = steady_now() + m_owner->m_limits.m_request_time;
+    m_deadline = steady_now() + m_owner->m_limits.m_idle_time;
     read();
 }
 
--- /dev/null
+++ b/src/node/peers.cpp
@@ -0,0 +1,235 @@
+#include <algorithm>
+
+#include <fleet.pb.h>
+#include <node/core.hpp>
+#include <node/wire.hpp>
+
+namespace rhubarbwharf::node {
+
+namespace internal {
+
+/*! @brief Least time between two requests for a whole state, so that one change is not asked of every peer. */
+constexpr duration pull_pause = std::chrono::milliseconds{250};
+/*! @brief Pause before the seeds are asked again. */
+constexpr duration seed_pause = std::chrono::milliseconds{600};
+
+namespace {
+
+[[nodiscard]] auto sum_of_targets(const core& self) -> std::uint64_t {
+    std::uint64_t sum{};
+    for (const auto& each : self.m_targets) {
+        sum += each.m_version;
+    }
+    return sum;
+}
+
+[[nodiscard]] auto configuration_version(const core& self) -> std::uint64_t {
+    return self.m_configuration ? self.m_configuration->m_version : 0U;
+}
+
+auto on_pulse(core& self, const std::string_view from, const wire::fleet::Pulse& news) -> void {
+    note_member(self, from_wire(news.self()), false);
+    auto& row = self.m_members[std::string{from}];
+    row.m_heard = steady_now();
+    row.m_ready = news.ready();
+    row.m_leaving = news.leaving();
+    const auto behind = news.configuration() > configuration_version(self) || news.weights() > sum_of_targets(self) ||
+                        (self.m_follows_servers && !self.m_store_there && news.servers() > self.m_servers.m_revision);
+    if (!behind || steady_now() - self.m_pulled < pull_pause) {
+        return;
+    }
+    self.m_pulled = steady_now();
+    wire::fleet::Frame ask{};
+    ask.mutable_pull()->set_configuration(configuration_version(self));
+    send(self, from, ask);
+    if (self.m_operators && self.m_store_there) {
+        self.m_operators->renew();
+    }
+}
+
+auto on_pull(core& self, const std::string_view from, const wire::fleet::Pull& ask) -> void {
+    wire::fleet::Frame answer{};
+    *answer.mutable_state() = whole_state(self, ask.configuration());
+    send(self, from, answer);
+}
+
+} // namespace
+
+} // namespace internal
+
+auto send(core& self, const std::string_view peer, wire::fleet::Frame& frame) -> void {
+    frame.set_protocol(frame_protocol);
+    frame.set_incarnation(self.m_incarnation);
+    if (self.m_bus.send(peer, frame.SerializeAsString()) != code::ok) {
+        self.m_counters.add("peer_messages_unsent_total");
+    }
+}
+
+auto send_to_gateways(core& self, wire::fleet::Frame& frame) -> void {
+    frame.set_protocol(frame_protocol);
+    frame.set_incarnation(self.m_incarnation);
+    const auto bytes = frame.SerializeAsString();
+    for (const auto& [name, row] : self.m_members) {
+        const auto wanted = row.m_member.is_gateway() && name != self.m_self.m_instance;
+        if (wanted && self.m_bus.send(name, bytes) != code::ok) {
+            self.m_counters.add("peer_messages_unsent_total");
+        }
+    }
+}
+
+auto pulse(core& self) -> void {
+    auto& own = self.m_members[self.m_self.m_instance];
+    own.m_heard = steady_now();
+    own.m_ready = self.m_ready;
+    own.m_leaving = self.m_leaving;
+    wire::fleet::Frame frame{};
+    auto& news = *frame.mutable_pulse();
+    to_wire(self.m_self, *news.mutable_self());
+    news.set_ready(self.m_ready);
+    news.set_leaving(self.m_leaving);
+    news.set_configuration(internal::configuration_version(self));
+    news.set_weights(internal::sum_of_targets(self));
+    news.set_servers(self.m_servers.m_revision);
+    send_to_gateways(self, frame);
+    const auto bytes = frame.SerializeAsString();
+    for (const auto& [name, row] : self.m_members) {
+        const auto nearby = !row.m_member.is_gateway() && row.m_member.m_data_centre == self.m_self.m_data_centre;
+        if (nearby && self.m_bus.send(name, bytes) != code::ok) {
+            self.m_counters.add("peer_messages_unsent_total");
+        }
+    }
+    for (const auto& name : fleet::sweep(self.m_members, steady_now())) {
+        self.m_bus.disconnect(name);
+    }
+}
+
+auto note_member(core& self, const fleet::member& value, const bool is_listed) -> void {
+    if (value.m_instance.empty() || value.m_instance == self.m_self.m_instance) {
+        return;
+    }
+    auto& row = self.m_members[value.m_instance];
+    const auto is_new = row.m_member.m_incarnation != value.m_incarnation;
+    if (is_new) {
+        row.m_member = value;
+        row.m_leaving = false;
+        row.m_ready = true;
+        row.m_heard = is_listed ? steady_now() : row.m_heard;
+        self.m_events.write("member.seen", {{"member", value.m_instance}, {"listed", is_listed}});
+    }
+    row.m_listed = row.m_listed || is_listed;
+    // Each pair of gateways needs one connection each way; a loader is reached over the one that it made.
+    if (value.is_gateway()) {
+        self.m_bus.connect(value.m_instance, value.m_bus);
+    }
+}
+
+auto whole_state(const core& self, const std::uint64_t has_configuration) -> wire::fleet::State {
+    wire::fleet::State out{};
+    if (self.m_configuration && self.m_configuration->m_version > has_configuration) {
+        out.set_configuration(self.m_configuration->m_text);
+    }
+    const auto now = steady_now();
+    for (const auto& each : self.m_targets) {
+        auto* const made = out.add_weights();
+        made->set_model(each.m_model);
+        made->set_version(each.m_version);
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - each.m_learned);
+        made->set_age_ms(static_cast<std::uint64_t>(age.count()));
+    }
+    for (const auto& [id, row] : self.m_servers.m_rows) {
+        to_wire(row, *out.add_servers());
+    }
+    for (const auto& [id, revision] : self.m_servers.m_removed) {
+        auto* const made = out.add_servers();
+        made->set_id(id);
+        made->set_revision(revision);
+        made->set_removed(true);
+    }
+    for (const auto& [name, row] : self.m_members) {
+        if (row.m_listed || now - row.m_heard < fleet::silent_time) {
+            to_wire(row.m_member, *out.add_members());
+        }
+    }
+    out.set_servers_revision(self.m_servers.m_revision);
+    return out;
+}
+
+auto accept_state(core& self, const wire::fleet::State& state, const std::string_view source) -> void {
+    if (!state.configuration().empty()) {
+        accept_configuration(self, state.configuration(), source);
+    }
+    const auto now = steady_now();
+    for (const auto& each : state.weights()) {
+        const auto age = std::chrono::milliseconds{each.age_ms()};
+        accept_target(self, {each.model(), each.version(), now - age}, source);
+    }
+    for (const auto& each : state.servers()) {
+        if (!self.m_follows_servers) {
+            break;
+        }
+        const auto changed = each.removed() ? fleet::remove(self.m_servers, each.id(), each.revision())
+                                            : fleet::put(self.m_servers, from_wire(each));
+        if (changed) {
+            self.m_events.write("server.told",
+                                {{"server", each.id()}, {"removed", each.removed()}, {"source", source}});
+            self.m_handlers.m_on_server(each.id());
+        }
+    }
+    for (const auto& each : state.members()) {
+        note_member(self, from_wire(each), false);
+    }
+    self.m_servers.m_revision = std::max(self.m_servers.m_revision, state.servers_revision());
+}
+
+auto on_message(core& self, const std::string_view from, const std::string_view bytes) -> void {
+    wire::fleet::Frame frame{};
+    const auto read = frame.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+    if (!read || frame.protocol() != frame_protocol) {
+        self.m_counters.add("peer_frames_malformed_total");
+        return;
+    }
+    switch (frame.body_case()) {
+    case wire::fleet::Frame::kPulse:
+        internal::on_pulse(self, from, frame.pulse());
+        break;
+    case wire::fleet::Frame::kPull:
+        internal::on_pull(self, from, frame.pull());
+        break;
+    case wire::fleet::Frame::kState:
+        accept_state(self, frame.state(), from);
+        break;
+    default:
+        self.m_handlers.m_on_frame(from, frame);
+    }
+}
+
+auto ask_seeds(core& self) -> void {
+    if (self.m_configuration || self.m_settings.m_seeds.empty()) {
+        return;
+    }
+    const auto& seeds = self.m_settings.m_seeds;
+    const auto seed = net::parse_endpoint(seeds[self.m_random() % seeds.size()]);
+    const auto again = [&self] {
+        self.m_loop.after(internal::seed_pause, [&self] { ask_seeds(self); });
+    };
+    if (!seed) {
+        again();
+        return;
+    }
+    net::call_limits limits{};
+    limits.m_total_time = internal::seed_pause;
+    limits.m_connect_time = internal::seed_pause;
+    net::http_request ask{};
+    ask.m_target = "/state";
+    self.m_http.fetch(*seed, std::move(ask), limits,
+                      [&self, again](const net::call_end&, const net::http_response& got) {
+                          constexpr std::uint16_t ok = 200U;
+                          wire::fleet::State state{};
+                          if (got.m_status == ok && state.ParseFromString(got.m_body)) {
+                              accept_state(self, state, "seed");
+                          }
+                          again();
+                      });
+}
+
+} // namespace rhubarbwharf::node
--- /dev/null
+++ b/src/node/wire.cpp
@@ -0,0 +1,97 @@
+#include <node/wire.hpp>
+
+namespace rhubarbwharf::node {
+
+namespace internal {
+
+namespace {
+
+[[nodiscard]] auto written(const net::endpoint& value) -> std::string {
+    return value.m_port == 0U ? std::string{} : net::to_string(value);
+}
+
+[[nodiscard]] auto read(const std::string& value) -> net::endpoint {
+    return net::parse_endpoint(value).value_or(net::endpoint{});
+}
+
+} // namespace
+
+} // namespace internal
+
+auto to_wire(const fleet::member& value, wire::fleet::Member& out) -> void {
+    out.set_instance(value.m_instance);
+    out.set_region(value.m_region);
+    out.set_data_centre(value.m_data_centre);
+    out.set_incarnation(value.m_incarnation);
+    out.set_callers(internal::written(value.m_callers));
+    out.set_bus(internal::written(value.m_bus));
+    out.set_bulk(internal::written(value.m_bulk));
+    out.set_service(value.m_service);
+}
+
+auto from_wire(const wire::fleet::Member& value) -> fleet::member {
+    fleet::member out{};
+    out.m_instance = value.instance();
+    out.m_region = value.region();
+    out.m_data_centre = value.data_centre();
+    out.m_incarnation = value.incarnation();
+    out.m_callers = internal::read(value.callers());
+    out.m_bus = internal::read(value.bus());
+    out.m_bulk = internal::read(value.bulk());
+    out.m_service = value.service();
+    return out;
+}
+
+auto to_wire(const std::vector<fleet::held_model>& models,
+             google::protobuf::RepeatedPtrField<wire::fleet::HeldModel>& out) -> void {
+    for (const auto& each : models) {
+        auto* const made = out.Add();
+        made->set_name(each.m_name);
+        made->set_version(each.m_version);
+        made->set_layers_and_one(each.m_layers ? *each.m_layers + 1U : 0U);
+    }
+}
+
+auto from_wire(const google::protobuf::RepeatedPtrField<wire::fleet::HeldModel>& models)
+    -> std::vector<fleet::held_model> {
+    std::vector<fleet::held_model> out{};
+    for (const auto& each : models) {
+        fleet::held_model made{each.name(), each.version(), std::nullopt};
+        if (each.layers_and_one() != 0U) {
+            made.m_layers = each.layers_and_one() - 1U;
+        }
+        out.push_back(std::move(made));
+    }
+    return out;
+}
+
+auto to_wire(const fleet::backend_server& value, wire::fleet::Server& out) -> void {
+    out.set_id(value.m_id);
+    out.set_started(value.m_started);
+    out.set_service(value.m_service);
+    out.set_address(net::to_string(value.m_address));
+    out.set_data_centre(value.m_data_centre);
+    out.set_slots(value.m_slots);
+    out.set_draining(value.m_draining);
+    out.set_cold_ms(
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value.m_cold).count()));
+    to_wire(value.m_models, *out.mutable_models());
+    out.set_revision(value.m_revision);
+}
+
+auto from_wire(const wire::fleet::Server& value) -> fleet::backend_server {
+    fleet::backend_server out{};
+    out.m_id = value.id();
+    out.m_started = value.started();
+    out.m_service = value.service();
+    out.m_address = internal::read(value.address());
+    out.m_data_centre = value.data_centre();
+    out.m_slots = value.slots();
+    out.m_draining = value.draining();
+    out.m_cold = std::chrono::milliseconds{value.cold_ms()};
+    out.m_models = from_wire(value.models());
+    out.m_revision = value.revision();
+    return out;
+}
+
+} // namespace rhubarbwharf::node
