--- a/include/rhubarbwharf/config/node.hpp
+++ b/include/rhubarbwharf/config/node.hpp
@@ -30,7 +30,7 @@
 struct store_settings {
     std::string m_address{};
     std::uint32_t m_call_ms{1'000};
-    std::uint32_t m_lease_ms{6'000};
+    std::uint32_t m_lease_ms{20'000};
     std::uint32_t m_watch_ms{20'000};
 };
 
--- a/include/rhubarbwharf/dispatch/choice.hpp
+++ b/include/rhubarbwharf/dispatch/choice.hpp
@@ -39,6 +39,8 @@
     double m_others_waiting{};
     /*! @brief When the last report came; the epoch if none has. */
     time_point m_reported{};
+    /*! @brief When it last refused a request for want of room. */
+    time_point m_refused{};
     /*! @brief Whether it is loading weights, and so begins nothing new. */
     bool m_busy{false};
     /*! @brief Its times over the usual ones. */
@@ -66,13 +68,18 @@
 struct choice_limits {
     std::string_view m_data_centre{};
     /*! @brief Added to the predicted time of a backend server in another data centre, in ms. */
-    double m_far_ms{6.0};
+    double m_far_ms{15.0};
     /*! @brief Requests beyond its slots that a backend server may hold. */
     double m_beyond_slots{1.0};
     /*! @brief Spread added to each prediction, so that gateways with the same reports choose differently, in ms. */
     double m_spread_ms{8.0};
 };
 
+/*! @brief Age of a report from which its backend server may be cut off or down: three reports missed. */
+inline constexpr duration silent_report_time = std::chrono::milliseconds{1'400};
+/*! @brief Added to the predicted time of a backend server whose reports have stopped, in ms. */
+inline constexpr double silent_ms = 400.0;
+
 /*! @brief Backend server chosen, and why. */
 struct choice {
     std::size_t m_index{};
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -76,6 +76,8 @@
     duration m_request_time{std::chrono::seconds{10}};
     /*! @brief Time that an idle connection is kept. */
     duration m_idle_time{std::chrono::seconds{60}};
+    /*! @brief Whether a client that has ended its sending side still gets its response; else it counts as gone. */
+    bool m_half_close{true};
     /*! @brief Bytes that may wait for a slow reader before its connection is cut. */
     std::size_t m_send_queue_bytes{std::size_t{1024} * 1024U};
 };
@@ -197,6 +199,8 @@
     duration m_connect_time{std::chrono::seconds{2}};
     /*! @brief A kept connection that has been idle for longer is not used for this call. */
     duration m_kept_time{std::chrono::seconds{20}};
+    /*! @brief Whether the connection is kept for later calls. */
+    bool m_keep{true};
     /*! @brief Field that the response must repeat unchanged if it has it; a response with another value answers an
      * earlier request and is skipped. An empty name checks nothing. */
     header m_echo{};
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -66,7 +66,8 @@
         const auto spread = static_cast<double>(random >> (64U - spread_bits)) / steps * limits.m_spread_ms;
         const auto crowding = engine == nullptr ? 0.0 : load(row) * engine->m_step_ms;
         const auto far = row.m_data_centre == limits.m_data_centre ? 0.0 : limits.m_far_ms;
-        const auto score = first + crowding + far + spread;
+        const auto silent = row.m_reported != time_point{} && now - row.m_reported > silent_report_time ? silent_ms : 0.0;
+        const auto score = first + crowding + far + spread + silent;
         if (!best || score < best_score) {
             best = choice{index, first, load(row)};
             best_score = score;
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -31,9 +31,13 @@
     self.m_backends.erase(found);
 }
 
-auto on_load(daemon& self, const wire::fleet::Load& news) -> void {
-    node::note_member(self.m_core, node::from_wire(news.self()), false);
-    self.m_core.m_members[news.self().instance()].m_heard = steady_now();
+auto on_load(daemon& self, const std::string_view from, const wire::fleet::Load& news) -> void {
+    if (news.has_self()) {
+        node::note_member(self.m_core, node::from_wire(news.self()), false);
+    }
+    if (const auto sender = self.m_core.m_members.find(from); sender != self.m_core.m_members.end()) {
+        sender->second.m_heard = steady_now();
+    }
     const auto address = net::parse_endpoint(news.address());
     const auto is_same = [&](const auto& each) {
         return address && each.second->m_address == *address && each.second->m_started == news.started();
@@ -47,7 +51,7 @@
     row.m_others = std::max(0.0, held - static_cast<double>(row.m_own));
     row.m_others_waiting = std::max(0.0, std::min(row.m_others, static_cast<double>(news.waiting())));
     row.m_models = node::from_wire(news.models());
-    row.m_busy = news.busy();
+    row.m_busy = news.busy() || !news.alive();
     row.m_pace = news.pace();
     row.m_reported = steady_now();
     pump(self, row.m_service);
@@ -111,7 +115,7 @@
 
 auto on_frame(daemon& self, const std::string_view from, const wire::fleet::Frame& frame) -> void {
     if (frame.has_load()) {
-        internal::on_load(self, frame.load());
+        internal::on_load(self, from, frame.load());
     } else if (frame.has_blame()) {
         internal::on_blame(self, from, frame.blame());
     }
--- a/src/gateway/place.cpp
+++ b/src/gateway/place.cpp
@@ -16,6 +16,11 @@
 /*! @brief Least and most time that a refused caller is told to wait. */
 constexpr duration least_return = std::chrono::milliseconds{80};
 constexpr duration most_return = std::chrono::milliseconds{1'500};
+/*! @brief Time without an event after which a caller gives a stream up: this at least, or so many times the route's
+ * target, or so many times its longest pause. */
+constexpr duration least_patience = std::chrono::seconds{2};
+constexpr int patience_in_targets = 4;
+constexpr int patience_in_pauses = 8;
 /*! @brief Share of the caller's time after which it no longer waits as told. */
 constexpr int honoured_part = 3;
 
@@ -78,6 +83,11 @@
     out.m_since = item.m_arrived;
     out.m_useful_until = item.m_target - first;
     out.m_until = out.m_useful_until > item.m_arrived ? out.m_useful_until : item.m_deadline - whole;
+    if (item.m_route->m_streams) {
+        const auto patience = std::max({least_patience, item.m_route->m_target * patience_in_targets,
+                                        item.m_route->m_gap * patience_in_pauses});
+        out.m_until = std::min<time_point>(out.m_until, item.m_arrived + patience - first);
+    }
     return out;
 }
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -105,6 +105,16 @@
     forget(self, item, status, "answered");
 }
 
+/*! @brief Takes over what a refusal tells: the model is not held, or there is no room until the next report. */
+auto note_refusal(dispatch::backend& row, const std::uint16_t status) -> void {
+    if (status == status_misdirected) {
+        row.m_models.clear();
+    } else {
+        row.m_others = std::max(row.m_others, static_cast<double>(row.m_slots) + 1.0);
+        row.m_refused = steady_now();
+    }
+}
+
 /*! @brief Judges an answer that came whole: passes it on, or has the request repeated. */
 auto judge(daemon& self, const std::shared_ptr<exchange>& item) -> void {
     auto& made = *item->m_attempt;
@@ -112,6 +122,7 @@
     auto& health = made.m_backend->m_health;
     if (is_not_run(*made.m_head)) {
         dispatch::release(health);
+        note_refusal(*made.m_backend, status);
         retry_or_end(self, item, {true, true, status == status_misdirected ? "misdirected" : "the server is full"});
         return;
     }
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -36,7 +36,17 @@
 
 auto apply_configuration(daemon& self) -> void {
     const auto& known = *self.m_core.m_configuration;
-    self.m_callers.set_limits(known.m_limits);
+    auto limits = known.m_limits;
+    limits.m_half_close = false;
+    self.m_callers.set_limits(limits);
+}
+
+/*! @brief Divides the budget of repeats among the gateways that are known. */
+auto share_budget(daemon& self) -> void {
+    if (!self.m_core.m_configuration) {
+        return;
+    }
+    const auto& known = *self.m_core.m_configuration;
     const auto gateways = static_cast<double>(
         std::max<std::ptrdiff_t>(1, std::ranges::count_if(self.m_core.m_members, [](const auto& each) {
                                      return each.second.m_member.is_gateway();
@@ -114,9 +124,6 @@
     if (const auto address = net::parse_endpoint(fresh->m_store.m_address)) {
         core.m_store.set_address(*address);
     }
-    if (core.m_configuration) {
-        apply_configuration(self);
-    }
     core.m_events.write("settings.reloaded", {{"store", fresh->m_store.m_address}});
 }
 
@@ -177,7 +184,10 @@
     }
     auto& loop = self.m_core.m_loop;
     loop.every(tick_period, [&self] { internal::tick(self); });
-    loop.every(pulse_period, [&self] { node::pulse(self.m_core); });
+    loop.every(pulse_period, [&self] {
+        node::pulse(self.m_core);
+        internal::share_budget(self);
+    });
     loop.on_stop_signal([&self](const int count) { internal::on_stop(self, count); });
     loop.on_reload_signal([&self] { internal::reload(self); });
     self.m_core.m_events.write("gateway.started",
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -39,7 +39,10 @@
     time_point m_wanted_since{};
     stage m_stage{stage::settled};
     std::optional<adapter::manifest> m_manifest{};
+    /*! @brief Manifest as it came, for other loaders. */
+    std::string m_manifest_text{};
     bool m_manifest_asked{false};
+    unsigned m_manifest_tries{};
     std::vector<piece_state> m_pieces{};
     /*! @brief Whether what lay staged at the start has been looked at. */
     bool m_staged_read{false};
@@ -69,6 +72,7 @@
     bool m_report_asked{false};
     bool m_alive{false};
     time_point m_told{};
+    time_point m_introduced{};
     std::string m_told_text{};
 };
 
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -42,6 +42,14 @@
     return out;
 }
 
+/*! @brief Limits of a call to the origin, which takes few connections: none is kept. */
+[[nodiscard]] auto origin_limits() -> net::call_limits {
+    net::call_limits out{};
+    out.m_total_time = piece_time;
+    out.m_keep = false;
+    return out;
+}
+
 auto refresh_peers(daemon& self, model_state& model) -> void {
     std::vector<peer> fresh{};
     for (const auto& [name, row] : self.m_core.m_members) {
@@ -105,37 +113,58 @@
     }
 }
 
+/*! @brief Takes a manifest over, or asks again after a pause. */
+auto on_manifest(daemon& self, const std::string& name, const std::uint64_t version, net::http_response got) -> void {
+    auto* const current = find_model(self, name, version);
+    if (current == nullptr) {
+        return;
+    }
+    auto read = got.m_status == status_ok ? adapter::decode_manifest(got.m_body) : std::nullopt;
+    if (!read || read->m_version != version) {
+        const auto pause = ask_period + std::chrono::milliseconds{self.m_core.m_random() % 200U};
+        self.m_core.m_loop.after(pause, [&self, name, version] {
+            if (auto* const again = find_model(self, name, version)) {
+                again->m_manifest_asked = false;
+            }
+        });
+        return;
+    }
+    self.m_core.m_events.write("manifest.read", {{"model", name},
+                                                 {"version", static_cast<std::int64_t>(version)},
+                                                 {"tries", static_cast<std::int64_t>(current->m_manifest_tries)}});
+    current->m_spoilt = 0U;
+    current->m_pieces.resize(read->m_pieces.size(), piece_state::missing);
+    current->m_manifest = std::move(read);
+    current->m_manifest_text = std::move(got.m_body);
+    advance(self);
+}
+
+/*! @brief Asks for the manifest: the origin and a peer by turns. */
 auto ask_manifest(daemon& self, model_state& model) -> void {
     const auto* const from = self.m_core.m_configuration ? fleet::find_origin(*self.m_core.m_configuration) : nullptr;
-    if (model.m_manifest_asked || from == nullptr) {
+    if (model.m_manifest_asked) {
+        return;
+    }
+    const auto turn = model.m_manifest_tries++;
+    const auto ask_a_peer = !model.m_peers.empty() && (from == nullptr || turn % 2U == 1U);
+    if (!ask_a_peer && from == nullptr) {
         return;
     }
     model.m_manifest_asked = true;
-    net::call_limits limits{};
-    limits.m_total_time = piece_time;
+    auto ask = adapter::encode_manifest_call(model.m_name, model.m_version);
+    auto limits = origin_limits();
+    auto where = from == nullptr ? net::endpoint{} : from->m_address;
+    if (ask_a_peer) {
+        ask = net::http_request{};
+        ask.m_target = peer_target("manifest", model);
+        const auto& name = model.m_peers[self.m_core.m_random() % model.m_peers.size()].m_instance;
+        where = self.m_core.m_members[name].m_member.m_bulk;
+        limits.m_total_time = ask_time;
+    }
     self.m_core.m_http.fetch(
-        from->m_address, adapter::encode_manifest_call(model.m_name, model.m_version), limits,
-        [&self, name = model.m_name, version = model.m_version](const net::call_end&, const net::http_response& got) {
-            auto* const current = find_model(self, name, version);
-            if (current == nullptr) {
-                return;
-            }
-            auto read = got.m_status == status_ok ? adapter::decode_manifest(got.m_body) : std::nullopt;
-            if (!read || read->m_version != version) {
-                self.m_core.m_events.write("manifest.failed", {{"model", name},
-                                                               {"version", static_cast<std::int64_t>(version)},
-                                                               {"status", static_cast<std::int64_t>(got.m_status)}});
-                self.m_core.m_loop.after(ask_period, [&self, name, version] {
-                    if (auto* const again = find_model(self, name, version)) {
-                        again->m_manifest_asked = false;
-                    }
-                });
-                return;
-            }
-            current->m_spoilt = 0U;
-            current->m_pieces.resize(read->m_pieces.size(), piece_state::missing);
-            current->m_manifest = std::move(read);
-            advance(self);
+        where, std::move(ask), limits,
+        [&self, name = model.m_name, version = model.m_version](const net::call_end&, net::http_response got) {
+            on_manifest(self, name, version, std::move(got));
         });
 }
 
@@ -219,8 +248,8 @@
     }
     ++model.m_fetches;
     model.m_pieces[piece] = piece_state::fetching;
-    net::call_limits limits{};
-    limits.m_total_time = piece_time;
+    auto limits = origin_limits();
+    limits.m_keep = chosen.m_peer.has_value();
     self.m_core.m_http.fetch(where, std::move(ask), limits,
                              [&self, name = model.m_name, version = model.m_version, piece,
                               from](const net::call_end&, net::http_response got) {
@@ -239,11 +268,11 @@
     if (model.m_stage != stage::fetching) {
         return;
     }
+    internal::refresh_peers(self, model);
     internal::ask_manifest(self, model);
     if (!model.m_manifest || !model.m_staged_read) {
         return;
     }
-    internal::refresh_peers(self, model);
     internal::ask_peers(self, model, now);
     const auto* const origin = fleet::find_origin(*self.m_core.m_configuration);
     const auto age = now - model.m_wanted_since;
@@ -422,6 +451,14 @@
         answer->respond({internal::status_ok, headers, {}});
         return;
     }
+    if (incoming.m_target.starts_with("/manifest")) {
+        if (model.m_manifest_text.empty()) {
+            refuse();
+        } else {
+            answer->respond({internal::status_ok, headers, model.m_manifest_text});
+        }
+        return;
+    }
     const auto text = adapter::query_value(incoming.m_target, "index");
     const auto piece = text.empty() ? bits.size() : static_cast<std::size_t>(std::strtoull(text.c_str(), nullptr, 10));
     if (piece >= bits.size() || bits[piece] != internal::bit_set) {
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -15,6 +15,8 @@
 constexpr int status_no_listener = 1;
 /*! @brief Time after which unchanged news is told again: half of the age at which a gateway falls back on the store. */
 constexpr duration repeat_time = std::chrono::milliseconds{450};
+/*! @brief Time between words of who this loader is; the store tells the same. */
+constexpr duration introduction_time = std::chrono::seconds{2};
 /*! @brief Time for a call to the runner on this machine. */
 constexpr duration local_time = std::chrono::milliseconds{1'500};
 /*! @brief Time over which the runners of a service take a new version one after the other. */
@@ -177,7 +179,6 @@
     }
     wire::fleet::Frame frame{};
     auto& news = *frame.mutable_load();
-    node::to_wire(self.m_core.m_self, *news.mutable_self());
     news.set_address(net::to_string(self.m_runner));
     news.set_started(self.m_report.m_started);
     news.set_waiting(self.m_report.m_waiting);
@@ -191,6 +192,10 @@
     if (!at_once && text == self.m_told_text && now - self.m_told < internal::repeat_time) {
         return;
     }
+    if (now - self.m_introduced >= internal::introduction_time) {
+        self.m_introduced = now;
+        node::to_wire(self.m_core.m_self, *news.mutable_self());
+    }
     self.m_told = now;
     self.m_told_text = std::move(text);
     node::send_to_gateways(self.m_core, frame);
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -223,7 +223,7 @@
 auto client_call::finish() -> void {
     const auto on = m_connection;
     const auto whole_exchange = m_request.size() == 0U && on->m_input.size() == 0U;
-    if (whole_exchange && !m_parser->need_eof() && m_parser->keep_alive()) {
+    if (whole_exchange && m_limits.m_keep && !m_parser->need_eof() && m_parser->keep_alive()) {
         m_connection = nullptr;
         m_owner->keep(m_server, on, m_kept_time);
     }
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -15,6 +15,10 @@
 /*! @brief Time before a version's time limit from which requests keep to it: it covers the way to the runner and a
  * wait in its queue. */
 constexpr duration version_margin = std::chrono::milliseconds{1'200};
+/*! @brief Pause between words of backend servers: a seventh of the time in which a leaving one must get nothing new. */
+constexpr duration server_gather = std::chrono::milliseconds{300};
+/*! @brief Pause between words of members; their own heartbeats tell of them sooner. */
+constexpr duration member_gather = std::chrono::milliseconds{1'000};
 /*! @brief Messages that may wait for one peer; a few seconds of pulses and reports. */
 constexpr int queue_messages = 256;
 constexpr duration bus_heartbeat = std::chrono::seconds{2};
@@ -135,7 +139,7 @@
 }
 
 /*! @brief Makes a follower whose handlers live as long as the core. */
-[[nodiscard]] auto follow(core& self, const std::string_view prefix,
+[[nodiscard]] auto follow(core& self, const std::string_view prefix, const duration gather,
                           std::function<void(std::vector<adapter::item>, std::uint64_t)> on_list,
                           std::function<void(adapter::item)> on_change) -> std::shared_ptr<follower> {
     follower_handlers handlers{};
@@ -145,13 +149,13 @@
         note_contact(self, prefix, there);
     };
     const auto wait = std::chrono::milliseconds{self.m_settings.m_store.m_watch_ms};
-    return std::make_shared<follower>(self.m_loop, self.m_store, std::string{prefix}, wait, self.m_random(),
+    return std::make_shared<follower>(self.m_loop, self.m_store, std::string{prefix}, wait, gather, self.m_random(),
                                       std::move(handlers));
 }
 
 auto follow_store(core& self) -> void {
     self.m_operators = follow(
-        self, adapter::key::operators,
+        self, adapter::key::operators, duration::zero(),
         [&self](const std::vector<adapter::item>& rows, std::uint64_t) {
             for (const auto& each : rows) {
                 on_operator_item(self, each);
@@ -159,12 +163,12 @@
         },
         [&self](const adapter::item& got) { on_operator_item(self, got); });
     self.m_member_entries = follow(
-        self, adapter::key::members,
+        self, adapter::key::members, member_gather,
         [&self](const std::vector<adapter::item>& rows, std::uint64_t) { on_member_list(self, rows); },
         [&self](const adapter::item& got) { on_member_item(self, got); });
     if (self.m_follows_servers) {
         self.m_server_entries = follow(
-            self, adapter::key::servers,
+            self, adapter::key::servers, server_gather,
             [&self](const std::vector<adapter::item>& rows, const std::uint64_t revision) {
                 on_server_list(self, rows, revision);
             },
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -17,9 +17,9 @@
 
 } // namespace internal
 
-follower::follower(net::loop& owner, adapter::store& store, std::string prefix, const duration wait,
+follower::follower(net::loop& owner, adapter::store& store, std::string prefix, const duration wait, const duration gather,
                    const std::uint64_t seed, follower_handlers handlers)
-    : m_loop{owner}, m_store{store}, m_prefix{std::move(prefix)}, m_wait{wait}, m_random{seed}, m_handlers{std::move(
+    : m_loop{owner}, m_store{store}, m_prefix{std::move(prefix)}, m_wait{wait}, m_gather{gather}, m_random{seed}, m_handlers{std::move(
                                                                                                     handlers)} {}
 
 auto follower::start() -> void {
@@ -134,9 +134,18 @@
     for (auto& each : got.m_items) {
         m_handlers.m_on_change(std::move(each));
     }
-    if (!m_stopped) {
+    if (m_stopped) {
+        return;
+    }
+    if (got.m_items.empty() || m_gather == duration::zero()) {
         watch();
+        return;
     }
+    m_loop.after(m_gather, [self = shared_from_this(), round = m_round] {
+        if (!self->m_stopped && self->m_round == round) {
+            self->watch();
+        }
+    });
 }
 
 } // namespace rhubarbwharf::node
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -38,10 +38,12 @@
      * @param store The store; outlives the follower.
      * @param prefix The prefix.
      * @param wait Longest wait of one watch.
+     * @param gather Pause after changes, so that those that come together are told in one call.
      * @param seed Seed of the jitter.
      * @param handlers What is called.
      */
-    follower(net::loop& owner, adapter::store& store, std::string prefix, duration wait, std::uint64_t seed,
+    follower(net::loop& owner, adapter::store& store, std::string prefix, duration wait, duration gather,
+             std::uint64_t seed,
              follower_handlers handlers);
 
     /*! @brief Begins with a listing. */
@@ -68,6 +70,7 @@
     adapter::store& m_store;
     std::string m_prefix{};
     duration m_wait{};
+    duration m_gather{};
     std::mt19937_64 m_random;
     follower_handlers m_handlers{};
     std::vector<adapter::item> m_listed{};
