--- a/include/rhubarbwharf/dispatch/choice.hpp
+++ b/include/rhubarbwharf/dispatch/choice.hpp
@@ -29,6 +29,8 @@
     /*! @brief Whether it has left the list; kept until the own requests there have ended. */
     bool m_gone{false};
     std::vector<fleet::held_model> m_models{};
+    /*! @brief Requests that this gateway may have there when its slots run short. */
+    double m_quota{};
     /*! @brief Own requests in progress there. */
     unsigned m_own{};
     /*! @brief Own prompt tokens sent there whose answer has not begun. */
@@ -69,8 +71,10 @@
     std::string_view m_data_centre{};
     /*! @brief Added to the predicted time of a backend server in another data centre, in ms. */
     double m_far_ms{15.0};
-    /*! @brief Requests beyond its slots that a backend server may hold. */
-    double m_beyond_slots{1.0};
+    /*! @brief Requests beyond its slots that a backend server may hold, by reports that lag. */
+    double m_beyond_slots{2.0};
+    /*! @brief Slots of a backend server that are filled by quota alone. */
+    double m_reserve{3.0};
     /*! @brief Spread added to each prediction, so that gateways with the same reports choose differently, in ms. */
     double m_spread_ms{8.0};
 };
--- a/include/rhubarbwharf/dispatch/wait.hpp
+++ b/include/rhubarbwharf/dispatch/wait.hpp
@@ -38,13 +38,21 @@
 [[nodiscard]] auto rate(const wait_queue& queue, time_point now) noexcept -> double;
 
 /**
- * @brief Estimates how long a request would wait behind those of its rank and of higher ones.
+ * @brief Estimates how long a request would wait behind those that `order` puts before it.
  * @param queue The queue.
- * @param priority Its rank.
+ * @param wanted The request.
  * @param now The time.
  * @return The time; no more than `longest_estimate`.
  */
-[[nodiscard]] auto expected_wait(const wait_queue& queue, unsigned priority, time_point now) noexcept -> duration;
+[[nodiscard]] auto expected_wait(const wait_queue& queue, const waiting& wanted, time_point now) noexcept -> duration;
+
+/*! @brief Longest wait of a request that can no longer be on time, as one that came back after a refusal: it yields to
+ * all that still can, so that in overload it would wait without end. */
+inline constexpr duration late_wait = std::chrono::milliseconds{600};
+
+/*! @brief Share of the time in which a request can be sent usefully that the wait expected at its arrival may take: a
+ * line that fills this time whole makes every answer late as soon as the estimate errs. */
+inline constexpr double wait_share = 0.6;
 
 /*! @brief Longest wait that is told apart from "never". */
 inline constexpr duration longest_estimate = std::chrono::seconds{10};
--- a/include/rhubarbwharf/fleet/member.hpp
+++ b/include/rhubarbwharf/fleet/member.hpp
@@ -39,6 +39,8 @@
     time_point m_heard{};
     bool m_ready{true};
     bool m_leaving{false};
+    /*! @brief Requests a second that reach it, by its own word; gateways only. */
+    double m_demand{};
 };
 
 /*! @brief Members by instance name. */
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -48,7 +48,9 @@
 }
 
 auto has_room(const backend& row, const choice_limits& limits) noexcept -> bool {
-    return load(row) < static_cast<double>(row.m_slots) + limits.m_beyond_slots;
+    const auto slots = static_cast<double>(row.m_slots);
+    const auto held = load(row);
+    return held < slots - limits.m_reserve || (row.m_own < row.m_quota && held < slots + limits.m_beyond_slots);
 }
 
 auto choose(const std::span<const backend* const> rows, const fleet::engine* const engine, const demand& wanted,
--- a/src/dispatch/wait.cpp
+++ b/src/dispatch/wait.cpp
@@ -27,18 +27,23 @@
     queue.m_rate_at = now;
 }
 
-auto expected_wait(const wait_queue& queue, const unsigned priority, const time_point now) noexcept -> duration {
-    const auto ahead =
-        std::ranges::count_if(queue.m_rows, [priority](const waiting& each) { return each.m_priority <= priority; });
+auto expected_wait(const wait_queue& queue, const waiting& wanted, const time_point now) noexcept -> duration {
+    const auto late = wanted.m_useful_until <= now;
+    const auto ahead = std::ranges::count_if(queue.m_rows, [&](const waiting& each) {
+        return each.m_priority < wanted.m_priority ||
+               (each.m_priority == wanted.m_priority && (late || each.m_useful_until > now));
+    });
     const auto wait = static_cast<double>(ahead) / std::max(least_rate, rate(queue, now));
     const auto most = seconds(longest_estimate);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>{std::min(wait, most)});
 }
 
 auto refuse_after(const wait_queue& queue, const waiting& wanted, const time_point now) -> std::optional<duration> {
-    const auto wait = expected_wait(queue, wanted.m_priority, now);
-    const auto usable = wanted.m_useful_until > now ? wanted.m_useful_until : wanted.m_until;
-    if (now + wait <= usable) {
+    const auto wait = expected_wait(queue, wanted, now);
+    const auto late = wanted.m_useful_until <= now;
+    const auto left = late ? std::min<duration>(wanted.m_until - now, late_wait) : wanted.m_useful_until - now;
+    const auto room = std::chrono::duration_cast<duration>(left * wait_share);
+    if (wait <= room) {
         return std::nullopt;
     }
     return wait;
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -4,6 +4,7 @@
 #include <fleet.pb.h>
 #include <gateway/daemon.hpp>
 #include <node/wire.hpp>
+#include <rhubarbwharf/dispatch/quota.hpp>
 
 namespace rhubarbwharf::gateway {
 
@@ -97,6 +98,31 @@
     pump(self, row.m_service);
 }
 
+auto assign_quotas(daemon& self) -> void {
+    const auto now = steady_now();
+    std::vector<dispatch::quota_gateway> gateways{};
+    for (const auto& [name, row] : self.m_core.m_members) {
+        const auto takes_traffic = row.m_member.is_gateway() && row.m_ready && !row.m_leaving;
+        if (takes_traffic && now - row.m_heard <= fleet::silent_time) {
+            gateways.push_back({name, row.m_member.m_data_centre, row.m_demand});
+        }
+    }
+    for (auto& [service, state] : self.m_services) {
+        std::vector<dispatch::backend*> rows{};
+        std::vector<dispatch::quota_server> servers{};
+        for (const auto& each : state.m_backends) {
+            if (!each->m_draining && !each->m_busy) {
+                rows.push_back(each.get());
+                servers.push_back({each->m_id, each->m_data_centre, static_cast<double>(each->m_slots)});
+            }
+        }
+        const auto shares = dispatch::quotas(self.m_core.m_self.m_instance, gateways, servers);
+        for (std::size_t index = 0U; index < rows.size(); ++index) {
+            rows[index]->m_quota = shares[index];
+        }
+    }
+}
+
 auto service_failure_rate(const daemon& self, const dispatch::backend& row) -> double {
     const auto found = self.m_services.find(row.m_service);
     if (found == self.m_services.end()) {
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -184,6 +184,7 @@
     }
     internal::fill(*item, std::move(incoming));
     item->m_id = request_id{++self.m_last_request};
+    ++self.m_arrivals;
     item->m_answer = std::move(answer);
     self.m_exchanges.emplace(item->m_id, item);
     item->m_answer->on_close([&self, item] {
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -104,6 +104,8 @@
     std::unordered_map<request_id, std::shared_ptr<exchange>> m_exchanges{};
     routing::quarantine m_quarantine{};
     std::uint64_t m_last_request{};
+    /*! @brief Requests since the last look at the demand. */
+    std::uint64_t m_arrivals{};
     time_point m_left{};
     bool m_closed{false};
 };
@@ -116,6 +118,10 @@
  * @param item The exchange. */
 auto place(daemon& self, const std::shared_ptr<exchange>& item) -> void;
 
+/*! @brief Tells whether a backend server that an exchange was not sent to has room. @param self The gateway.
+ * @param item The exchange. @param now The time. @return Whether one has. */
+[[nodiscard]] auto has_room_elsewhere(daemon& self, const exchange& item, time_point now) -> bool;
+
 /*! @brief Sends those that wait for a service, as far as there is room. @param self The gateway. @param name The
  * service. */
 auto pump(daemon& self, std::string_view name) -> void;
@@ -172,6 +178,9 @@
 /*! @brief Brings the row of one backend server up to what the core knows. @param self The gateway. @param id It. */
 auto refresh_backend(daemon& self, const std::string& id) -> void;
 
+/*! @brief Works the quotas out anew, as gateways, backend servers and demand change. @param self The gateway. */
+auto assign_quotas(daemon& self) -> void;
+
 /*! @brief Takes frames over that concern gateways alone. @param self The gateway. @param from The peer.
  * @param frame The frame. */
 auto on_frame(daemon& self, std::string_view from, const wire::fleet::Frame& frame) -> void;
--- a/src/gateway/ends.cpp
+++ b/src/gateway/ends.cpp
@@ -13,8 +13,8 @@
 constexpr duration blame_time = std::chrono::seconds{120};
 /*! @brief Time without an event after which a stream that can go on elsewhere does so. */
 constexpr duration longest_pause = std::chrono::milliseconds{1'100};
-/*! @brief Time without an answer, over the route's target, after which a request is sent elsewhere as well. */
-constexpr double late_factor = 1.5;
+/*! @brief Time without an answer beyond the route's target after which a request is sent elsewhere instead. */
+constexpr duration late_patience = std::chrono::milliseconds{500};
 /*! @brief Time without an answer after which a plain service's request is sent elsewhere. */
 constexpr duration plain_patience = std::chrono::milliseconds{180};
 
@@ -58,14 +58,15 @@
         return;
     }
     const auto since = now - std::max(item->m_last_event, made.m_sent);
-    const auto target = std::chrono::duration_cast<duration>(item->m_route->m_target * late_factor);
+    const auto target = item->m_route->m_target + late_patience;
     const auto patience = item->m_started ? longest_pause : (item->m_service->m_engine ? target : plain_patience);
     const auto waits = item->m_started ? made.m_is_stream : !made.m_head;
     if (since < patience || (!waits && !item->m_started)) {
         return;
     }
     auto& row = *item->m_attempt->m_backend;
-    if (!dispatch::take_repeat(self.m_services[item->m_service->m_name].m_budget, now)) {
+    if (!has_room_elsewhere(self, *item, now) ||
+        !dispatch::take_repeat(self.m_services[item->m_service->m_name].m_budget, now)) {
         item->m_last_event = now;
         return;
     }
--- a/src/gateway/place.cpp
+++ b/src/gateway/place.cpp
@@ -45,6 +45,7 @@
     out.m_data_centre = self.m_core.m_self.m_data_centre;
     if (!item.m_service->m_engine) {
         out.m_beyond_slots = plain_queue;
+        out.m_reserve = -plain_queue;
     }
     return out;
 }
@@ -82,7 +83,8 @@
     out.m_priority = item.m_priority;
     out.m_since = item.m_arrived;
     out.m_useful_until = item.m_target - first;
-    out.m_until = out.m_useful_until > item.m_arrived ? out.m_useful_until : item.m_deadline - whole;
+    const auto late_until = std::min<time_point>(item.m_deadline - whole, item.m_arrived + dispatch::late_wait);
+    out.m_until = out.m_useful_until > item.m_arrived ? out.m_useful_until : late_until;
     if (item.m_route->m_streams) {
         const auto patience = std::max({least_patience, item.m_route->m_target * patience_in_targets,
                                         item.m_route->m_gap * patience_in_pauses});
@@ -181,6 +183,10 @@
                                            limits, internal::handlers_for(self, item, made));
 }
 
+auto has_room_elsewhere(daemon& self, const exchange& item, const time_point now) -> bool {
+    return internal::choose_backend(self, item, now).has_value();
+}
+
 auto place(daemon& self, const std::shared_ptr<exchange>& item) -> void {
     const auto now = steady_now();
     auto& state = self.m_services[item->m_service->m_name];
@@ -220,7 +226,7 @@
     for (const auto& each : dispatch::expire(state.m_queue, now)) {
         if (const auto item = self.m_exchanges.find(each.m_request); item != self.m_exchanges.end()) {
             const auto kept = item->second;
-            internal::refuse(self, kept, dispatch::expected_wait(state.m_queue, each.m_priority, now),
+            internal::refuse(self, kept, dispatch::expected_wait(state.m_queue, each, now),
                              "no place came free in time");
         }
     }
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -41,6 +41,14 @@
     self.m_callers.set_limits(limits);
 }
 
+/*! @brief Smooths the requests a second that reach this gateway, for the quotas. */
+auto measure_demand(daemon& self) -> void {
+    constexpr double newest = 0.25;
+    const auto period = std::chrono::duration<double>{pulse_period}.count();
+    const auto now_rate = static_cast<double>(std::exchange(self.m_arrivals, 0U)) / period;
+    self.m_core.m_demand += newest * (now_rate - self.m_core.m_demand);
+}
+
 /*! @brief Divides the budget of repeats among the gateways that are known. */
 auto share_budget(daemon& self) -> void {
     if (!self.m_core.m_configuration) {
@@ -185,8 +193,10 @@
     auto& loop = self.m_core.m_loop;
     loop.every(tick_period, [&self] { internal::tick(self); });
     loop.every(pulse_period, [&self] {
+        internal::measure_demand(self);
         node::pulse(self.m_core);
         internal::share_budget(self);
+        assign_quotas(self);
     });
     loop.on_stop_signal([&self](const int count) { internal::on_stop(self, count); });
     loop.on_reload_signal([&self] { internal::reload(self); });
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -207,7 +207,7 @@
     if (self.m_bus.listen(self.m_self.m_bus) != code::ok) {
         return false;
     }
-    self.m_members[self.m_self.m_instance] = {self.m_self, true, steady_now(), false, false};
+    self.m_members[self.m_self.m_instance] = {self.m_self, true, steady_now(), false, false, 0.0};
     internal::follow_store(self);
     self.m_registration = std::make_shared<registration>(
         self.m_loop, self.m_store, std::string{adapter::key::members} + self.m_self.m_instance,
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -71,6 +71,8 @@
     bool m_store_there{false};
     /*! @brief When the store was last away; the epoch if it never was. */
     time_point m_store_back{};
+    /*! @brief Requests a second that reach this gateway, smoothed. */
+    double m_demand{};
     bool m_ready{false};
     bool m_leaving{false};
     /*! @brief When a whole state was last asked of a peer. */
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -33,6 +33,7 @@
     row.m_heard = steady_now();
     row.m_ready = news.ready();
     row.m_leaving = news.leaving();
+    row.m_demand = news.demand();
     const auto behind = news.configuration() > configuration_version(self) || news.weights() > sum_of_targets(self) ||
                         (self.m_follows_servers && !self.m_store_there && news.servers() > self.m_servers.m_revision);
     if (!behind || steady_now() - self.m_pulled < pull_pause) {
@@ -82,11 +83,13 @@
     own.m_heard = steady_now();
     own.m_ready = self.m_ready;
     own.m_leaving = self.m_leaving;
+    own.m_demand = self.m_demand;
     wire::fleet::Frame frame{};
     auto& news = *frame.mutable_pulse();
     to_wire(self.m_self, *news.mutable_self());
     news.set_ready(self.m_ready);
     news.set_leaving(self.m_leaving);
+    news.set_demand(self.m_demand);
     news.set_configuration(internal::configuration_version(self));
     news.set_weights(internal::sum_of_targets(self));
     news.set_servers(self.m_servers.m_revision);
