Let loaders whose runners hold a version serve it, and tell which pieces are being fetched

Ruled out for version 2 (3.6 to 4.0 s): each link carries a copy in and a copy out, 4.0 s at 9.4 Mbit/s if both share it.

--- a/include/rhubarbwharf/dispatch/choice.hpp
+++ b/include/rhubarbwharf/dispatch/choice.hpp
@@ -73,8 +73,10 @@
     double m_far_ms{15.0};
     /*! @brief Requests beyond its slots that a backend server may hold, by reports that lag. */
     double m_beyond_slots{2.0};
-    /*! @brief Slots of a backend server that are filled by quota alone. */
+    /*! @brief Slots of a backend server that are filled by quota alone; those free beyond them are shared out. */
     double m_reserve{3.0};
+    /*! @brief Gateways that share what is free. */
+    double m_gateways{1.0};
     /*! @brief Spread added to each prediction, so that gateways with the same reports choose differently, in ms. */
     double m_spread_ms{8.0};
 };
@@ -84,6 +86,19 @@
 /*! @brief Added to the predicted time of a backend server whose reports have stopped, in ms. */
 inline constexpr double silent_ms = 400.0;
 
+/*! @brief Passes that go by before the first token of a request that finds a slot: half of the one under way, and its
+ * own. */
+inline constexpr double passes_before_first = 1.5;
+
+/**
+ * @brief Predicts the time of one pass over all running requests. Reading the prompts of those that come and go takes
+ * as long again as writing when all slots are taken.
+ * @param engine How the runner works.
+ * @param held Requests there.
+ * @return The time in ms.
+ */
+[[nodiscard]] auto pass_time(const fleet::engine& engine, double held) noexcept -> double;
+
 /*! @brief Backend server chosen, and why. */
 struct choice {
     std::size_t m_index{};
--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -12,20 +12,20 @@
 
 namespace rhubarbwharf::loader {
 
+/*! @brief What a loader has of one piece. */
+enum class piece_state : std::uint8_t { missing, fetching, held };
+
 /*! @brief Another loader of the same service, and the pieces of the wanted version that it has. */
 struct peer {
     std::string m_instance{};
     std::string m_region{};
-    std::vector<bool> m_has{};
+    std::vector<piece_state> m_has{};
     /*! @brief Fetches from it that are under way. */
     unsigned m_fetches{};
     /*! @brief Until when it is left alone after a failure. */
     time_point m_avoid_until{};
 };
 
-/*! @brief What is known of one piece here. */
-enum class piece_state : std::uint8_t { missing, fetching, held };
-
 /*! @brief Inputs of a plan. */
 struct plan_input {
     std::string_view m_instance{};
@@ -49,9 +49,9 @@
 };
 
 /*! @brief Time that each further loader of a region waits before it brings a piece into the region itself. */
-inline constexpr duration region_stagger = std::chrono::milliseconds{700};
+inline constexpr duration region_stagger = std::chrono::milliseconds{1'200};
 /*! @brief Time that each further region waits before it reads a piece from the origin itself. */
-inline constexpr duration origin_stagger = std::chrono::milliseconds{900};
+inline constexpr duration origin_stagger = std::chrono::milliseconds{1'500};
 /*! @brief Fetches from one peer at a time, so that its link is shared out evenly. */
 inline constexpr unsigned most_fetches_of_peer = 2U;
 
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -27,6 +27,12 @@
     return static_cast<double>(row.m_own) + row.m_others;
 }
 
+auto pass_time(const fleet::engine& engine, const double held) noexcept -> double {
+    const auto slots = static_cast<double>(engine.m_slots);
+    const auto running = std::min(held, slots);
+    return engine.m_stride * (engine.m_step_ms + running * engine.m_request_ms) * (1.0 + running / slots);
+}
+
 auto predict_first(const backend& row, const fleet::engine* const engine, const double prompt) noexcept -> double {
     const auto held = load(row);
     const auto slots = static_cast<double>(row.m_slots);
@@ -38,7 +44,7 @@
     const auto reading = unread / engine->m_read_per_ms;
     const auto whole = engine->m_usual_output * step + engine->m_usual_prompt / engine->m_read_per_ms;
     const auto waits = held < slots ? 0.0 : (held - slots + 1.0) * whole / slots;
-    return row.m_pace * (waits + reading + engine->m_stride * step);
+    return row.m_pace * (waits + reading + passes_before_first * pass_time(*engine, held));
 }
 
 auto is_fit(const backend& row, const demand& wanted, const time_point now) noexcept -> bool {
@@ -50,7 +56,8 @@
 auto has_room(const backend& row, const choice_limits& limits) noexcept -> bool {
     const auto slots = static_cast<double>(row.m_slots);
     const auto held = load(row);
-    return held < slots - limits.m_reserve || (row.m_own < row.m_quota && held < slots + limits.m_beyond_slots);
+    const auto spare = std::max(0.0, slots - limits.m_reserve - held) / std::max(1.0, limits.m_gateways);
+    return row.m_own < row.m_quota + spare && held < slots + limits.m_beyond_slots;
 }
 
 auto choose(const std::span<const backend* const> rows, const fleet::engine* const engine, const demand& wanted,
@@ -68,7 +75,8 @@
         const auto spread = static_cast<double>(random >> (64U - spread_bits)) / steps * limits.m_spread_ms;
         const auto crowding = engine == nullptr ? 0.0 : load(row) * engine->m_step_ms;
         const auto far = row.m_data_centre == limits.m_data_centre ? 0.0 : limits.m_far_ms;
-        const auto silent = row.m_reported != time_point{} && now - row.m_reported > silent_report_time ? silent_ms : 0.0;
+        const auto silent =
+            row.m_reported != time_point{} && now - row.m_reported > silent_report_time ? silent_ms : 0.0;
         const auto score = first + crowding + far + spread + silent;
         if (!best || score < best_score) {
             best = choice{index, first, load(row)};
--- a/src/dispatch/quota.cpp
+++ b/src/dispatch/quota.cpp
@@ -72,7 +72,8 @@
         const auto& place = places[servers[index].m_data_centre];
         const auto is_near = servers[index].m_data_centre == own->m_data_centre;
         const auto of_near = is_near ? near / place.m_slots : 0.0;
-        const auto of_left = left > 0.0 ? (entitled - near) * (place.m_slots - place.local()) / (place.m_slots * left) : 0.0;
+        const auto of_left =
+            left > 0.0 ? (entitled - near) * (place.m_slots - place.local()) / (place.m_slots * left) : 0.0;
         const auto exact = servers[index].m_slots * (of_near + of_left);
         out[index] = std::floor(exact + fraction_of(self, servers[index].m_name));
     }
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -107,6 +107,7 @@
             gateways.push_back({name, row.m_member.m_data_centre, row.m_demand});
         }
     }
+    self.m_gateways = std::max(1.0, static_cast<double>(gateways.size()));
     for (auto& [service, state] : self.m_services) {
         std::vector<dispatch::backend*> rows{};
         std::vector<dispatch::quota_server> servers{};
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -75,6 +75,10 @@
     /*! @brief Whether part of a stream has been passed on. */
     bool m_started{false};
     time_point m_last_event{};
+    /*! @brief Time from the sending of the last attempt to the first byte of its answer. */
+    duration m_first{};
+    /*! @brief Longest pause between events so far. */
+    duration m_longest_pause{};
     std::uint64_t m_version{};
     std::size_t m_event_bytes{};
 };
@@ -104,6 +108,8 @@
     std::unordered_map<request_id, std::shared_ptr<exchange>> m_exchanges{};
     routing::quarantine m_quarantine{};
     std::uint64_t m_last_request{};
+    /*! @brief Gateways that take traffic, this one included. */
+    double m_gateways{1.0};
     /*! @brief Requests since the last look at the demand. */
     std::uint64_t m_arrivals{};
     time_point m_left{};
--- a/src/gateway/ends.cpp
+++ b/src/gateway/ends.cpp
@@ -164,6 +164,8 @@
                                                  {"server", server},
                                                  {"tries", static_cast<std::int64_t>(item->m_tried.size())},
                                                  {"took_ms", internal::ms(now - item->m_arrived)},
+                                                 {"first_ms", internal::ms(item->m_first)},
+                                                 {"pause_ms", internal::ms(item->m_longest_pause)},
                                                  {"route", item->m_route->m_name}});
     self.m_core.m_counters.add("requests_ended_total", 1.0, std::to_string(status));
     self.m_core.m_counters.observe("request_seconds", now - item->m_arrived);
--- a/src/gateway/place.cpp
+++ b/src/gateway/place.cpp
@@ -46,6 +46,8 @@
     if (!item.m_service->m_engine) {
         out.m_beyond_slots = plain_queue;
         out.m_reserve = -plain_queue;
+    } else {
+        out.m_gateways = self.m_gateways;
     }
     return out;
 }
@@ -73,10 +75,11 @@
     auto first = std::chrono::milliseconds{10};
     auto whole = std::chrono::milliseconds{50};
     if (engine != nullptr) {
-        const auto reading = item.m_prompt / engine->m_read_per_ms + engine->m_stride * engine->m_step_ms;
+        const auto pass = dispatch::pass_time(*engine, static_cast<double>(engine->m_slots));
+        const auto reading = item.m_prompt / engine->m_read_per_ms + dispatch::passes_before_first * pass;
+        const auto writing = engine->m_usual_output / engine->m_stride * pass;
         first = std::chrono::milliseconds{static_cast<std::int64_t>(reading)};
-        whole =
-            std::chrono::milliseconds{static_cast<std::int64_t>(reading + engine->m_usual_output * engine->m_step_ms)};
+        whole = std::chrono::milliseconds{static_cast<std::int64_t>(reading + writing)};
     }
     dispatch::waiting out{};
     out.m_request = item.m_id;
@@ -86,8 +89,8 @@
     const auto late_until = std::min<time_point>(item.m_deadline - whole, item.m_arrived + dispatch::late_wait);
     out.m_until = out.m_useful_until > item.m_arrived ? out.m_useful_until : late_until;
     if (item.m_route->m_streams) {
-        const auto patience = std::max({least_patience, item.m_route->m_target * patience_in_targets,
-                                        item.m_route->m_gap * patience_in_pauses});
+        const auto patience = std::max(
+            {least_patience, item.m_route->m_target * patience_in_targets, item.m_route->m_gap * patience_in_pauses});
         out.m_until = std::min<time_point>(out.m_until, item.m_arrived + patience - first);
     }
     return out;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -52,13 +52,14 @@
     made.m_backend->m_unread = std::max(0.0, made.m_backend->m_unread - std::exchange(made.m_unread, 0.0));
 }
 
-auto observe_first(daemon& self, const exchange& item, const attempt& made) -> void {
+auto observe_first(daemon& self, exchange& item, const attempt& made) -> void {
     const auto now = steady_now();
+    item.m_first = now - made.m_sent;
     self.m_core.m_counters.observe("first_byte_seconds", now - item.m_arrived);
-    self.m_core.m_counters.observe("backend_first_byte_seconds", now - made.m_sent);
+    self.m_core.m_counters.observe("backend_first_byte_seconds", item.m_first);
 }
 
-auto on_head(daemon& self, exchange& item, attempt& made, const net::http_response& head) -> void {
+auto on_head(exchange& item, attempt& made, const net::http_response& head) -> void {
     made.m_head = head;
     note_begun(made);
     const auto encoded = has(head, "Content-Encoding");
@@ -66,7 +67,6 @@
         item.m_route->m_streams && is_success(head.m_status) && !encoded && has(head, adapter::field::signature);
     if (made.m_is_stream && !item.m_started) {
         item.m_version = number_of(net::find(head.m_headers, adapter::field::version));
-        observe_first(self, item, made);
     }
 }
 
@@ -74,7 +74,7 @@
     return {head.m_status, head.m_headers, {}};
 }
 
-auto on_part(exchange& item, attempt& made, const std::string_view part) -> void {
+auto on_part(daemon& self, exchange& item, attempt& made, const std::string_view part) -> void {
     if (!made.m_is_stream) {
         made.m_body.append(part.substr(0U, most_gathered_bytes - std::min(made.m_body.size(), most_gathered_bytes)));
         return;
@@ -88,7 +88,13 @@
         item.m_started = true;
         item.m_answer->start(passed_on(*made.m_head));
     }
-    item.m_last_event = steady_now();
+    const auto now = steady_now();
+    if (item.m_event_bytes > 0U) {
+        item.m_longest_pause = std::max<duration>(item.m_longest_pause, now - item.m_last_event);
+    } else {
+        observe_first(self, item, made);
+    }
+    item.m_last_event = now;
     item.m_event_bytes += events.size();
     item.m_answer->write(events);
 }
@@ -192,14 +198,14 @@
         return !item->m_ended && item->m_attempt == made;
     };
     net::call_handlers out{};
-    out.m_on_head = [&self, item, made, is_current](const net::http_response& head) {
+    out.m_on_head = [item, made, is_current](const net::http_response& head) {
         if (is_current()) {
-            on_head(self, *item, *made, head);
+            on_head(*item, *made, head);
         }
     };
-    out.m_on_part = [item, made, is_current](const std::string_view part) {
+    out.m_on_part = [&self, item, made, is_current](const std::string_view part) {
         if (is_current()) {
-            on_part(*item, *made, part);
+            on_part(self, *item, *made, part);
         }
     };
     out.m_on_end = [&self, item, is_current](const net::call_end& end) {
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -47,12 +47,16 @@
     /*! @brief Whether what lay staged at the start has been looked at. */
     bool m_staged_read{false};
     bool m_staged_asked{false};
+    /*! @brief Whether staged pieces were taken over without reading them. */
+    bool m_claimed{false};
     std::vector<peer> m_peers{};
     time_point m_asked_peers{};
     unsigned m_origin_fetches{};
     unsigned m_fetches{};
     /*! @brief Pieces that did not have their digest since the manifest came. */
     unsigned m_spoilt{};
+    /*! @brief Whether it has been logged that all pieces are staged. */
+    bool m_whole_told{false};
     time_point m_ordered{};
 };
 
@@ -95,6 +99,10 @@
 /*! @brief Reads all staged pieces back, then orders the load. @param self The loader. @param model The model. */
 auto verify_and_order(daemon& self, model_state& model) -> void;
 
+/*! @brief Takes the pieces that lie beside a runner which holds the wanted version for that version's, so that other
+ * loaders can have them. @param self The loader. @param model The model. */
+auto claim_staged(daemon& self, model_state& model) -> void;
+
 /*! @brief Reads which of the pieces staged earlier belong to the wanted version. @param self The loader.
  * @param model The model. */
 auto read_staged(daemon& self, model_state& model) -> void;
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -26,8 +26,8 @@
 constexpr duration first_word = std::chrono::milliseconds{80};
 /*! @brief Spoilt pieces after which the manifest is read again, as it may be what is spoilt. */
 constexpr unsigned most_spoilt = 3U;
-constexpr char bit_set = '1';
-constexpr char bit_clear = '0';
+/*! @brief Letters of a piece's state in `has_field`, by `piece_state`. */
+constexpr std::string_view state_letters = "-f+";
 constexpr std::string_view has_field = "Pieces-Held";
 
 namespace {
@@ -36,9 +36,22 @@
     return "/" + std::string{kind} + "?model=" + model.m_name + "&version=" + std::to_string(model.m_version);
 }
 
-[[nodiscard]] auto bits_of(const std::string_view text) -> std::vector<bool> {
-    std::vector<bool> out(text.size());
-    std::transform(text.begin(), text.end(), out.begin(), [](const char letter) { return letter == bit_set; });
+[[nodiscard]] auto states_of(const std::string_view text) -> std::vector<piece_state> {
+    std::vector<piece_state> out(text.size(), piece_state::missing);
+    for (std::size_t index = 0U; index < text.size(); ++index) {
+        const auto letter = state_letters.find(text[index]);
+        if (letter != std::string_view::npos) {
+            out[index] = static_cast<piece_state>(letter);
+        }
+    }
+    return out;
+}
+
+[[nodiscard]] auto written(const std::vector<piece_state>& pieces) -> std::string {
+    std::string out(pieces.size(), state_letters.front());
+    for (std::size_t index = 0U; index < pieces.size(); ++index) {
+        out[index] = state_letters[static_cast<std::size_t>(pieces[index])];
+    }
     return out;
 }
 
@@ -73,7 +86,7 @@
     const auto text = net::find(got.m_headers, has_field);
     auto* const row = find_peer(model, name);
     if (row != nullptr && text.size() == model.m_pieces.size()) {
-        row->m_has = bits_of(text);
+        row->m_has = states_of(text);
     }
 }
 
@@ -378,6 +391,22 @@
 
 } // namespace internal
 
+auto claim_staged(daemon& self, model_state& model) -> void {
+    self.m_core.m_http.fetch(
+        self.m_runner, adapter::encode_stage_get(model.m_name, std::nullopt), local_limits(),
+        [&self, name = model.m_name, version = model.m_version](const net::call_end&, const net::http_response& got) {
+            auto* const current = find_model(self, name, version);
+            if (current == nullptr || current->m_stage != stage::settled) {
+                return;
+            }
+            for (const auto piece : adapter::decode_staged(got.m_body)) {
+                if (piece < current->m_pieces.size()) {
+                    current->m_pieces[piece] = piece_state::held;
+                }
+            }
+        });
+}
+
 auto read_staged(daemon& self, model_state& model) -> void {
     self.m_core.m_http.fetch(
         self.m_runner, adapter::encode_stage_get(model.m_name, std::nullopt), local_limits(),
@@ -442,11 +471,7 @@
         return;
     }
     auto& model = found->second;
-    std::string bits(model.m_pieces.size(), internal::bit_clear);
-    std::ranges::transform(model.m_pieces, bits.begin(), [](const piece_state each) {
-        return each == piece_state::held ? internal::bit_set : internal::bit_clear;
-    });
-    const std::vector<net::header> headers{{std::string{internal::has_field}, bits}};
+    const std::vector<net::header> headers{{std::string{internal::has_field}, internal::written(model.m_pieces)}};
     if (incoming.m_target.starts_with("/have")) {
         answer->respond({internal::status_ok, headers, {}});
         return;
@@ -460,8 +485,9 @@
         return;
     }
     const auto text = adapter::query_value(incoming.m_target, "index");
-    const auto piece = text.empty() ? bits.size() : static_cast<std::size_t>(std::strtoull(text.c_str(), nullptr, 10));
-    if (piece >= bits.size() || bits[piece] != internal::bit_set) {
+    const auto piece =
+        text.empty() ? model.m_pieces.size() : static_cast<std::size_t>(std::strtoull(text.c_str(), nullptr, 10));
+    if (piece >= model.m_pieces.size() || model.m_pieces[piece] != piece_state::held) {
         refuse();
         return;
     }
@@ -469,8 +495,9 @@
         self.m_runner, adapter::encode_stage_get(name, piece), local_limits(),
         [&self, answer, headers, piece, name, version = model.m_version](const net::call_end&, net::http_response got) {
             auto* const current = find_model(self, name, version);
-            const auto good = got.m_status == internal::status_ok && current != nullptr && current->m_manifest &&
-                              sha256(got.m_body) == current->m_manifest->m_pieces[piece];
+            // Without a manifest the piece goes out unchecked: whoever fetches it checks it all the same.
+            const auto good = got.m_status == internal::status_ok && current != nullptr &&
+                              (!current->m_manifest || sha256(got.m_body) == current->m_manifest->m_pieces[piece]);
             if (good) {
                 answer->respond({internal::status_ok, headers, std::move(got.m_body)});
                 return;
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -62,7 +62,7 @@
     holders out{};
     for (std::size_t index = 0U; index < in.m_peers.size(); ++index) {
         const auto& each = in.m_peers[index];
-        if (piece >= each.m_has.size() || !each.m_has[piece]) {
+        if (piece >= each.m_has.size() || each.m_has[piece] != piece_state::held) {
             continue;
         }
         ++out.m_count;
@@ -77,11 +77,11 @@
     return from[random % from.size()];
 }
 
-/*! @brief Tells whether a peer of the own region has a piece, busy or not. */
+/*! @brief Tells whether a peer of the own region has a piece, busy or not, or is about to have it. */
 [[nodiscard]] auto is_near(const plan_input& in, const std::size_t piece) -> bool {
     return std::ranges::any_of(in.m_peers, [&](const peer& each) {
         return each.m_region == in.m_region && in.m_now >= each.m_avoid_until && piece < each.m_has.size() &&
-               each.m_has[piece];
+               each.m_has[piece] != piece_state::missing;
     });
 }
 
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -45,6 +45,7 @@
         for (auto& [name, model] : self.m_models) {
             model.m_staged_read = false;
             model.m_staged_asked = false;
+            model.m_claimed = true;
             std::ranges::fill(model.m_pieces, piece_state::missing);
             model.m_stage = stage::fetching;
         }
@@ -230,6 +231,9 @@
     const auto now = steady_now();
     for (auto& [name, model] : self.m_models) {
         internal::settle(self, model, now);
+        if (model.m_stage == stage::settled && !std::exchange(model.m_claimed, true)) {
+            claim_staged(self, model);
+        }
         if (model.m_stage != stage::fetching) {
             continue;
         }
@@ -237,6 +241,14 @@
             read_staged(self, model);
         }
         fetch_pieces(self, model);
+        if (internal::is_whole(model) && !std::exchange(model.m_whole_told, true)) {
+            self.m_core.m_events.write(
+                "stage.whole",
+                {{"model", name},
+                 {"version", static_cast<std::int64_t>(model.m_version)},
+                 {"took_ms",
+                  std::chrono::duration_cast<std::chrono::milliseconds>(now - model.m_wanted_since).count()}});
+        }
         if (model.m_manifest && model.m_staged_read && internal::is_whole(model) &&
             internal::may_order(self, model, now)) {
             verify_and_order(self, model);
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -131,7 +131,8 @@
 auto session::on_input_end(const boost::system::error_code failure) -> void {
     m_input_ended = true;
     m_keep = false;
-    const auto half_closed = failure == asio::error::eof && (m_owner->m_limits.m_half_close || m_phase == phase::receiving);
+    const auto half_closed =
+        failure == asio::error::eof && (m_owner->m_limits.m_half_close || m_phase == phase::receiving);
     if (half_closed && m_phase == phase::receiving) {
         reject(http::error::partial_message);
     } else if (half_closed && (m_phase == phase::answering || pending() > 0U)) {
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -14,7 +14,7 @@
 constexpr duration return_time = std::chrono::milliseconds{2'300};
 /*! @brief Time before a version's time limit from which requests keep to it: it covers the way to the runner and a
  * wait in its queue. */
-constexpr duration version_margin = std::chrono::milliseconds{1'200};
+constexpr duration version_margin = std::chrono::milliseconds{800};
 /*! @brief Pause between words of backend servers: a seventh of the time in which a leaving one must get nothing new. */
 constexpr duration server_gather = std::chrono::milliseconds{300};
 /*! @brief Pause between words of members; their own heartbeats tell of them sooner. */
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -17,10 +17,10 @@
 
 } // namespace internal
 
-follower::follower(net::loop& owner, adapter::store& store, std::string prefix, const duration wait, const duration gather,
-                   const std::uint64_t seed, follower_handlers handlers)
-    : m_loop{owner}, m_store{store}, m_prefix{std::move(prefix)}, m_wait{wait}, m_gather{gather}, m_random{seed}, m_handlers{std::move(
-                                                                                                    handlers)} {}
+follower::follower(net::loop& owner, adapter::store& store, std::string prefix, const duration wait,
+                   const duration gather, const std::uint64_t seed, follower_handlers handlers)
+    : m_loop{owner}, m_store{store}, m_prefix{std::move(prefix)}, m_wait{wait}, m_gather{gather}, m_random{seed},
+      m_handlers{std::move(handlers)} {}
 
 auto follower::start() -> void {
     list({});
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -43,8 +43,7 @@
      * @param handlers What is called.
      */
     follower(net::loop& owner, adapter::store& store, std::string prefix, duration wait, duration gather,
-             std::uint64_t seed,
-             follower_handlers handlers);
+             std::uint64_t seed, follower_handlers handlers);
 
     /*! @brief Begins with a listing. */
     auto start() -> void;
