--- a/include/rhubarbwharf/fleet/member.hpp
+++ b/include/rhubarbwharf/fleet/member.hpp
@@ -39,6 +39,10 @@
     time_point m_heard{};
     bool m_ready{true};
     bool m_leaving{false};
+    /*! @brief Whether the platform's store answers it, by its own word. */
+    bool m_reaches_store{true};
+    /*! @brief Digest of the backend servers that it knows, by its last word. */
+    std::uint64_t m_servers{};
     /*! @brief Requests a second that reach it, by its own word; gateways only. */
     double m_demand{};
 };
@@ -63,6 +67,19 @@
 [[nodiscard]] auto gateways_for(const member_table& table, std::string_view region, std::string_view data_centre,
                                 time_point now) -> std::vector<net::endpoint>;
 
+/*! @brief Gateways of a region that watch the store for all of it, so that one may fail unnoticed for a while. */
+inline constexpr std::size_t watchers_of_region = 2;
+
+/**
+ * @brief Tells whether a gateway is one of those that watch the store and pass on what changes: the first of its region
+ * by name, those that the store answers before the others.
+ * @param table The members, the gateway included.
+ * @param self The gateway.
+ * @param now The time.
+ * @return Whether it is.
+ */
+[[nodiscard]] auto is_watcher(const member_table& table, const member& self, time_point now) -> bool;
+
 /*! @brief Forgets members that are neither listed nor heard. @param table The members. @param now The time.
  * @return Those forgotten. */
 auto sweep(member_table& table, time_point now) -> std::vector<std::string>;
--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -87,6 +87,9 @@
  */
 auto replace(servers& table, std::vector<backend_server> rows, std::uint64_t revision) -> std::vector<std::string>;
 
+/*! @brief Digests ids and revisions, whatever their order. @param table The table. @return The digest. */
+[[nodiscard]] auto fingerprint(const servers& table) noexcept -> std::uint64_t;
+
 /**
  * @brief Returns the version of a model that a list names with all its layers.
  * @param models The list.
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -50,6 +50,22 @@
     return out;
 }
 
+auto is_watcher(const member_table& table, const member& self, const time_point now) -> bool {
+    const auto own = table.find(self.m_instance);
+    if (own == table.end()) {
+        return true;
+    }
+    const auto comes_first = [&](const auto& each) {
+        const auto& row = each.second;
+        const auto counts = row.m_member.is_gateway() && row.m_member.m_region == self.m_region && !row.m_leaving &&
+                            now - row.m_heard <= silent_time;
+        const auto better =
+            row.m_reaches_store != own->second.m_reaches_store ? row.m_reaches_store : each.first < self.m_instance;
+        return counts && better;
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(table, comes_first)) < watchers_of_region;
+}
+
 auto sweep(member_table& table, const time_point now) -> std::vector<std::string> {
     std::vector<std::string> gone{};
     for (const auto& [name, row] : table) {
--- a/src/fleet/server.cpp
+++ b/src/fleet/server.cpp
@@ -62,6 +62,20 @@
     return dropped;
 }
 
+auto fingerprint(const servers& table) noexcept -> std::uint64_t {
+    constexpr std::uint64_t offset = 14'695'981'039'346'656'037ULL;
+    constexpr std::uint64_t prime = 1'099'511'628'211ULL;
+    std::uint64_t out{};
+    for (const auto& [id, row] : table.m_rows) {
+        auto mixed = offset ^ row.m_revision;
+        for (const auto letter : id) {
+            mixed = (mixed ^ static_cast<unsigned char>(letter)) * prime;
+        }
+        out += mixed * prime;
+    }
+    return out;
+}
+
 auto version_of(const std::vector<held_model>& models, const std::string_view model, const unsigned layers)
     -> std::uint64_t {
     const auto found = std::ranges::find(models, model, &held_model::m_name);
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -102,7 +102,7 @@
         answer->respond(internal::unknown_path());
         return;
     }
-    const auto state = node::whole_state(self.m_core, 0U);
+    const auto state = node::whole_state(self.m_core, 0U, true);
     answer->respond(internal::text_answer(state.SerializeAsString(), "application/x-protobuf"));
 }
 
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -195,6 +195,7 @@
     loop.every(pulse_period, [&self] {
         internal::measure_demand(self);
         node::pulse(self.m_core);
+        node::review_watch(self.m_core);
         internal::share_budget(self);
         assign_quotas(self);
     });
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -32,6 +32,13 @@
     ordered,
 };
 
+/*! @brief Piece that could not be checked yet. */
+struct early_piece {
+    std::string m_bytes{};
+    /*! @brief Loader that it came from; empty for the origin. */
+    std::string m_from{};
+};
+
 /*! @brief One model of the service. */
 struct model_state {
     std::string m_name{};
@@ -41,6 +48,8 @@
     std::optional<adapter::manifest> m_manifest{};
     /*! @brief Manifest as it came, for other loaders. */
     std::string m_manifest_text{};
+    /*! @brief Pieces that came before the manifest, by index. */
+    std::map<std::size_t, early_piece> m_unchecked{};
     bool m_manifest_asked{false};
     unsigned m_manifest_tries{};
     std::vector<piece_state> m_pieces{};
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <loader/daemon.hpp>
 #include <platform/encode.hpp>
@@ -126,6 +127,9 @@
     }
 }
 
+/*! @brief Stages the pieces that came before the manifest, as far as they are right. */
+auto check_early_pieces(daemon& self, model_state& model) -> void;
+
 /*! @brief Takes a manifest over, or asks again after a pause. */
 auto on_manifest(daemon& self, const std::string& name, const std::uint64_t version, net::http_response got) -> void {
     auto* const current = find_model(self, name, version);
@@ -149,6 +153,7 @@
     current->m_pieces.resize(read->m_pieces.size(), piece_state::missing);
     current->m_manifest = std::move(read);
     current->m_manifest_text = std::move(got.m_body);
+    check_early_pieces(self, *current);
     advance(self);
 }
 
@@ -202,6 +207,11 @@
         });
 }
 
+[[nodiscard]] auto is_right(const model_state& model, const std::size_t piece, const std::string& bytes) -> bool {
+    return model.m_manifest && piece < model.m_manifest->m_pieces.size() &&
+           sha256(bytes) == model.m_manifest->m_pieces[piece];
+}
+
 auto note_spoilt(daemon& self, model_state& model, const std::size_t piece, const std::string& from) -> void {
     self.m_core.m_events.write("piece.spoilt", {{"model", model.m_name},
                                                 {"version", static_cast<std::int64_t>(model.m_version)},
@@ -214,8 +224,27 @@
     }
 }
 
+auto check_early_pieces(daemon& self, model_state& model) -> void {
+    for (auto& [piece, early] : std::exchange(model.m_unchecked, {})) {
+        if (is_right(model, piece, early.m_bytes)) {
+            stage_piece(self, model, piece, std::move(early.m_bytes));
+        } else {
+            model.m_pieces[piece] = piece_state::missing;
+            note_spoilt(self, model, piece, early.m_from.empty() ? "origin" : early.m_from);
+        }
+    }
+}
+
 auto on_piece(daemon& self, model_state& model, const std::size_t piece, const std::string& from,
-              net::http_response got) -> void {
+              const time_point asked, net::http_response got) -> void {
+    self.m_core.m_events.write(
+        "piece.fetched",
+        {{"model", model.m_name},
+         {"version", static_cast<std::int64_t>(model.m_version)},
+         {"piece", static_cast<std::int64_t>(piece)},
+         {"from", from.empty() ? std::string_view{"origin"} : std::string_view{from}},
+         {"status", static_cast<std::int64_t>(got.m_status)},
+         {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(steady_now() - asked).count()}});
     --model.m_fetches;
     auto* const row = find_peer(model, from);
     if (row != nullptr) {
@@ -226,8 +255,12 @@
         --model.m_origin_fetches;
         self.m_core.m_counters.add("origin_bytes_total", static_cast<double>(got.m_body.size()));
     }
-    const auto whole =
-        got.m_status == status_ok && model.m_manifest && sha256(got.m_body) == model.m_manifest->m_pieces[piece];
+    if (got.m_status == status_ok && !model.m_manifest) {
+        model.m_unchecked[piece] = {std::move(got.m_body), from};
+        fetch_pieces(self, model);
+        return;
+    }
+    const auto whole = got.m_status == status_ok && is_right(model, piece, got.m_body);
     if (whole) {
         stage_piece(self, model, piece, std::move(got.m_body));
         fetch_pieces(self, model);
@@ -264,10 +297,10 @@
     auto limits = origin_limits();
     limits.m_keep = chosen.m_peer.has_value();
     self.m_core.m_http.fetch(where, std::move(ask), limits,
-                             [&self, name = model.m_name, version = model.m_version, piece,
-                              from](const net::call_end&, net::http_response got) {
+                             [&self, name = model.m_name, version = model.m_version, piece, from,
+                              asked = steady_now()](const net::call_end&, net::http_response got) {
                                  if (auto* const current = find_model(self, name, version)) {
-                                     on_piece(self, *current, piece, from, std::move(got));
+                                     on_piece(self, *current, piece, from, asked, std::move(got));
                                  }
                              });
 }
@@ -283,7 +316,7 @@
     }
     internal::refresh_peers(self, model);
     internal::ask_manifest(self, model);
-    if (!model.m_manifest || !model.m_staged_read) {
+    if (!model.m_staged_read) {
         return;
     }
     internal::ask_peers(self, model, now);
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -214,7 +214,11 @@
         if (model.m_version == wanted) {
             continue;
         }
+        // Beside a runner that holds the version before lies nothing of the new one.
+        const auto is_update = model.m_version != 0U && model.m_stage == stage::settled;
         model = model_state{};
+        model.m_staged_read = is_update;
+        model.m_claimed = is_update;
         model.m_name = name;
         model.m_version = wanted;
         model.m_wanted_since = steady_now();
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -15,8 +15,10 @@
 /*! @brief Time before a version's time limit from which requests keep to it: it covers the way to the runner and a
  * wait in its queue. */
 constexpr duration version_margin = std::chrono::milliseconds{800};
-/*! @brief Pause between words of backend servers: a seventh of the time in which a leaving one must get nothing new. */
-constexpr duration server_gather = std::chrono::milliseconds{300};
+/*! @brief Pause between words of backend servers: a quarter of the time in which a leaving one must get nothing new. */
+constexpr duration server_gather = std::chrono::milliseconds{500};
+/*! @brief Pause before a loader that knows no configuration reads it again. */
+constexpr duration configuration_pause = std::chrono::milliseconds{500};
 /*! @brief Pause between words of members; their own heartbeats tell of them sooner. */
 constexpr duration member_gather = std::chrono::milliseconds{1'000};
 /*! @brief Messages that may wait for one peer; a few seconds of pulses and reports. */
@@ -65,9 +67,11 @@
     }
     if (got.m_key == adapter::key::configuration) {
         accept_configuration(self, got.m_value, "store");
+        pass_on(self, {});
     } else if (got.m_key.starts_with(adapter::key::weights)) {
         if (auto target = adapter::decode_target(got.m_value)) {
             accept_target(self, std::move(*target), "store");
+            pass_on(self, {});
         }
     }
 }
@@ -96,6 +100,7 @@
             "server.entry",
             {{"server", id}, {"draining", draining}, {"revision", static_cast<std::int64_t>(got.m_revision)}});
         self.m_handlers.m_on_server(id);
+        pass_on(self, id);
     }
 }
 
@@ -153,9 +158,22 @@
                                       std::move(handlers));
 }
 
+/*! @brief Reads the configuration once, as a loader needs it: its service and the origin seldom change. */
+auto read_configuration(core& self) -> void {
+    self.m_store.range(adapter::key::configuration, {}, [&self](const adapter::page& got) {
+        for (const auto& each : got.m_items) {
+            on_operator_item(self, each);
+        }
+        if (!self.m_configuration) {
+            self.m_loop.after(configuration_pause, [&self] { read_configuration(self); });
+        }
+    });
+}
+
 auto follow_store(core& self) -> void {
+    const auto prefix = self.m_follows_servers ? adapter::key::operators : adapter::key::weights;
     self.m_operators = follow(
-        self, adapter::key::operators, duration::zero(),
+        self, prefix, duration::zero(),
         [&self](const std::vector<adapter::item>& rows, std::uint64_t) {
             for (const auto& each : rows) {
                 on_operator_item(self, each);
@@ -177,6 +195,9 @@
     }
     self.m_operators->start();
     self.m_member_entries->start();
+    if (!self.m_follows_servers) {
+        read_configuration(self);
+    }
 }
 
 } // namespace
@@ -207,7 +228,7 @@
     if (self.m_bus.listen(self.m_self.m_bus) != code::ok) {
         return false;
     }
-    self.m_members[self.m_self.m_instance] = {self.m_self, true, steady_now(), false, false, 0.0};
+    self.m_members[self.m_self.m_instance] = {self.m_self, true, steady_now(), false, false, true, 0U, 0.0};
     internal::follow_store(self);
     self.m_registration = std::make_shared<registration>(
         self.m_loop, self.m_store, std::string{adapter::key::members} + self.m_self.m_instance,
@@ -288,6 +309,7 @@
             if (self.m_doubted.erase(id) > 0U && fleet::remove(self.m_servers, id, revision)) {
                 self.m_events.write("server.gone", {{"server", id}, {"after_outage", true}});
                 self.m_handlers.m_on_server(id);
+                pass_on(self, id);
             }
         });
         return;
@@ -295,6 +317,7 @@
     if (fleet::remove(self.m_servers, id, revision)) {
         self.m_events.write("server.gone", {{"server", id}, {"revision", static_cast<std::int64_t>(revision)}});
         self.m_handlers.m_on_server(id);
+        pass_on(self, id);
     }
 }
 
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -75,6 +75,13 @@
     double m_demand{};
     bool m_ready{false};
     bool m_leaving{false};
+    /*! @brief Whether this gateway watches the store for its region. */
+    bool m_watching{true};
+    /*! @brief Backend servers whose changes are to be passed on. */
+    std::set<std::string, std::less<>> m_changed{};
+    /*! @brief Version of the configuration that was passed on last. */
+    std::uint64_t m_told_configuration{};
+    bool m_push_armed{false};
     /*! @brief When a whole state was last asked of a peer. */
     time_point m_pulled{};
 
@@ -131,9 +138,17 @@
  * @param source Who told it. */
 auto accept_state(core& self, const wire::fleet::State& state, std::string_view source) -> void;
 
-/*! @brief Writes all that is known here. @param self The core. @param has_configuration Version that the reader has.
- * @return The state. */
-[[nodiscard]] auto whole_state(const core& self, std::uint64_t has_configuration) -> wire::fleet::State;
+/*! @brief Writes what is known here. @param self The core. @param has_configuration Version that the reader has.
+ * @param with_servers Whether backend servers are wanted. @return The state. */
+[[nodiscard]] auto whole_state(const core& self, std::uint64_t has_configuration, bool with_servers)
+    -> wire::fleet::State;
+
+/*! @brief Passes what the store has told on to the gateways of the region, soon. @param self The core.
+ * @param server Backend server that has changed; empty for none. */
+auto pass_on(core& self, const std::string& server) -> void;
+
+/*! @brief Decides anew whether this gateway watches the store. @param self The core. */
+auto review_watch(core& self) -> void;
 
 /*! @brief Asks the seeds for their state, until one has answered. @param self The core. */
 auto ask_seeds(core& self) -> void;
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -43,6 +43,25 @@
     watch();
 }
 
+auto follower::pause() -> void {
+    if (m_paused || m_revision == 0U) {
+        return;
+    }
+    m_paused = true;
+    ++m_round;
+    if (auto running = std::exchange(m_call, nullptr)) {
+        running->cancel();
+    }
+}
+
+auto follower::resume() -> void {
+    if (!std::exchange(m_paused, false) || m_stopped) {
+        return;
+    }
+    // Listing is one call and tells all; a watch from an old revision may come back as `compacted` first.
+    list({});
+}
+
 auto follower::note_contact(const bool there) -> void {
     if (!m_known || m_there != there) {
         m_known = true;
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -51,6 +51,12 @@
     /*! @brief Makes the watch in progress anew, as when a peer knows of changes that it has not shown. */
     auto renew() -> void;
 
+    /*! @brief Stops watching until `resume`; what is known stays. */
+    auto pause() -> void;
+
+    /*! @brief Goes on after `pause`, from the revision known. */
+    auto resume() -> void;
+
     /*! @brief Stops; no handler is called from now on. */
     auto stop() -> void;
 
@@ -80,6 +86,7 @@
     unsigned m_failures{};
     bool m_known{false};
     bool m_there{false};
+    bool m_paused{false};
     bool m_stopped{false};
 };
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <fleet.pb.h>
 #include <node/core.hpp>
@@ -10,6 +11,8 @@
 
 /*! @brief Least time between two requests for a whole state, so that one change is not asked of every peer. */
 constexpr duration pull_pause = std::chrono::milliseconds{250};
+/*! @brief Time after the start in which every gateway watches the store, until it has heard of the others. */
+constexpr duration settle_time = std::chrono::seconds{3};
 /*! @brief Pause before the seeds are asked again. */
 constexpr duration seed_pause = std::chrono::milliseconds{600};
 
@@ -27,30 +30,51 @@
     return self.m_configuration ? self.m_configuration->m_version : 0U;
 }
 
+/*! @brief What a pulse tells beyond the sender's own state. */
+struct sighting_news {
+    std::uint64_t m_configuration{};
+    std::uint64_t m_weights{};
+    bool m_servers_differ{};
+};
+
+[[nodiscard]] auto is_behind(const core& self, const sighting_news& news) -> bool {
+    // A loader takes configurations over at leisure; what it needs of them seldom changes.
+    const auto newer = self.m_follows_servers && news.m_configuration > configuration_version(self);
+    return newer || news.m_weights > sum_of_targets(self) || news.m_servers_differ;
+}
+
+/*! @brief Tells whether a gateway of the own region has known other backend servers for a while. */
+[[nodiscard]] auto servers_differ(core& self, fleet::sighting& row, const std::uint64_t told) -> bool {
+    const auto settled = row.m_servers == told;
+    row.m_servers = told;
+    const auto near = row.m_member.m_region == self.m_self.m_region;
+    return self.m_follows_servers && near && settled && told != fleet::fingerprint(self.m_servers);
+}
+
 auto on_pulse(core& self, const std::string_view from, const wire::fleet::Pulse& news) -> void {
     note_member(self, from_wire(news.self()), false);
+    const auto now = steady_now();
     auto& row = self.m_members[std::string{from}];
-    row.m_heard = steady_now();
+    row.m_heard = now;
     row.m_ready = news.ready();
     row.m_leaving = news.leaving();
+    row.m_reaches_store = news.reaches_store();
     row.m_demand = news.demand();
-    const auto behind = news.configuration() > configuration_version(self) || news.weights() > sum_of_targets(self) ||
-                        (self.m_follows_servers && !self.m_store_there && news.servers() > self.m_servers.m_revision);
-    if (!behind || steady_now() - self.m_pulled < pull_pause) {
+    const sighting_news told{news.configuration(), news.weights(), servers_differ(self, row, news.servers())};
+    if (!is_behind(self, told) || now - self.m_pulled < pull_pause) {
         return;
     }
-    self.m_pulled = steady_now();
+    self.m_pulled = now;
     wire::fleet::Frame ask{};
-    ask.mutable_pull()->set_configuration(configuration_version(self));
+    ask.mutable_pull()->set_configuration(self.m_follows_servers || !self.m_configuration ? configuration_version(self)
+                                                                                          : news.configuration());
+    ask.mutable_pull()->set_servers(self.m_follows_servers);
     send(self, from, ask);
-    if (self.m_operators && self.m_store_there) {
-        self.m_operators->renew();
-    }
 }
 
 auto on_pull(core& self, const std::string_view from, const wire::fleet::Pull& ask) -> void {
     wire::fleet::Frame answer{};
-    *answer.mutable_state() = whole_state(self, ask.configuration());
+    *answer.mutable_state() = whole_state(self, ask.configuration(), ask.servers());
     send(self, from, answer);
 }
 
@@ -83,6 +107,7 @@
     own.m_heard = steady_now();
     own.m_ready = self.m_ready;
     own.m_leaving = self.m_leaving;
+    own.m_reaches_store = self.m_store_there;
     own.m_demand = self.m_demand;
     wire::fleet::Frame frame{};
     auto& news = *frame.mutable_pulse();
@@ -92,7 +117,8 @@
     news.set_demand(self.m_demand);
     news.set_configuration(internal::configuration_version(self));
     news.set_weights(internal::sum_of_targets(self));
-    news.set_servers(self.m_servers.m_revision);
+    news.set_servers(fleet::fingerprint(self.m_servers));
+    news.set_reaches_store(self.m_store_there);
     send_to_gateways(self, frame);
     const auto bytes = frame.SerializeAsString();
     for (const auto& [name, row] : self.m_members) {
@@ -126,11 +152,11 @@
     }
 }
 
-auto whole_state(const core& self, const std::uint64_t has_configuration) -> wire::fleet::State {
-    wire::fleet::State out{};
-    if (self.m_configuration && self.m_configuration->m_version > has_configuration) {
-        out.set_configuration(self.m_configuration->m_text);
-    }
+namespace internal {
+
+namespace {
+
+auto add_targets(const core& self, wire::fleet::State& out) -> void {
     const auto now = steady_now();
     for (const auto& each : self.m_targets) {
         auto* const made = out.add_weights();
@@ -139,21 +165,98 @@
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - each.m_learned);
         made->set_age_ms(static_cast<std::uint64_t>(age.count()));
     }
-    for (const auto& [id, row] : self.m_servers.m_rows) {
-        to_wire(row, *out.add_servers());
-    }
-    for (const auto& [id, revision] : self.m_servers.m_removed) {
+}
+
+auto add_server(const core& self, const std::string& id, wire::fleet::State& out) -> void {
+    if (const auto row = self.m_servers.m_rows.find(id); row != self.m_servers.m_rows.end()) {
+        to_wire(row->second, *out.add_servers());
+    } else if (const auto gone = self.m_servers.m_removed.find(id); gone != self.m_servers.m_removed.end()) {
         auto* const made = out.add_servers();
         made->set_id(id);
-        made->set_revision(revision);
+        made->set_revision(gone->second);
         made->set_removed(true);
     }
+}
+
+auto push(core& self) -> void {
+    wire::fleet::Frame frame{};
+    auto& news = *frame.mutable_state();
+    const auto version = configuration_version(self);
+    if (version > std::exchange(self.m_told_configuration, version)) {
+        news.set_configuration(self.m_configuration->m_text);
+    }
+    add_targets(self, news);
+    for (const auto& id : std::exchange(self.m_changed, {})) {
+        add_server(self, id, news);
+    }
+    for (const auto& [name, row] : self.m_members) {
+        const auto near = row.m_member.is_gateway() && row.m_member.m_region == self.m_self.m_region;
+        if (near && name != self.m_self.m_instance) {
+            send(self, name, frame);
+        }
+    }
+}
+
+} // namespace
+
+} // namespace internal
+
+auto pass_on(core& self, const std::string& server) -> void {
+    if (!self.m_follows_servers || !self.m_watching) {
+        return;
+    }
+    if (!server.empty()) {
+        self.m_changed.insert(server);
+    }
+    if (!std::exchange(self.m_push_armed, true)) {
+        self.m_loop.post([&self] {
+            self.m_push_armed = false;
+            internal::push(self);
+        });
+    }
+}
+
+auto review_watch(core& self) -> void {
+    const auto now = steady_now();
+    if (now - self.m_started < internal::settle_time) {
+        return;
+    }
+    const auto watches = fleet::is_watcher(self.m_members, self.m_self, now);
+    if (watches == self.m_watching) {
+        return;
+    }
+    self.m_watching = watches;
+    self.m_events.write("store.watch", {{"watches", watches}});
+    for (const auto& each : {self.m_operators, self.m_server_entries, self.m_member_entries}) {
+        if (watches) {
+            each->resume();
+        } else {
+            each->pause();
+        }
+    }
+}
+
+auto whole_state(const core& self, const std::uint64_t has_configuration, const bool with_servers)
+    -> wire::fleet::State {
+    wire::fleet::State out{};
+    if (self.m_configuration && self.m_configuration->m_version > has_configuration) {
+        out.set_configuration(self.m_configuration->m_text);
+    }
+    internal::add_targets(self, out);
+    if (with_servers) {
+        for (const auto& [id, row] : self.m_servers.m_rows) {
+            internal::add_server(self, id, out);
+        }
+        for (const auto& [id, revision] : self.m_servers.m_removed) {
+            internal::add_server(self, id, out);
+        }
+    }
+    const auto now = steady_now();
     for (const auto& [name, row] : self.m_members) {
         if (row.m_listed || now - row.m_heard < fleet::silent_time) {
             to_wire(row.m_member, *out.add_members());
         }
     }
-    out.set_servers_revision(self.m_servers.m_revision);
     return out;
 }
 
@@ -181,7 +284,6 @@
     for (const auto& each : state.members()) {
         note_member(self, from_wire(each), false);
     }
-    self.m_servers.m_revision = std::max(self.m_servers.m_revision, state.servers_revision());
 }
 
 auto on_message(core& self, const std::string_view from, const std::string_view bytes) -> void {
