--- /dev/null
+++ b/test/adapter/decode.cpp
@@ -0,0 +1,111 @@
+#include <doctest/doctest.h>
+
+#include <platform/decode.hpp>
+#include <platform/encode.hpp>
+
+namespace rhubarbwharf::adapter {
+
+namespace {
+
+constexpr std::string_view whole_configuration = R"({"version":7,"routes":[
+ {"name":"r1","hostname":"a.example","prefix":"/p/","kind":"streaming","timeout-ms":6000,"target-latency-ms":400,
+  "priority":1,"service":"llm","max-attempts":2,"public":false,"sticky":true,"resumable":true,"gap-aim-ms":300},
+ {"name":"r2","hostname":"a.example","prefix":"/q/","kind":"streaming","service":"llm"},
+ {"name":"r3","hostname":"b.example","prefix":"/","kind":"non_idempotent","max-attempts":1,
+  "traffic-split":[{"service":"x","weight":90},{"service":"y","weight":10}]},
+ {"name":"broken","prefix":5}],
+ "services":[{"name":"llm","health-path":"/h","max-connections":374,"engine":{"slots":16,"stride":5,"step_ms":8.87,
+  "per_seq_ms":0.04,"read_per_s":19100.0,"layers":16,"chunks":48,"chunk-bytes":49152,"usual":{"prompt":977,"answer":94},
+  "models":[{"name":"m"}]}},{"name":"o","origin":"10.0.0.1:80","max-connections":48}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":1000,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+ "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":0},{"name":"t2","api-keys":["k3"]}]})";
+
+} // namespace
+
+TEST_CASE("a configuration is decoded whole, and malformed rows are left out") {
+    const auto read = decode_configuration(whole_configuration);
+    REQUIRE(read);
+    CHECK(read->m_version == 7U);
+    REQUIRE(read->m_routes.size() == 3U);
+    CHECK(read->m_routes[0].m_repeat == fleet::repeat::idempotent);
+    CHECK(read->m_routes[1].m_repeat == fleet::repeat::non_idempotent);
+    CHECK(read->m_routes[2].m_repeat == fleet::repeat::non_idempotent);
+    CHECK(read->m_routes[2].m_shares.size() == 2U);
+    CHECK(read->m_routes[0].m_gap == std::chrono::milliseconds{300});
+    REQUIRE(read->m_services[0].m_engine);
+    CHECK(read->m_services[0].m_engine->m_read_per_ms == doctest::Approx(19.1));
+    CHECK(read->m_services[0].m_engine->m_models == std::vector<std::string>{"m"});
+    CHECK(fleet::find_origin(*read)->m_address.m_port == 80U);
+    CHECK(read->m_limits.m_body_bytes == 1'000U);
+    CHECK(fleet::find_owner(*read, "k2")->m_name == "t1");
+    CHECK(fleet::find_owner(*read, "k2")->m_priority == 0U);
+    CHECK_FALSE(fleet::find_owner(*read, "k3")->m_priority);
+    CHECK(fleet::find_owner(*read, "k4") == nullptr);
+    CHECK(read->m_needs_key);
+    CHECK_FALSE(decode_configuration("{}"));
+    CHECK_FALSE(decode_configuration("\xff\x00"));
+}
+
+TEST_CASE("entries of other writers name no backend server") {
+    const std::string good = R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","born":12,)"
+                             R"("models":[{"name":"m","version":3}],"layers":{"from":0,"to":16,"version":3}})";
+    const auto read = decode_server("i", good, 9U);
+    REQUIRE(read);
+    CHECK(read->m_started == 12U);
+    CHECK(read->m_models == std::vector<fleet::held_model>{{"m", 3U, 16U}});
+    for (const auto* const bad : {"", "[]", "{", R"({"service":"s"})",
+                                  R"({"service":"s","address":"nowhere","zone":"z","slots":4,"state":"ready"})",
+                                  R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":"4","state":"ready"})",
+                                  R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"asleep"})"}) {
+        CHECK_FALSE(decode_server("i", bad, 9U));
+    }
+    CHECK(decode_server("i", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"draining"})", 1U)
+              ->m_draining);
+}
+
+TEST_CASE("layers that are missing in between do not count") {
+    const auto read = decode_report(R"({"sequence":2,"models":[{"name":"m","version":3}],)"
+                                    R"("layers":[{"from":0,"to":4,"version":3},{"from":8,"to":16,"version":3}]})");
+    REQUIRE(read);
+    CHECK(read->m_models[0].m_layers == 4U);
+    CHECK(decode_report(R"({"models":[]})") == std::nullopt);
+}
+
+TEST_CASE("small fields are read as far as they are well formed") {
+    CHECK(decode_tokens("1460,80").m_prompt == doctest::Approx(1'460.0));
+    CHECK(decode_tokens("1460,80").m_output == doctest::Approx(80.0));
+    CHECK(decode_tokens("").m_prompt == doctest::Approx(0.0));
+    CHECK(decode_tokens("x").m_output == doctest::Approx(0.0));
+    CHECK(query_value("/p?a=1&bc=2&c", "bc") == "2");
+    CHECK(query_value("/p?a=1&bc=2&c", "c").empty());
+    CHECK(query_value("/p", "a").empty());
+    CHECK(decode_staged(R"({"held":[0,3,"x",7]})") == std::vector<std::size_t>{0U, 3U, 7U});
+    CHECK_FALSE(decode_manifest(R"({"version":2,"digests":["zz"]})"));
+    CHECK_FALSE(decode_target(R"({"model":"m","version":0})"));
+    CHECK(decode_target(R"({"model":"m","version":4})")->m_version == 4U);
+}
+
+TEST_CASE("addresses are told as one flat list") {
+    const std::vector<net::endpoint> rows{{"10.0.0.1", 80U}, {"10.0.0.2", 81U}};
+    CHECK(encode_addresses(rows, std::chrono::seconds{2}).m_body ==
+          R"({"addresses":["10.0.0.1:80","10.0.0.2:81"],"ttl-s":2})");
+}
+
+TEST_CASE("a member's entry is read back as it was written") {
+    fleet::member self{};
+    self.m_instance = "edge-1";
+    self.m_region = "ost";
+    self.m_data_centre = "ost-a";
+    self.m_incarnation = 77U;
+    self.m_callers = {"10.0.0.1", 80U};
+    self.m_bus = {"10.0.0.1", 7'700U};
+    const auto read = decode_member(encode_member(self));
+    REQUIRE(read);
+    CHECK(read->m_instance == "edge-1");
+    CHECK(read->m_incarnation == 77U);
+    CHECK(read->m_bus == self.m_bus);
+    CHECK(read->m_bulk.m_port == 0U);
+    CHECK_FALSE(decode_member("{}"));
+}
+
+} // namespace rhubarbwharf::adapter
--- /dev/null
+++ b/test/dispatch/decisions.cpp
@@ -0,0 +1,254 @@
+#include <algorithm>
+#include <numeric>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <rhubarbwharf/dispatch/budget.hpp>
+#include <rhubarbwharf/dispatch/choice.hpp>
+#include <rhubarbwharf/dispatch/quota.hpp>
+#include <rhubarbwharf/dispatch/wait.hpp>
+
+namespace rhubarbwharf::dispatch {
+
+namespace {
+
+const time_point now{std::chrono::seconds{100}};
+
+[[nodiscard]] auto runner(const std::string& id, const std::uint64_t version) -> backend {
+    backend out{};
+    out.m_id = id;
+    out.m_data_centre = "here";
+    out.m_slots = 16U;
+    out.m_quota = 16.0;
+    out.m_models = {{"m", version, std::nullopt}};
+    return out;
+}
+
+[[nodiscard]] auto engine_like() -> fleet::engine {
+    fleet::engine out{};
+    out.m_slots = 16U;
+    out.m_stride = 5.0;
+    out.m_step_ms = 9.0;
+    out.m_read_per_ms = 19.0;
+    return out;
+}
+
+[[nodiscard]] auto pick(const std::vector<backend>& rows, const demand& wanted) -> std::string {
+    std::vector<const backend*> views{};
+    for (const auto& each : rows) {
+        views.push_back(&each);
+    }
+    const auto engine = engine_like();
+    choice_limits limits{};
+    limits.m_data_centre = "here";
+    const auto found = choose(views, &engine, wanted, limits, 7U, now);
+    return found ? rows[found->m_index].m_id : std::string{};
+}
+
+[[nodiscard]] auto entry(const std::uint64_t id, const unsigned priority, const duration useful) -> waiting {
+    return {request_id{id}, priority, now, now + useful, now + std::chrono::seconds{2}};
+}
+
+constexpr duration second = std::chrono::seconds{1};
+constexpr duration tenth = std::chrono::milliseconds{100};
+
+} // namespace
+
+TEST_CASE("placement keeps to versions, and leaves out what drains, loads or was tried") {
+    demand wanted{};
+    wanted.m_prompt = 500.0;
+    wanted.m_model = "m";
+    wanted.m_layers = 16U;
+    std::vector<backend> rows{runner("old", 1U), runner("new", 2U)};
+    wanted.m_least_version = 2U;
+    CHECK(pick(rows, wanted) == "new");
+    rows[1].m_draining = true;
+    CHECK(pick(rows, wanted).empty());
+    rows[1].m_draining = false;
+    rows[1].m_busy = true;
+    CHECK(pick(rows, wanted).empty());
+    wanted.m_least_version = 0U;
+    CHECK(pick(rows, wanted) == "old");
+    const std::vector<std::string> tried{"old"};
+    wanted.m_tried = tried;
+    CHECK(pick(rows, wanted).empty());
+}
+
+TEST_CASE("placement prefers the runner whose first token is predicted soonest") {
+    demand wanted{};
+    wanted.m_prompt = 500.0;
+    std::vector<backend> rows{runner("full", 1U), runner("reading", 1U), runner("idle", 1U)};
+    rows[0].m_own = 15U;
+    rows[1].m_unread = 6'000.0;
+    CHECK(pick(rows, wanted) == "idle");
+    rows[2].m_pace = 8.0;
+    CHECK(pick(rows, wanted) != "idle");
+    rows[2].m_pace = 1.0;
+    rows[2].m_reported = now - std::chrono::seconds{3};
+    rows[1].m_unread = 0.0;
+    CHECK(pick(rows, wanted) == "reading");
+}
+
+TEST_CASE("a gateway refills its own quota, and takes only its part of what else is free") {
+    choice_limits limits{};
+    limits.m_gateways = 4.0;
+    auto row = runner("a", 1U);
+    row.m_quota = 4.0;
+    row.m_own = 3U;
+    row.m_others = 12.0;
+    CHECK(has_room(row, limits));
+    row.m_own = 4U;
+    row.m_others = 12.0;
+    CHECK_FALSE(has_room(row, limits));
+    row.m_others = 0.0;
+    CHECK(has_room(row, limits));
+    row.m_own = 7U;
+    CHECK_FALSE(has_room(row, limits));
+    row.m_own = 2U;
+    row.m_others = 17.0;
+    CHECK_FALSE(has_room(row, limits));
+}
+
+TEST_CASE("quotas add up to the slots, follow demand, and stay in the data centre where there is room") {
+    const std::vector<quota_gateway> gateways{{"a", "ost", 10.0}, {"b", "ost", 30.0}, {"c", "west", 40.0}};
+    std::vector<quota_server> rows{};
+    for (const auto* const name : {"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"}) {
+        rows.push_back({name, rows.size() < 4U ? "ost" : "west", 16.0});
+    }
+    const auto total = [&](const std::string_view name) {
+        const auto shares = quotas(name, gateways, rows);
+        return std::accumulate(shares.begin(), shares.end(), 0.0);
+    };
+    CHECK(total("a") == doctest::Approx(16.0).epsilon(0.2));
+    CHECK(total("b") == doctest::Approx(48.0).epsilon(0.1));
+    CHECK(total("c") == doctest::Approx(64.0).epsilon(0.1));
+    const auto far = quotas("c", gateways, rows);
+    CHECK(far[0] + far[1] + far[2] + far[3] == doctest::Approx(0.0));
+    CHECK(total("unknown") == doctest::Approx(0.0));
+    rows.resize(4U);
+    CHECK(total("c") == doctest::Approx(32.0).epsilon(0.1));
+}
+
+TEST_CASE("the line puts rank first, then those that can be on time, then the oldest") {
+    wait_queue queue{};
+    push(queue, entry(1U, 1U, -tenth));
+    push(queue, entry(2U, 1U, tenth));
+    push(queue, entry(3U, 0U, -tenth));
+    const auto line = order(queue, now);
+    CHECK(line[0].m_request == request_id{3U});
+    CHECK(line[1].m_request == request_id{2U});
+    CHECK(line[2].m_request == request_id{1U});
+}
+
+TEST_CASE("those that came back do not hold up a fresh request, and are refused where fresh ones wait") {
+    wait_queue queue{};
+    for (auto count = 0; count < 10; ++count) {
+        note_sent(queue, now);
+    }
+    for (std::uint64_t id = 1U; id <= 20U; ++id) {
+        push(queue, entry(id, 1U, -tenth));
+    }
+    CHECK_FALSE(refuse_after(queue, entry(99U, 1U, second / 2), now));
+    const auto late = refuse_after(queue, entry(99U, 1U, -tenth), now);
+    REQUIRE(late);
+    CHECK(*late >= second);
+}
+
+TEST_CASE("a request that would be sent too late is refused at once, with the time at which a place is expected") {
+    wait_queue queue{};
+    for (auto count = 0; count < 20; ++count) {
+        note_sent(queue, now);
+    }
+    for (std::uint64_t id = 1U; id <= 10U; ++id) {
+        push(queue, entry(id, 1U, second));
+    }
+    CHECK_FALSE(refuse_after(queue, entry(99U, 1U, second), now));
+    const auto refused = refuse_after(queue, entry(99U, 1U, second / 2), now);
+    REQUIRE(refused);
+    CHECK(*refused > second / 4);
+    CHECK(*refused < second);
+}
+
+TEST_CASE("over any operations the line keeps each request once until it is taken out") {
+    CHECK(rc::check([] {
+        wait_queue queue{};
+        std::size_t inside{};
+        const auto steps = *rc::gen::inRange(0, 60);
+        for (std::uint64_t step = 1U; step <= static_cast<std::uint64_t>(steps); ++step) {
+            if (*rc::gen::inRange(0, 3) > 0) {
+                push(queue, entry(step, *rc::gen::inRange(0U, 3U), duration{*rc::gen::inRange(-1'000, 1'000)}));
+                ++inside;
+            } else if (inside > 0U) {
+                RC_ASSERT(erase(queue, order(queue, now).front().m_request));
+                --inside;
+            }
+            RC_ASSERT(order(queue, now).size() == inside);
+        }
+        RC_ASSERT(expire(queue, now + std::chrono::seconds{10}).size() == inside);
+        RC_ASSERT(queue.m_rows.empty());
+    }));
+}
+
+TEST_CASE("repeats keep to the gateway's part of the budget in every window") {
+    CHECK(rc::check([] {
+        repeat_budget budget{};
+        budget.m_slack = *rc::gen::inRange(0, 20);
+        std::deque<time_point> requests{};
+        std::deque<time_point> repeats{};
+        auto at = now;
+        const auto steps = *rc::gen::inRange(1, 400);
+        for (auto step = 0; step < steps; ++step) {
+            at += std::chrono::milliseconds{*rc::gen::inRange(0, 200)};
+            if (*rc::gen::arbitrary<bool>()) {
+                note_request(budget, at);
+                requests.push_back(at);
+            } else if (take_repeat(budget, at)) {
+                repeats.push_back(at);
+            }
+            const auto in_window = [&](const std::deque<time_point>& times) {
+                return std::ranges::count_if(times,
+                                             [&](const time_point each) { return at - each <= budget.m_window; });
+            };
+            const auto allowed = budget.m_ratio * static_cast<double>(in_window(requests)) + budget.m_slack;
+            RC_ASSERT(static_cast<double>(in_window(repeats)) <= allowed + 1.0);
+        }
+    }));
+}
+
+TEST_CASE("a failing backend server is ejected, tried by one request, and taken back when that succeeds") {
+    health state{};
+    for (unsigned count = 0U; count + 1U < failures_in_row; ++count) {
+        CHECK_FALSE(fail(state, 0.0, now));
+    }
+    CHECK(fail(state, 0.0, now));
+    CHECK_FALSE(is_usable(state, now));
+    const auto later = now + ejection_least;
+    CHECK(is_usable(state, later));
+    begin(state, later);
+    CHECK_FALSE(is_usable(state, later));
+    succeed(state);
+    CHECK(is_usable(state, later));
+    begin(state, later);
+    CHECK(is_usable(state, later));
+}
+
+TEST_CASE("one that fails part of its requests is ejected against its peers, not where all fail alike") {
+    health grey{};
+    health usual{};
+    auto grey_out = false;
+    auto usual_out = false;
+    for (auto round = 0; round < 60; ++round) {
+        if (round % 2 == 0) {
+            grey_out = fail(grey, 0.1, now) || grey_out;
+            usual_out = fail(usual, 0.5, now) || usual_out;
+        } else {
+            succeed(grey);
+            succeed(usual);
+        }
+    }
+    CHECK(grey_out);
+    CHECK_FALSE(usual_out);
+}
+
+} // namespace rhubarbwharf::dispatch
--- /dev/null
+++ b/test/fleet/member.cpp
@@ -0,0 +1,85 @@
+#include <doctest/doctest.h>
+
+#include <rhubarbwharf/fleet/member.hpp>
+
+namespace rhubarbwharf::fleet {
+
+namespace {
+
+const time_point now{std::chrono::seconds{100}};
+
+[[nodiscard]] auto gateway(const std::string& name, const std::string& region, const std::string& data_centre,
+                           const std::uint16_t port) -> sighting {
+    sighting out{};
+    out.m_member.m_instance = name;
+    out.m_member.m_region = region;
+    out.m_member.m_data_centre = data_centre;
+    out.m_member.m_callers = {"10.0.0.1", port};
+    out.m_heard = now;
+    out.m_listed = true;
+    return out;
+}
+
+[[nodiscard]] auto three() -> member_table {
+    return {{"a", gateway("a", "ost", "ost-a", 1U)},
+            {"b", gateway("b", "ost", "ost-a", 2U)},
+            {"c", gateway("c", "west", "west-a", 3U)}};
+}
+
+[[nodiscard]] auto ports(const std::vector<net::endpoint>& rows) -> std::vector<unsigned> {
+    std::vector<unsigned> out{};
+    for (const auto& each : rows) {
+        out.push_back(each.m_port);
+    }
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("callers are sent to ready gateways of their own data centre") {
+    auto table = three();
+    CHECK(ports(gateways_for(table, "ost", "ost-a", now)) == std::vector{1U, 2U});
+    table.at("a").m_leaving = true;
+    CHECK(ports(gateways_for(table, "ost", "ost-a", now)) == std::vector{2U, 3U});
+    table.at("b").m_heard = now - std::chrono::seconds{3};
+    CHECK(ports(gateways_for(table, "ost", "ost-a", now)) == std::vector{3U});
+}
+
+TEST_CASE("with nobody heard, listed gateways are better than none") {
+    auto table = three();
+    for (auto& [name, row] : table) {
+        row.m_heard = now - std::chrono::seconds{10};
+    }
+    CHECK(gateways_for(table, "ost", "ost-a", now).size() == 2U);
+    for (auto& [name, row] : table) {
+        row.m_listed = false;
+    }
+    CHECK(gateways_for(table, "ost", "ost-a", now).empty());
+}
+
+TEST_CASE("two gateways of a region watch, those that the store answers first") {
+    auto table = three();
+    table["d"] = gateway("d", "ost", "ost-a", 4U);
+    const auto watches = [&](const std::string& name) {
+        return is_watcher(table, table.at(name).m_member, now);
+    };
+    CHECK(watches("a"));
+    CHECK(watches("b"));
+    CHECK_FALSE(watches("d"));
+    CHECK(watches("c"));
+    table.at("a").m_reaches_store = false;
+    CHECK_FALSE(watches("a"));
+    CHECK(watches("d"));
+    table.at("b").m_heard = now - std::chrono::seconds{5};
+    CHECK(watches("a"));
+}
+
+TEST_CASE("silent members that the store does not list are forgotten") {
+    auto table = three();
+    table.at("a").m_heard = now - std::chrono::seconds{60};
+    table.at("b").m_heard = now - std::chrono::seconds{60};
+    table.at("b").m_listed = false;
+    CHECK(sweep(table, now) == std::vector<std::string>{"b"});
+}
+
+} // namespace rhubarbwharf::fleet
--- /dev/null
+++ b/test/fleet/server.cpp
@@ -0,0 +1,81 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <rhubarbwharf/fleet/server.hpp>
+
+namespace rhubarbwharf::fleet {
+
+namespace {
+
+[[nodiscard]] auto entry(const std::string& id, const std::uint64_t revision) -> backend_server {
+    backend_server out{};
+    out.m_id = id;
+    out.m_revision = revision;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("older word of a peer brings no removed server back") {
+    servers table{};
+    CHECK(put(table, entry("a", 5U)));
+    CHECK(remove(table, "a", 7U));
+    CHECK_FALSE(put(table, entry("a", 6U)));
+    CHECK(table.m_rows.empty());
+    CHECK(put(table, entry("a", 8U)));
+    CHECK_FALSE(remove(table, "a", 7U));
+    CHECK(table.m_rows.size() == 1U);
+}
+
+TEST_CASE("a listing removes what it lacks, but not what is newer than the listing") {
+    servers table{};
+    put(table, entry("old", 3U));
+    put(table, entry("new", 12U));
+    const auto dropped = replace(table, {entry("listed", 9U)}, 10U);
+    CHECK(dropped == std::vector<std::string>{"old"});
+    CHECK(table.m_rows.contains("new"));
+    CHECK(table.m_rows.contains("listed"));
+}
+
+TEST_CASE("whatever the order in which changes come, two processes end with the same table") {
+    struct change {
+        std::string m_id{};
+        std::uint64_t m_revision{};
+        bool m_removed{};
+    };
+
+    CHECK(rc::check([] {
+        std::vector<change> changes{};
+        const auto count = *rc::gen::inRange(1, 30);
+        for (auto index = 0; index < count; ++index) {
+            changes.push_back({std::string(1U, *rc::gen::inRange('a', 'e')), static_cast<std::uint64_t>(index + 1),
+                               *rc::gen::arbitrary<bool>()});
+        }
+        const auto play = [](const std::vector<change>& order) {
+            servers table{};
+            for (const auto& each : order) {
+                if (each.m_removed) {
+                    remove(table, each.m_id, each.m_revision);
+                } else {
+                    put(table, entry(each.m_id, each.m_revision));
+                }
+            }
+            return fingerprint(table);
+        };
+        const auto in_order = play(changes);
+        for (std::size_t index = changes.size(); index > 1U; --index) {
+            std::swap(changes[index - 1U], changes[*rc::gen::inRange<std::size_t>(0U, index)]);
+        }
+        RC_ASSERT(play(changes) == in_order);
+    }));
+}
+
+TEST_CASE("a model counts only with all its layers") {
+    std::vector<held_model> models{{"m", 3U, std::nullopt}, {"part", 2U, 8U}};
+    CHECK(version_of(models, "m", 16U) == 3U);
+    CHECK(version_of(models, "part", 16U) == 0U);
+    CHECK(version_of(models, "part", 8U) == 2U);
+    CHECK(version_of(models, "other", 1U) == 0U);
+}
+
+} // namespace rhubarbwharf::fleet
--- /dev/null
+++ b/test/loader/plan.cpp
@@ -0,0 +1,131 @@
+#include <algorithm>
+#include <map>
+
+#include <doctest/doctest.h>
+
+#include <rhubarbwharf/loader/plan.hpp>
+
+namespace rhubarbwharf::loader {
+
+namespace {
+
+constexpr std::size_t pieces = 48U;
+
+/*! @brief Loaders of some regions that fetch a version in rounds; each round every loader begins and ends one fetch. */
+struct swarm {
+    std::vector<std::string> m_names{};
+    std::vector<std::string> m_regions{};
+    std::vector<std::vector<piece_state>> m_has{};
+    std::vector<bool> m_dead{};
+    std::size_t m_from_origin{};
+    std::map<std::string, std::size_t> m_into_region{};
+
+    swarm(const std::size_t regions, const std::size_t in_region) {
+        for (std::size_t region = 0U; region < regions; ++region) {
+            for (std::size_t index = 0U; index < in_region; ++index) {
+                m_regions.push_back("region-" + std::to_string(region));
+                m_names.push_back(m_regions.back() + "-" + std::to_string(index));
+            }
+        }
+        m_has.assign(m_names.size(), std::vector<piece_state>(pieces, piece_state::missing));
+        m_dead.assign(m_names.size(), false);
+    }
+
+    [[nodiscard]] auto peers_of(const std::size_t self) const -> std::vector<peer> {
+        std::vector<peer> out{};
+        for (std::size_t index = 0U; index < m_names.size(); ++index) {
+            if (index != self) {
+                out.push_back({m_names[index], m_regions[index],
+                               m_dead[index] ? std::vector<piece_state>{} : m_has[index], 0U, time_point{}});
+            }
+        }
+        return out;
+    }
+
+    auto step(const std::size_t self, const duration age, const std::uint64_t random) -> void {
+        const auto peers = peers_of(self);
+        plan_input in{};
+        in.m_instance = m_names[self];
+        in.m_region = m_regions[self];
+        in.m_version = 2U;
+        in.m_pieces = m_has[self];
+        in.m_peers = peers;
+        in.m_age = age;
+        in.m_random = random;
+        in.m_origin_room = 1U;
+        if (const auto chosen = next_fetch(in)) {
+            m_has[self][chosen->m_piece] = piece_state::held;
+            m_from_origin += chosen->m_peer ? 0U : 1U;
+            const auto far = !chosen->m_peer || peers[*chosen->m_peer].m_region != m_regions[self];
+            m_into_region[m_regions[self]] += far ? 1U : 0U;
+        }
+    }
+
+    [[nodiscard]] auto play(const duration limit) -> duration {
+        constexpr duration round = std::chrono::milliseconds{50};
+        std::uint64_t random = 20'261'203U;
+        for (duration age{}; age < limit; age += round) {
+            auto whole = true;
+            for (std::size_t self = 0U; self < m_names.size(); ++self) {
+                random = random * 6'364'136'223'846'793'005ULL + 1U;
+                if (!m_dead[self]) {
+                    step(self, age, random >> 20U);
+                    whole = whole && std::ranges::count(m_has[self], piece_state::held) == pieces;
+                }
+            }
+            if (whole) {
+                return age;
+            }
+        }
+        return limit;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a new version leaves the origin once and enters each region once") {
+    swarm all{3U, 8U};
+    CHECK(all.play(std::chrono::seconds{10}) < std::chrono::seconds{5});
+    CHECK(all.m_from_origin <= pieces + pieces / 10U);
+    for (const auto& [region, count] : all.m_into_region) {
+        CHECK(count <= pieces + pieces / 10U);
+    }
+}
+
+TEST_CASE("a loader that is listed but dead holds a version up by its turn alone") {
+    swarm all{2U, 4U};
+    all.m_dead[0] = true;
+    all.m_dead[5] = true;
+    CHECK(all.play(std::chrono::seconds{20}) < std::chrono::seconds{8});
+}
+
+TEST_CASE("a single newcomer takes pieces from its region and leaves the origin alone") {
+    swarm all{2U, 4U};
+    for (std::size_t index = 1U; index < all.m_names.size(); ++index) {
+        std::ranges::fill(all.m_has[index], piece_state::held);
+    }
+    CHECK(all.play(std::chrono::seconds{10}) < std::chrono::seconds{4});
+    CHECK(all.m_from_origin == 0U);
+    CHECK(all.m_into_region["region-0"] == 0U);
+}
+
+TEST_CASE("what a peer of the region is fetching is waited for") {
+    swarm all{1U, 2U};
+    all.m_has[1].assign(pieces, piece_state::fetching);
+    all.step(0U, std::chrono::seconds{30}, 3U);
+    CHECK(all.m_from_origin == 0U);
+}
+
+TEST_CASE("places in the order of loading are spread evenly, and the same to all") {
+    swarm all{2U, 10U};
+    std::vector<double> places{};
+    for (std::size_t index = 0U; index < all.m_names.size(); ++index) {
+        places.push_back(load_place(all.m_names[index], all.peers_of(index), 3U));
+    }
+    std::ranges::sort(places);
+    for (std::size_t index = 0U; index < places.size(); ++index) {
+        CHECK(places[index] == doctest::Approx(static_cast<double>(index) / static_cast<double>(places.size())));
+    }
+}
+
+} // namespace rhubarbwharf::loader
