Add a fault soak: real daemons before a stand-in of the users' platform, harmed from outside

Stand-ins of the store, runners, ledger and origin in app/standin-site speak the platform's wire and note what must never happen. The soak stops, kills, freezes and restarts daemons by signals, harms their ways to the store by loopback proxies and the store and servers themselves, then calms all and checks.

--- /dev/null
+++ b/app/standin-site/site.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "runner.hpp"
+
+namespace rhubarbwharf::standin_site {
+
+/*! @brief Size of a site. */
+struct site_options {
+    std::size_t m_runners{3};
+    std::size_t m_ledgers{2};
+    std::size_t m_pieces{16};
+};
+
+/*! @brief Names that a site gives to what callers use. */
+inline constexpr std::string_view host_name = "site.example";
+inline constexpr std::string_view model_name = "model";
+inline constexpr std::string_view model_path = "/model/";
+inline constexpr std::string_view ledger_path = "/ledger/";
+inline constexpr std::string_view lookup_path = "/lookup/";
+
+/**
+ * @brief A whole site on a thread of its own: store, origin, runners and ledgers.
+ *
+ * Everything but `call` belongs to that thread.
+ */
+class site {
+public:
+    explicit site(site_options options);
+    ~site();
+    site(const site&) = delete;
+    site(site&&) = delete;
+    auto operator=(const site&) -> site& = delete;
+    auto operator=(site&&) -> site& = delete;
+
+    /*! @brief Runs a task on the site's thread and waits for it. @param task The task. */
+    auto call(const std::function<void(site&)>& task) -> void;
+
+    /*! @brief Writes a configuration with the next version. @param timeout_ms Time limit of the routes.
+     * @param extra_routes Routes that nothing uses. @return The version. */
+    auto write_configuration(unsigned timeout_ms, unsigned extra_routes) -> std::uint64_t;
+
+    /*! @brief Names a version of the weights. @param version The version. */
+    auto name_weights(std::uint64_t version) -> void;
+
+    /*! @brief Replaces a server by a new incarnation at a new address. @param index Index of the server. */
+    auto restart_server(std::size_t index) -> void;
+
+    [[nodiscard]] auto store_address() const -> net::endpoint { return m_store_address; }
+
+    [[nodiscard]] auto servers() -> std::vector<std::unique_ptr<server>>& { return m_servers; }
+
+    [[nodiscard]] auto book() -> ledger_book& { return m_book; }
+
+    [[nodiscard]] auto registry() -> store& { return *m_store; }
+
+    [[nodiscard]] auto options() const noexcept -> const site_options& { return m_options; }
+
+private:
+    auto add_server(std::size_t index, bool is_fresh) -> std::unique_ptr<server>;
+    auto on_origin(const net::http_request& request, const std::shared_ptr<net::responder>& to) -> void;
+
+    site_options m_options{};
+    net::loop m_loop{};
+    ledger_book m_book{};
+    std::unique_ptr<store> m_store{};
+    std::unique_ptr<net::http_server> m_origin{};
+    std::vector<std::unique_ptr<server>> m_servers{};
+    net::endpoint m_store_address{};
+    std::uint64_t m_configuration{};
+    std::uint64_t m_weights{1U};
+    unsigned m_incarnations{};
+    std::thread m_thread{};
+};
+
+} // namespace rhubarbwharf::standin_site
--- /dev/null
+++ b/test/soak/clients.cpp
@@ -0,0 +1,155 @@
+#include <soak/clients.hpp>
+
+#include <boost/json/parse.hpp>
+
+#include <platform/names.hpp>
+
+namespace rhubarbwharf::soak {
+
+constexpr duration resolve_period = std::chrono::milliseconds{500};
+constexpr duration least_pause = std::chrono::milliseconds{5};
+constexpr std::uint64_t pause_spread_ms = 40U;
+constexpr duration patience = std::chrono::milliseconds{3'000};
+
+/*! @brief One request, and what its answer must be. */
+struct clients::request_plan {
+    std::string m_attempt{};
+    std::string m_content{};
+    bool m_is_stream{false};
+    bool m_is_single{false};
+};
+
+clients::clients(fleet& before, const std::uint64_t seed, const std::size_t count) : m_fleet{before}, m_random{seed} {
+    for (const auto& each : m_fleet.daemons()) {
+        if (each.is_gateway()) {
+            m_directories.push_back(each.m_directory);
+        }
+    }
+    m_running = count;
+    m_loop.every(resolve_period, [this] { resolve(); });
+    for (std::size_t index = 0U; index < count; ++index) {
+        m_loop.post([this] { next(); });
+    }
+    m_thread = std::thread{[this] {
+        m_loop.run();
+    }};
+}
+
+clients::~clients() {
+    m_loop.stop();
+    m_thread.join();
+}
+
+auto clients::finish() -> tally {
+    m_loop.post([this] { m_ending = true; });
+    m_ended.get_future().wait();
+    return m_tally;
+}
+
+auto clients::resolve() -> void {
+    net::http_request ask{};
+    ask.m_target = "/api/resolve?name=site.example&region=region-1&zone=dc-1";
+    net::call_limits limits{};
+    limits.m_total_time = resolve_period;
+    limits.m_connect_time = resolve_period;
+    m_http.fetch(m_directories[m_random() % m_directories.size()], std::move(ask), limits,
+                 [this](const net::call_end&, const net::http_response& got) {
+                     if (got.m_status != 200U) {
+                         return;
+                     }
+                     std::vector<net::endpoint> told{};
+                     const auto body = boost::json::parse(got.m_body).as_object();
+                     for (const auto& each : body.at("addresses").as_array()) {
+                         if (const auto read = net::parse_endpoint(std::string{each.as_string()})) {
+                             told.push_back(*read);
+                         }
+                     }
+                     m_addresses = told.empty() ? m_addresses : told;
+                 });
+}
+
+auto clients::next() -> void {
+    if (m_ending) {
+        if (--m_running == 0U) {
+            m_ended.set_value();
+        }
+        return;
+    }
+    const auto again = [this] {
+        m_loop.after(least_pause + std::chrono::milliseconds{m_random() % pause_spread_ms}, [this] { next(); });
+    };
+    if (m_addresses.empty()) {
+        again();
+        return;
+    }
+    const auto kind = m_random() % 3U;
+    const std::string organisation{"abc"[m_random() % 3U]};
+    request_plan plan{};
+    plan.m_attempt = organisation + std::to_string(++m_last);
+    plan.m_content = "content-" + plan.m_attempt;
+    plan.m_is_stream = kind == 0U;
+    plan.m_is_single = kind == 1U;
+    net::http_request request{};
+    request.m_method = kind == 2U ? "GET" : "POST";
+    request.m_target = std::string{plan.m_is_stream   ? standin_site::model_path
+                                   : plan.m_is_single ? standin_site::ledger_path
+                                                      : standin_site::lookup_path} +
+                       "x";
+    request.m_host = standin_site::host_name;
+    request.m_body = kind == 2U ? std::string{} : plan.m_content;
+    request.m_headers = {{std::string{adapter::field::attempt}, plan.m_attempt},
+                         {"Authorization", "Bearer key-of-" + organisation},
+                         {std::string{adapter::field::organisation}, "forged"},
+                         {std::string{adapter::field::deadline}, "3000"}};
+    if (plan.m_is_stream) {
+        request.m_headers.push_back({std::string{adapter::field::model}, std::string{standin_site::model_name}});
+        request.m_headers.push_back({std::string{adapter::field::tokens}, "10,12"});
+    }
+    ++m_tally.m_sent;
+    if (plan.m_is_single) {
+        m_tally.m_single.push_back(plan.m_attempt);
+    }
+    net::call_limits limits{};
+    limits.m_total_time = patience;
+    limits.m_connect_time = std::chrono::seconds{1};
+    limits.m_idle_time = patience;
+    m_http.fetch(m_addresses[m_random() % m_addresses.size()], std::move(request), limits,
+                 [this, plan, again](const net::call_end& end, const net::http_response& got) {
+                     check(plan, end, got);
+                     again();
+                 });
+}
+
+auto clients::check(const request_plan& plan, const net::call_end& end, const net::http_response& got) -> void {
+    if (end.m_code != code::ok) {
+        m_tally.m_cut += end.m_sent == net::sent::some && end.m_code != code::timed_out ? 1U : 0U;
+        ++m_tally.m_failed;
+        return;
+    }
+    if (got.m_status == 503U || got.m_status == 429U) {
+        ++m_tally.m_refused;
+        m_tally.m_refusals.push_back(plan.m_attempt);
+        return;
+    }
+    if (got.m_status == 404U || got.m_status == 401U || got.m_status == 400U) {
+        m_tally.m_violations.note(plan.m_attempt + " was denied with " + std::to_string(got.m_status));
+    }
+    if (got.m_status != 200U) {
+        ++m_tally.m_failed;
+        return;
+    }
+    std::string whole{};
+    for (unsigned index = 1U; index <= standin_site::events_of_stream; ++index) {
+        whole += standin_site::event_text(plan.m_content, index);
+    }
+    const auto& wanted = plan.m_is_stream ? whole : standin_site::plain_body(plan.m_attempt);
+    if (got.m_body != wanted) {
+        m_tally.m_violations.note(plan.m_attempt + " got a wrong or incomplete answer: " + got.m_body.substr(0U, 300U));
+    }
+    if (net::find(got.m_headers, adapter::field::signature) != "seal-" + plan.m_attempt) {
+        m_tally.m_violations.note(plan.m_attempt + " got an answer without its signature");
+    }
+    ++m_tally.m_answered;
+}
+
+} // namespace rhubarbwharf::soak
