--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -24,6 +24,8 @@
     std::map<std::string, unsigned> m_runs{};
     /*! @brief Requests that arrived, by server. */
     std::map<std::string, unsigned> m_arrivals{};
+    /*! @brief Since when every daemon can hear the store; the far future while one can't. */
+    time_point m_calm_since{};
     /*! @brief Keys of the organisations, which no server may see. */
     std::set<std::string> m_keys{};
     violations m_violations{};
