--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -70,7 +70,7 @@
     m_started = static_cast<std::uint64_t>(wall_now().time_since_epoch().count());
     m_server = std::make_unique<net::http_server>(
         m_loop, net::http_limits{},
-        [this](net::http_request request, const answer& to) { on_request(std::move(request), to); });
+        [this](const net::http_request& request, const answer& to) { on_request(request, to); });
     if (m_server->listen({"127.0.0.1", port}) != code::ok) {
         return false;
     }
@@ -214,7 +214,7 @@
     }
 }
 
-auto server::on_request(net::http_request request, const answer& to) -> void {
+auto server::on_request(const net::http_request& request, const answer& to) -> void {
     if (on_control(request, to)) {
         return;
     }
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -94,7 +94,7 @@
 
     struct stream;
 
-    auto on_request(net::http_request request, const answer& to) -> void;
+    auto on_request(const net::http_request& request, const answer& to) -> void;
     auto on_control(const net::http_request& request, const answer& to) -> bool;
     auto on_order(const net::http_request& request, const answer& to) -> void;
     auto on_stage(const net::http_request& request, const answer& to) -> void;
--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -20,6 +20,8 @@
     std::string m_instance{};
     std::string m_region{};
     std::vector<piece_state> m_has{};
+    /*! @brief Version that its runner holds whole; 0 for none. */
+    std::uint64_t m_held{};
     /*! @brief Fetches from it that are under way. */
     unsigned m_fetches{};
     /*! @brief Until when it is left alone after a failure. */
@@ -31,12 +33,16 @@
     std::string_view m_instance{};
     std::string_view m_region{};
     std::uint64_t m_version{};
+    /*! @brief Version that the own runner holds whole; 0 for none. */
+    std::uint64_t m_held{};
     std::span<const piece_state> m_pieces{};
     std::span<const peer> m_peers{};
     /*! @brief Time since this version was first wanted here. */
     duration m_age{};
     time_point m_now{};
     std::uint64_t m_random{};
+    /*! @brief Whether this loader lets others of its region have a version first, and only brings pieces in. */
+    bool m_yields{false};
     /*! @brief Fetches from the origin that may still be begun. */
     unsigned m_origin_room{};
 };
@@ -63,13 +69,19 @@
  */
 [[nodiscard]] auto next_fetch(const plan_input& in) -> std::optional<fetch>;
 
+/*! @brief Part of the loaders that have a new version first. Its runners take it while the others serve, and serve
+ * while the others take it; fetched by all at once, it would be whole everywhere only when all links have carried it
+ * twice. */
+inline constexpr double first_part = 0.5;
+/*! @brief Time after which the second part fetches whatever the first has: a copy over one link, and some slack. */
+inline constexpr duration first_part_time = std::chrono::milliseconds{2'600};
+
 /**
- * @brief Gives each loader its place in the order in which runners take a new version, so that not all stop at once.
- * @param instance The loader.
- * @param peers The others of its service.
- * @param version The version.
- * @return Its place, from 0 to below 1.
+ * @brief Tells whether a loader is of the second part, and the first part of its region is not whole yet. Runners with
+ * the oldest version come first: theirs is the first that may no longer answer.
+ * @param in The inputs; `m_yields` does not count.
+ * @return Whether it yields.
  */
-[[nodiscard]] auto load_place(std::string_view instance, std::span<const peer> peers, std::uint64_t version) -> double;
+[[nodiscard]] auto yields(const plan_input& in) -> bool;
 
 } // namespace rhubarbwharf::loader
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -64,6 +64,8 @@
     unsigned m_fetches{};
     /*! @brief Pieces that did not have their digest since the manifest came. */
     unsigned m_spoilt{};
+    /*! @brief Version that the runner holds whole; 0 for none. */
+    std::uint64_t m_held{};
     /*! @brief Whether it has been logged that all pieces are staged. */
     bool m_whole_told{false};
     time_point m_ordered{};
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -20,7 +20,9 @@
 /*! @brief Time for which a peer that failed is left alone. */
 constexpr duration avoid_time = std::chrono::milliseconds{700};
 /*! @brief Time between questions to peers about what they have. */
-constexpr duration ask_period = std::chrono::milliseconds{200};
+constexpr duration ask_period = std::chrono::milliseconds{120};
+/*! @brief Questions in which each far peer is asked once. */
+constexpr std::uint64_t far_turns = 4U;
 /*! @brief Time for a peer to say what it has. */
 constexpr duration ask_time = std::chrono::milliseconds{800};
 /*! @brief Time in which peers are asked before the origin is read. */
@@ -30,6 +32,7 @@
 /*! @brief Letters of a piece's state in `has_field`, by `piece_state`. */
 constexpr std::string_view state_letters = "-f+";
 constexpr std::string_view has_field = "Pieces-Held";
+constexpr std::string_view held_field = "Version-Held";
 
 namespace {
 
@@ -73,7 +76,7 @@
             continue;
         }
         const auto known = std::ranges::find(model.m_peers, name, &peer::m_instance);
-        fresh.push_back(known != model.m_peers.end() ? *known : peer{name, member.m_region, {}, 0U, {}});
+        fresh.push_back(known != model.m_peers.end() ? *known : peer{name, member.m_region, {}, 0U, 0U, {}});
     }
     model.m_peers = std::move(fresh);
 }
@@ -88,6 +91,7 @@
     auto* const row = find_peer(model, name);
     if (row != nullptr && text.size() == model.m_pieces.size()) {
         row->m_has = states_of(text);
+        row->m_held = std::strtoull(std::string{net::find(got.m_headers, held_field)}.c_str(), nullptr, 10);
     }
 }
 
@@ -108,22 +112,23 @@
                              });
 }
 
-/*! @brief Asks all peers at first, then a few at a time. */
+/*! @brief Asks all peers at first, then those of the region each time and a few far ones by turns. */
 auto ask_peers(daemon& self, model_state& model, const time_point now) -> void {
     if (now - model.m_asked_peers < ask_period || model.m_peers.empty()) {
         return;
     }
     const auto first = model.m_asked_peers == time_point{};
     model.m_asked_peers = now;
-    if (first) {
-        for (const auto& each : model.m_peers) {
+    const auto turn = self.m_core.m_random() % far_turns;
+    for (std::size_t index = 0U; index < model.m_peers.size(); ++index) {
+        const auto& each = model.m_peers[index];
+        const auto near = each.m_region == self.m_core.m_self.m_region;
+        const auto is_whole =
+            std::ranges::all_of(each.m_has, [](const piece_state state) { return state == piece_state::held; });
+        const auto done = !each.m_has.empty() && is_whole;
+        if (first || (near && !done) || (!near && index % far_turns == turn)) {
             ask_peer(self, model, each.m_instance);
         }
-        return;
-    }
-    constexpr int asked_at_once = 3;
-    for (int count = 0; count < asked_at_once; ++count) {
-        ask_peer(self, model, model.m_peers[self.m_core.m_random() % model.m_peers.size()].m_instance);
     }
 }
 
@@ -335,6 +340,8 @@
         const auto room =
             internal::most_origin_fetches - std::min(model.m_origin_fetches, internal::most_origin_fetches);
         in.m_origin_room = origin != nullptr && age >= internal::first_word ? room : 0U;
+        in.m_held = model.m_held;
+        in.m_yields = model.m_held != 0U && yields(in);
         const auto chosen = next_fetch(in);
         if (!chosen) {
             return;
@@ -504,7 +511,8 @@
         return;
     }
     auto& model = found->second;
-    const std::vector<net::header> headers{{std::string{internal::has_field}, internal::written(model.m_pieces)}};
+    const std::vector<net::header> headers{{std::string{internal::has_field}, internal::written(model.m_pieces)},
+                                           {std::string{internal::held_field}, std::to_string(model.m_held)}};
     if (incoming.m_target.starts_with("/have")) {
         answer->respond({internal::status_ok, headers, {}});
         return;
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -104,6 +104,9 @@
         const auto may_bring = in.m_age >= region_stagger * static_cast<int>(place.m_in_region);
         const auto line = region_stagger * static_cast<int>(place.m_in_region) +
                           origin_stagger * static_cast<int>(place.m_of_regions);
+        if (!have.m_near.empty() && in.m_yields) {
+            continue;
+        }
         if (!have.m_near.empty()) {
             best = fetch{piece, pick(have.m_near, in.m_random)};
         } else if (is_near(in, piece)) {
@@ -120,12 +123,36 @@
     return best;
 }
 
-auto load_place(const std::string_view instance, const std::span<const peer> peers, const std::uint64_t version)
-    -> double {
-    const auto own = weight(instance, version, 0U);
-    const auto before =
-        std::ranges::count_if(peers, [&](const peer& each) { return weight(each.m_instance, version, 0U) > own; });
-    return static_cast<double>(before) / static_cast<double>(peers.size() + 1U);
+auto yields(const plan_input& in) -> bool {
+    struct turn {
+        std::uint64_t m_held{};
+        std::uint64_t m_weight{};
+
+        [[nodiscard]] auto before(const turn& other) const noexcept -> bool {
+            return m_held != other.m_held ? m_held < other.m_held : m_weight > other.m_weight;
+        }
+    };
+
+    std::vector<turn> turns{{in.m_held, weight(in.m_instance, in.m_version, 0U)}};
+    for (const auto& each : in.m_peers) {
+        if (each.m_region == in.m_region) {
+            turns.push_back({each.m_held, weight(each.m_instance, in.m_version, 0U)});
+        }
+    }
+    const auto is_first = [&turns](const turn& own) {
+        const auto before = std::ranges::count_if(turns, [&own](const turn& each) { return each.before(own); });
+        return static_cast<double>(before) < first_part * static_cast<double>(turns.size());
+    };
+    if (in.m_age >= first_part_time || is_first(turns.front())) {
+        return false;
+    }
+    return std::ranges::any_of(in.m_peers, [&](const peer& each) {
+        const auto whole = !each.m_has.empty() && std::ranges::all_of(each.m_has, [](const piece_state state) {
+            return state == piece_state::held;
+        });
+        return each.m_region == in.m_region && !whole &&
+               is_first({each.m_held, weight(each.m_instance, in.m_version, 0U)});
+    });
 }
 
 } // namespace rhubarbwharf::loader
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -19,8 +19,6 @@
 constexpr duration introduction_time = std::chrono::seconds{2};
 /*! @brief Time for a call to the runner on this machine. */
 constexpr duration local_time = std::chrono::milliseconds{1'500};
-/*! @brief Time over which the runners of a service take a new version one after the other. */
-constexpr duration load_spread = std::chrono::milliseconds{4'500};
 /*! @brief Time after an order at which a runner that shows nothing of it is looked at anew. */
 constexpr duration order_time = std::chrono::milliseconds{1'500};
 constexpr duration flush_time = std::chrono::milliseconds{100};
@@ -63,6 +61,7 @@
 /*! @brief Decides what a model is at, from what the runner says it holds. */
 auto settle(daemon& self, model_state& model, const time_point now) -> void {
     const auto held = fleet::version_of(self.m_report.m_models, model.m_name, layers_of(self));
+    model.m_held = held;
     if (held == model.m_version) {
         if (model.m_stage != stage::settled) {
             self.m_core.m_events.write(
@@ -83,13 +82,6 @@
     }
 }
 
-[[nodiscard]] auto may_order(daemon& self, const model_state& model, const time_point now) -> bool {
-    const auto held = fleet::version_of(self.m_report.m_models, model.m_name, layers_of(self));
-    const auto place = load_place(self.m_core.m_self.m_instance, model.m_peers, model.m_version);
-    const auto turn = std::chrono::duration_cast<duration>(load_spread * place);
-    return held == 0U || now - model.m_wanted_since >= turn;
-}
-
 [[nodiscard]] auto is_whole(const model_state& model) -> bool {
     return !model.m_pieces.empty() &&
            std::ranges::all_of(model.m_pieces, [](const piece_state each) { return each == piece_state::held; });
@@ -253,8 +245,7 @@
                  {"took_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - model.m_wanted_since).count()}});
         }
-        if (model.m_manifest && model.m_staged_read && internal::is_whole(model) &&
-            internal::may_order(self, model, now)) {
+        if (model.m_manifest && model.m_staged_read && internal::is_whole(model)) {
             verify_and_order(self, model);
         }
     }
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -17,10 +17,8 @@
 constexpr duration version_margin = std::chrono::milliseconds{800};
 /*! @brief Pause between words of backend servers: a quarter of the time in which a leaving one must get nothing new. */
 constexpr duration server_gather = std::chrono::milliseconds{500};
-/*! @brief Pause before a loader that knows no configuration reads it again. */
-constexpr duration configuration_pause = std::chrono::milliseconds{500};
-/*! @brief Pause between words of members; their own heartbeats tell of them sooner. */
-constexpr duration member_gather = std::chrono::milliseconds{1'000};
+/*! @brief Time between looks at whether peers tell what the store says. */
+constexpr duration fall_back_period = std::chrono::milliseconds{2'000};
 /*! @brief Messages that may wait for one peer; a few seconds of pulses and reports. */
 constexpr int queue_messages = 256;
 constexpr duration bus_heartbeat = std::chrono::seconds{2};
@@ -158,46 +156,65 @@
                                       std::move(handlers));
 }
 
-/*! @brief Reads the configuration once, as a loader needs it: its service and the origin seldom change. */
-auto read_configuration(core& self) -> void {
-    self.m_store.range(adapter::key::configuration, {}, [&self](const adapter::page& got) {
+/*! @brief Reads the members once; from then on they tell of themselves. */
+auto read_members(core& self) -> void {
+    self.m_store.range(adapter::key::members, {}, [&self](const adapter::page& got) {
+        if (got.m_reply == adapter::reply::ok) {
+            on_member_list(self, got.m_items);
+            self.m_members_read = true;
+        }
+    });
+}
+
+/*! @brief Reads what the operators want, as a loader does that hears no gateway. */
+auto read_operators(core& self) -> void {
+    self.m_store.range(adapter::key::operators, {}, [&self](const adapter::page& got) {
         for (const auto& each : got.m_items) {
             on_operator_item(self, each);
         }
-        if (!self.m_configuration) {
-            self.m_loop.after(configuration_pause, [&self] { read_configuration(self); });
-        }
     });
 }
 
+[[nodiscard]] auto hears_gateway(const core& self, const time_point now) -> bool {
+    return std::ranges::any_of(self.m_members, [&](const auto& each) {
+        return each.second.m_member.is_gateway() && now - each.second.m_heard <= fleet::silent_time;
+    });
+}
+
+/*! @brief Reads the store where no gateway tells what it says. */
+auto fall_back(core& self) -> void {
+    const auto now = steady_now();
+    const auto heard = hears_gateway(self, now);
+    if (!self.m_members_read || (!heard && !self.m_follows_servers)) {
+        read_members(self);
+    }
+    if (!heard && !self.m_follows_servers) {
+        read_operators(self);
+    }
+}
+
 auto follow_store(core& self) -> void {
-    const auto prefix = self.m_follows_servers ? adapter::key::operators : adapter::key::weights;
+    read_members(self);
+    self.m_loop.every(fall_back_period, [&self] { fall_back(self); });
+    if (!self.m_follows_servers) {
+        return;
+    }
     self.m_operators = follow(
-        self, prefix, duration::zero(),
+        self, adapter::key::operators, duration::zero(),
         [&self](const std::vector<adapter::item>& rows, std::uint64_t) {
             for (const auto& each : rows) {
                 on_operator_item(self, each);
             }
         },
         [&self](const adapter::item& got) { on_operator_item(self, got); });
-    self.m_member_entries = follow(
-        self, adapter::key::members, member_gather,
-        [&self](const std::vector<adapter::item>& rows, std::uint64_t) { on_member_list(self, rows); },
-        [&self](const adapter::item& got) { on_member_item(self, got); });
-    if (self.m_follows_servers) {
-        self.m_server_entries = follow(
-            self, adapter::key::servers, server_gather,
-            [&self](const std::vector<adapter::item>& rows, const std::uint64_t revision) {
-                on_server_list(self, rows, revision);
-            },
-            [&self](const adapter::item& got) { on_server_item(self, got); });
-        self.m_server_entries->start();
-    }
+    self.m_server_entries = follow(
+        self, adapter::key::servers, server_gather,
+        [&self](const std::vector<adapter::item>& rows, const std::uint64_t revision) {
+            on_server_list(self, rows, revision);
+        },
+        [&self](const adapter::item& got) { on_server_item(self, got); });
+    self.m_server_entries->start();
     self.m_operators->start();
-    self.m_member_entries->start();
-    if (!self.m_follows_servers) {
-        read_configuration(self);
-    }
 }
 
 } // namespace
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -81,6 +81,10 @@
     std::set<std::string, std::less<>> m_changed{};
     /*! @brief Version of the configuration that was passed on last. */
     std::uint64_t m_told_configuration{};
+    /*! @brief Sum of the versions of the weights targets that were passed on last. */
+    std::uint64_t m_told_weights{};
+    /*! @brief Whether the store's list of members has been read. */
+    bool m_members_read{false};
     bool m_push_armed{false};
     /*! @brief When a whole state was last asked of a peer. */
     time_point m_pulled{};
@@ -88,7 +92,6 @@
     core_handlers m_handlers{};
     std::shared_ptr<follower> m_operators{};
     std::shared_ptr<follower> m_server_entries{};
-    std::shared_ptr<follower> m_member_entries{};
     std::shared_ptr<registration> m_registration{};
 };
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -12,7 +12,9 @@
 /*! @brief Least time between two requests for a whole state, so that one change is not asked of every peer. */
 constexpr duration pull_pause = std::chrono::milliseconds{250};
 /*! @brief Time after the start in which every gateway watches the store, until it has heard of the others. */
-constexpr duration settle_time = std::chrono::seconds{3};
+constexpr duration settle_time = std::chrono::milliseconds{1'500};
+/*! @brief Least time between two configurations that a loader takes over from a gateway. */
+constexpr duration loader_pause = std::chrono::seconds{10};
 /*! @brief Pause before the seeds are asked again. */
 constexpr duration seed_pause = std::chrono::milliseconds{600};
 
@@ -30,17 +32,28 @@
     return self.m_configuration ? self.m_configuration->m_version : 0U;
 }
 
+/*! @brief Digests the loaders that are known, whatever their order. */
+[[nodiscard]] auto loaders_digest(const core& self) -> std::uint64_t {
+    std::uint64_t out{};
+    for (const auto& [name, row] : self.m_members) {
+        out += row.m_member.is_gateway() ? 0U : std::hash<std::string>{}(name) ^ row.m_member.m_incarnation;
+    }
+    return out;
+}
+
 /*! @brief What a pulse tells beyond the sender's own state. */
 struct sighting_news {
     std::uint64_t m_configuration{};
     std::uint64_t m_weights{};
     bool m_servers_differ{};
+    bool m_loaders_differ{};
 };
 
-[[nodiscard]] auto is_behind(const core& self, const sighting_news& news) -> bool {
+[[nodiscard]] auto is_behind(const core& self, const sighting_news& news, const time_point now) -> bool {
     // A loader takes configurations over at leisure; what it needs of them seldom changes.
-    const auto newer = self.m_follows_servers && news.m_configuration > configuration_version(self);
-    return newer || news.m_weights > sum_of_targets(self) || news.m_servers_differ;
+    const auto leisure = self.m_configuration && !self.m_follows_servers && now - self.m_pulled < loader_pause;
+    const auto newer = news.m_configuration > configuration_version(self) && !leisure;
+    return newer || news.m_weights > sum_of_targets(self) || news.m_servers_differ || news.m_loaders_differ;
 }
 
 /*! @brief Tells whether a gateway of the own region has known other backend servers for a while. */
@@ -60,14 +73,15 @@
     row.m_leaving = news.leaving();
     row.m_reaches_store = news.reaches_store();
     row.m_demand = news.demand();
-    const sighting_news told{news.configuration(), news.weights(), servers_differ(self, row, news.servers())};
-    if (!is_behind(self, told) || now - self.m_pulled < pull_pause) {
+    const auto loaders_differ = !self.m_follows_servers && news.loaders() != loaders_digest(self);
+    const sighting_news told{news.configuration(), news.weights(), servers_differ(self, row, news.servers()),
+                             loaders_differ};
+    if (!is_behind(self, told, now) || now - self.m_pulled < pull_pause) {
         return;
     }
     self.m_pulled = now;
     wire::fleet::Frame ask{};
-    ask.mutable_pull()->set_configuration(self.m_follows_servers || !self.m_configuration ? configuration_version(self)
-                                                                                          : news.configuration());
+    ask.mutable_pull()->set_configuration(configuration_version(self));
     ask.mutable_pull()->set_servers(self.m_follows_servers);
     send(self, from, ask);
 }
@@ -119,6 +133,7 @@
     news.set_weights(internal::sum_of_targets(self));
     news.set_servers(fleet::fingerprint(self.m_servers));
     news.set_reaches_store(self.m_store_there);
+    news.set_loaders(internal::loaders_digest(self));
     send_to_gateways(self, frame);
     const auto bytes = frame.SerializeAsString();
     for (const auto& [name, row] : self.m_members) {
@@ -178,6 +193,31 @@
     }
 }
 
+/*! @brief Tells the loaders of the region of new weights at once; all else they can wait for. */
+auto tell_loaders(core& self, const wire::fleet::State& news) -> void {
+    const auto sum = sum_of_targets(self);
+    if (std::exchange(self.m_told_weights, sum) == sum) {
+        return;
+    }
+    wire::fleet::Frame frame{};
+    *frame.mutable_state()->mutable_weights() = news.weights();
+    for (const auto& [name, row] : self.m_members) {
+        if (!row.m_member.is_gateway() && row.m_member.m_region == self.m_self.m_region) {
+            send(self, name, frame);
+        }
+    }
+}
+
+/*! @brief Forgets loaders that a gateway no longer knows: loaders do not hear each other. */
+auto forget_loaders(core& self, const wire::fleet::State& state) -> void {
+    std::set<std::string, std::less<>> known{self.m_self.m_instance};
+    for (const auto& each : state.members()) {
+        known.insert(each.instance());
+    }
+    std::erase_if(self.m_members,
+                  [&](const auto& each) { return !each.second.m_member.is_gateway() && !known.contains(each.first); });
+}
+
 auto push(core& self) -> void {
     wire::fleet::Frame frame{};
     auto& news = *frame.mutable_state();
@@ -195,6 +235,7 @@
             send(self, name, frame);
         }
     }
+    tell_loaders(self, news);
 }
 
 } // namespace
@@ -227,7 +268,7 @@
     }
     self.m_watching = watches;
     self.m_events.write("store.watch", {{"watches", watches}});
-    for (const auto& each : {self.m_operators, self.m_server_entries, self.m_member_entries}) {
+    for (const auto& each : {self.m_operators, self.m_server_entries}) {
         if (watches) {
             each->resume();
         } else {
@@ -284,6 +325,9 @@
     for (const auto& each : state.members()) {
         note_member(self, from_wire(each), false);
     }
+    if (!self.m_follows_servers && state.members_size() > 0) {
+        internal::forget_loaders(self, state);
+    }
 }
 
 auto on_message(core& self, const std::string_view from, const std::string_view bytes) -> void {
