--- a/include/rhubarbwharf/dispatch/choice.hpp
+++ b/include/rhubarbwharf/dispatch/choice.hpp
@@ -72,7 +72,7 @@
     /*! @brief Added to the predicted time of a backend server in another data centre, in ms. */
     double m_far_ms{15.0};
     /*! @brief Requests beyond its slots that a backend server may hold, by reports that lag. */
-    double m_beyond_slots{2.0};
+    double m_beyond_slots{0.0};
     /*! @brief Slots of a backend server that are filled by quota alone; those free beyond them are shared out. */
     double m_reserve{3.0};
     /*! @brief Gateways that share what is free. */
@@ -90,6 +90,10 @@
  * own. */
 inline constexpr double passes_before_first = 1.5;
 
+/*! @brief The same where all slots are taken and prompts are read all the while: reading is shared out between passes.
+ */
+inline constexpr double passes_when_full = 2.5;
+
 /**
  * @brief Predicts the time of one pass over all running requests. Reading the prompts of those that come and go takes
  * as long again as writing when all slots are taken.
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -13,8 +13,11 @@
 
 /*! @brief Part of the caller's time that the answer's way back takes. */
 constexpr duration way_back = std::chrono::milliseconds{4};
-/*! @brief Time after which a caller with less time left than the route gives has surely come back from a refusal. */
-constexpr duration came_back = std::chrono::milliseconds{60};
+/*! @brief Time after which the longest patience of a route's callers is measured anew. */
+constexpr duration patience_memory = std::chrono::seconds{10};
+/*! @brief A caller with less than this part of the time that others give has come back from a refusal; those that ask
+ * for the first time differ by up to 15 in 100. */
+constexpr double first_time_part = 0.83;
 /*! @brief Pause told to callers before this gateway knows any configuration. */
 constexpr duration unknown_pause = std::chrono::milliseconds{300};
 constexpr std::string_view bearer = "Bearer ";
@@ -82,15 +85,25 @@
     return read.ec == std::errc{} && value >= 0 ? std::optional{value} : std::nullopt;
 }
 
+/*! @brief Returns the longest time that callers of a route have given lately: what a fresh request has. */
+[[nodiscard]] auto usual_patience(daemon& self, const fleet::route& route, const duration given, const time_point now)
+    -> duration {
+    auto& known = self.m_patience[route.m_name];
+    if (given >= known.m_longest || now - known.m_since > patience_memory) {
+        known = {given, now};
+    }
+    return known.m_longest;
+}
+
 /*! @brief Sets when the caller stops waiting, and until when an answer is on time. */
-auto set_times(exchange& item, const std::vector<net::header>& headers) -> void {
+auto set_times(daemon& self, exchange& item, const std::vector<net::header>& headers) -> void {
     const auto& route = *item.m_route;
     const auto given = milliseconds_of(net::find(headers, adapter::field::deadline));
     const auto left = given ? duration{std::chrono::milliseconds{*given}} : route.m_timeout;
     item.m_deadline = item.m_arrived + std::min(route.m_timeout, std::max(duration{1}, left - way_back));
-    const auto used = given ? route.m_timeout - left : duration::zero();
-    const auto returned = given && used > came_back && left < route.m_timeout;
-    item.m_target = item.m_arrived + route.m_target - (returned ? used : duration::zero());
+    const auto usual = given ? usual_patience(self, route, left, item.m_arrived) : left;
+    const auto came_back = left < std::chrono::duration_cast<duration>(usual * first_time_part);
+    item.m_target = item.m_arrived + route.m_target - (came_back ? usual - left : duration::zero());
 }
 
 [[nodiscard]] auto content_of(const net::http_request& incoming, const std::string_view organisation) -> std::uint64_t {
@@ -137,13 +150,13 @@
     self.m_core.m_counters.add("requests_rejected_total");
 }
 
-auto fill(exchange& item, net::http_request&& incoming) -> void {
+auto fill(daemon& self, exchange& item, net::http_request&& incoming) -> void {
     const auto tokens = adapter::decode_tokens(net::find(incoming.m_headers, adapter::field::tokens));
     const auto hint = adapter::decode_tokens(net::find(incoming.m_headers, adapter::field::length_hint));
     item.m_prompt = tokens.m_prompt;
     item.m_output = hint.m_prompt > 0.0 ? hint.m_prompt : tokens.m_output;
     item.m_model = net::find(incoming.m_headers, adapter::field::model);
-    set_times(item, incoming.m_headers);
+    set_times(self, item, incoming.m_headers);
     item.m_content = content_of(incoming, item.m_organisation);
     item.m_request.m_method = std::move(incoming.m_method);
     item.m_request.m_target = std::move(incoming.m_target);
@@ -182,7 +195,7 @@
         answer->respond(net::problem(rejected.m_code, outcome::not_run, rejected.m_detail, duration::zero()));
         return;
     }
-    internal::fill(*item, std::move(incoming));
+    internal::fill(self, *item, std::move(incoming));
     item->m_id = request_id{++self.m_last_request};
     ++self.m_arrivals;
     item->m_answer = std::move(answer);
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -90,6 +90,12 @@
     std::vector<std::shared_ptr<dispatch::backend>> m_backends{};
 };
 
+/*! @brief Longest time that callers have given. */
+struct patience {
+    duration m_longest{};
+    time_point m_since{};
+};
+
 /*! @brief All state of one gateway; only its loop's thread touches it. */
 struct daemon {
     daemon(const config::node_settings& settings, std::string file);
@@ -107,6 +113,8 @@
     std::map<std::string, std::shared_ptr<dispatch::backend>, std::less<>> m_backends{};
     std::unordered_map<request_id, std::shared_ptr<exchange>> m_exchanges{};
     routing::quarantine m_quarantine{};
+    /*! @brief Longest time that callers of a route have given lately, by the route's name. */
+    std::map<std::string, patience, std::less<>> m_patience{};
     std::uint64_t m_last_request{};
     /*! @brief Gateways that take traffic, this one included. */
     double m_gateways{1.0};
--- a/src/gateway/place.cpp
+++ b/src/gateway/place.cpp
@@ -13,9 +13,10 @@
 constexpr duration fresh_time = std::chrono::seconds{3};
 /*! @brief Idle time of a connection that any other request uses. */
 constexpr duration kept_time = std::chrono::seconds{20};
-/*! @brief Least and most time that a refused caller is told to wait. */
-constexpr duration least_return = std::chrono::milliseconds{80};
-constexpr duration most_return = std::chrono::milliseconds{1'500};
+/*! @brief Least and most time that a refused caller is told to wait. Its answer will be late in any case, so that it
+ * does best to come when those that can be on time have been served. */
+constexpr duration least_return = std::chrono::milliseconds{1'000};
+constexpr duration most_return = std::chrono::milliseconds{1'800};
 /*! @brief Time without an event after which a caller gives a stream up: this at least, or so many times the route's
  * target, or so many times its longest pause. */
 constexpr duration least_patience = std::chrono::seconds{2};
@@ -76,7 +77,7 @@
     auto whole = std::chrono::milliseconds{50};
     if (engine != nullptr) {
         const auto pass = dispatch::pass_time(*engine, static_cast<double>(engine->m_slots));
-        const auto reading = item.m_prompt / engine->m_read_per_ms + dispatch::passes_before_first * pass;
+        const auto reading = item.m_prompt / engine->m_read_per_ms + dispatch::passes_when_full * pass;
         const auto writing = engine->m_usual_output / engine->m_stride * pass;
         first = std::chrono::milliseconds{static_cast<std::int64_t>(reading)};
         whole = std::chrono::milliseconds{static_cast<std::int64_t>(reading + writing)};
@@ -98,9 +99,9 @@
 
 [[nodiscard]] auto return_time(daemon& self, const exchange& item, const duration expected, const time_point now)
     -> duration {
-    const auto spread = std::chrono::milliseconds{self.m_core.m_random() % 120U};
-    const auto longest = std::min(most_return, (item.m_deadline - now) / honoured_part);
-    return std::clamp<duration>(expected + spread, least_return, std::max(least_return, longest));
+    const auto spread = std::chrono::milliseconds{self.m_core.m_random() % 400U};
+    const auto honoured = std::max<duration>(duration{1}, (item.m_deadline - now) / honoured_part);
+    return std::min<duration>(std::clamp<duration>(expected + spread, least_return, most_return), honoured);
 }
 
 [[nodiscard]] auto left_ms(const exchange& item, const time_point now) -> std::int64_t {
@@ -180,6 +181,9 @@
                                std::chrono::duration_cast<std::chrono::milliseconds>(now - to->m_reported).count())},
          {"waited_ms", static_cast<std::int64_t>(
                            std::chrono::duration_cast<std::chrono::milliseconds>(now - item->m_arrived).count())},
+         {"target_ms",
+          static_cast<std::int64_t>(
+              std::chrono::duration_cast<std::chrono::milliseconds>(item->m_target - item->m_arrived).count())},
          {"version", static_cast<std::int64_t>(held)},
          {"configuration", static_cast<std::int64_t>(item->m_configuration->m_version)}});
     made->m_call = self.m_core.m_http.send(to->m_address, internal::request_for(*item, *to, pinned ? held : 0U, now),
