--- a/include/rhubarbwharf/dispatch/choice.hpp
+++ b/include/rhubarbwharf/dispatch/choice.hpp
@@ -77,6 +77,9 @@
     double m_reserve{3.0};
     /*! @brief Gateways that share what is free. */
     double m_gateways{1.0};
+    /*! @brief Part of the backend servers that one request is weighed over, drawn anew for each: gateways that have the
+     * same reports would all choose the same one until the next report. */
+    double m_drawn_share{0.35};
     /*! @brief Spread added to each prediction, so that gateways with the same reports choose differently, in ms. */
     double m_spread_ms{8.0};
 };
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -64,6 +64,7 @@
             const choice_limits& limits, std::uint64_t random, const time_point now) -> std::optional<choice> {
     std::optional<choice> best{};
     double best_score{};
+    auto best_drawn = false;
     for (std::size_t index = 0U; index < rows.size(); ++index) {
         const auto& row = *rows[index];
         // A linear congruential step gives each candidate other bits of the one random number.
@@ -72,13 +73,16 @@
             continue;
         }
         const auto first = predict_first(row, engine, wanted.m_prompt);
-        const auto spread = static_cast<double>(random >> (64U - spread_bits)) / steps * limits.m_spread_ms;
+        const auto spread = static_cast<double>((random >> spread_bits) % static_cast<std::uint64_t>(steps)) / steps *
+                            limits.m_spread_ms;
         const auto crowding = engine == nullptr ? 0.0 : load(row) * engine->m_step_ms;
         const auto far = row.m_data_centre == limits.m_data_centre ? 0.0 : limits.m_far_ms;
         const auto silent =
             row.m_reported != time_point{} && now - row.m_reported > silent_report_time ? silent_ms : 0.0;
         const auto score = first + crowding + far + spread + silent;
-        if (!best || score < best_score) {
+        const auto drawn = static_cast<double>(random >> (64U - spread_bits)) / steps < limits.m_drawn_share;
+        if (!best || (drawn && !best_drawn) || (drawn == best_drawn && score < best_score)) {
+            best_drawn = drawn;
             best = choice{index, first, load(row)};
             best_score = score;
         }
