--- a/include/rhubarbwharf/dispatch/choice.hpp
+++ b/include/rhubarbwharf/dispatch/choice.hpp
@@ -77,9 +77,9 @@
     double m_reserve{3.0};
     /*! @brief Gateways that share what is free. */
     double m_gateways{1.0};
-    /*! @brief Part of the backend servers that one request is weighed over, drawn anew for each: gateways that have the
-     * same reports would all choose the same one until the next report. */
-    double m_drawn_share{0.35};
+    /*! @brief Backend servers that one request is weighed over, drawn anew for each: gateways that have the same
+     * reports would all choose the same one until the next report. */
+    double m_drawn{6.0};
     /*! @brief Spread added to each prediction, so that gateways with the same reports choose differently, in ms. */
     double m_spread_ms{8.0};
 };
@@ -89,6 +89,10 @@
 /*! @brief Added to the predicted time of a backend server whose reports have stopped, in ms. */
 inline constexpr double silent_ms = 400.0;
 
+/*! @brief Added to the predicted time of a runner where this gateway has used its quota up, in ms: quotas differ
+ * between gateways, so that many gateways do not choose the same runner by the same report. */
+inline constexpr double beyond_quota_ms = 30.0;
+
 /*! @brief Passes that go by before the first token of a request that finds a slot: half of the one under way, and its
  * own. */
 inline constexpr double passes_before_first = 1.5;
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -65,6 +65,7 @@
     std::optional<choice> best{};
     double best_score{};
     auto best_drawn = false;
+    const auto drawn_share = limits.m_drawn / static_cast<double>(std::max<std::size_t>(1U, rows.size()));
     for (std::size_t index = 0U; index < rows.size(); ++index) {
         const auto& row = *rows[index];
         // A linear congruential step gives each candidate other bits of the one random number.
@@ -79,8 +80,9 @@
         const auto far = row.m_data_centre == limits.m_data_centre ? 0.0 : limits.m_far_ms;
         const auto silent =
             row.m_reported != time_point{} && now - row.m_reported > silent_report_time ? silent_ms : 0.0;
-        const auto score = first + crowding + far + spread + silent;
-        const auto drawn = static_cast<double>(random >> (64U - spread_bits)) / steps < limits.m_drawn_share;
+        const auto owed = row.m_own < row.m_quota || engine == nullptr ? 0.0 : beyond_quota_ms;
+        const auto score = first + crowding + far + spread + silent + owed;
+        const auto drawn = static_cast<double>(random >> (64U - spread_bits)) / steps < drawn_share;
         if (!best || (drawn && !best_drawn) || (drawn == best_drawn && score < best_score)) {
             best_drawn = drawn;
             best = choice{index, first, load(row)};
--- a/src/gateway/ends.cpp
+++ b/src/gateway/ends.cpp
@@ -50,6 +50,24 @@
     end_with(self, item, failed(502U, what.m_reason), what.m_reason);
 }
 
+/*! @brief Takes a request back that waits at a runner whose version may no longer begin one. */
+auto look_for_old_version(daemon& self, const std::shared_ptr<exchange>& item, const time_point now) -> void {
+    const auto& service = *item->m_service;
+    const auto waits = !item->m_started && !item->m_attempt->m_head;
+    if (!waits || !service.m_engine || item->m_route->m_repeat != fleet::repeat::idempotent) {
+        return;
+    }
+    const auto least = node::least_version(self.m_core, item->m_model, now, node::version_last_call);
+    const auto held =
+        fleet::version_of(item->m_attempt->m_backend->m_models, item->m_model, service.m_engine->m_layers);
+    if (held == 0U || held >= least) {
+        return;
+    }
+    item->m_may_have_run = true;
+    drop_attempt(self, item, "the version may no longer begin a request");
+    place(self, item);
+}
+
 /*! @brief Acts on an attempt that has given nothing for too long. */
 auto look_for_silence(daemon& self, const std::shared_ptr<exchange>& item, const time_point now) -> void {
     const auto& made = *item->m_attempt;
@@ -200,6 +218,9 @@
             end_with(self, item, ran ? failed(504U, "the deadline passed") : refusal(503U, "the deadline passed", {}),
                      "the deadline passed");
         } else if (item->m_attempt) {
+            internal::look_for_old_version(self, item, now);
+        }
+        if (!item->m_ended && item->m_attempt) {
             internal::look_for_silence(self, item, now);
         }
     }
--- a/src/gateway/place.cpp
+++ b/src/gateway/place.cpp
@@ -35,7 +35,7 @@
     if (item.m_service->m_engine && !item.m_model.empty()) {
         out.m_model = item.m_model;
         out.m_layers = item.m_service->m_engine->m_layers;
-        out.m_least_version = node::least_version(self.m_core, item.m_model, now);
+        out.m_least_version = node::least_version(self.m_core, item.m_model, now, node::version_margin);
     }
     return out;
 }
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -12,9 +12,6 @@
 
 /*! @brief Time after the store's return in which entries that lapsed meanwhile come back. */
 constexpr duration return_time = std::chrono::milliseconds{2'300};
-/*! @brief Time before a version's time limit from which requests keep to it: it covers the way to the runner and a
- * wait in its queue. */
-constexpr duration version_margin = std::chrono::milliseconds{800};
 /*! @brief Pause between words of backend servers: a quarter of the time in which a leaving one must get nothing new. */
 constexpr duration server_gather = std::chrono::milliseconds{500};
 /*! @brief Time between looks at whether peers tell what the store says. */
@@ -303,8 +300,9 @@
     return newest;
 }
 
-auto least_version(const core& self, const std::string_view model, const time_point now) -> std::uint64_t {
-    const auto bound = std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms} - internal::version_margin;
+auto least_version(const core& self, const std::string_view model, const time_point now, const duration margin)
+    -> std::uint64_t {
+    const auto bound = std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms} - margin;
     std::uint64_t least{};
     for (const auto& each : self.m_targets) {
         if (each.m_model == model && now - each.m_learned >= bound) {
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -116,14 +116,23 @@
  * @return The version; 1 if none has been named. */
 [[nodiscard]] auto wanted_version(const core& self, std::string_view model) -> std::uint64_t;
 
+/*! @brief Time before a version's time limit from which requests keep to it: it covers a wait at a runner that has just
+ * filled up. */
+inline constexpr duration version_margin = std::chrono::milliseconds{1'500};
+/*! @brief Time before a version's time limit at which a request that has not begun on an older one is taken back: its
+ * runner hears of that within one way over the farthest link. */
+inline constexpr duration version_last_call = std::chrono::milliseconds{300};
+
 /**
  * @brief Returns the oldest version that a request may still begin on.
  * @param self The core.
  * @param model The model.
  * @param now The time.
+ * @param margin Time before the version's time limit from which it counts.
  * @return The version; 0 if any will do.
  */
-[[nodiscard]] auto least_version(const core& self, std::string_view model, time_point now) -> std::uint64_t;
+[[nodiscard]] auto least_version(const core& self, std::string_view model, time_point now, duration margin)
+    -> std::uint64_t;
 
 /*! @brief Sends a frame. @param self The core. @param peer The peer. @param frame The frame; the head is filled in. */
 auto send(core& self, std::string_view peer, wire::fleet::Frame& frame) -> void;
