--- a/include/rhubarbwharf/dispatch/choice.hpp
+++ b/include/rhubarbwharf/dispatch/choice.hpp
@@ -18,7 +18,7 @@
 namespace rhubarbwharf::dispatch {
 
 /*! @brief What one gateway knows of the load of a backend server. */
-struct backend {
+struct server_load {
     std::string m_id{};
     std::uint64_t m_started{};
     std::string m_service{};
@@ -67,7 +67,7 @@
 };
 
 /*! @brief Inputs of a choice that all requests share. */
-struct choice_limits {
+struct placement_limits {
     std::string_view m_data_centre{};
     /*! @brief Added to the predicted time of a backend server in another data centre, in ms. */
     double m_far_ms{15.0};
@@ -120,7 +120,7 @@
 };
 
 /*! @brief Estimates the requests at a backend server. @param row It. @return Running and waiting ones. */
-[[nodiscard]] auto load(const backend& row) noexcept -> double;
+[[nodiscard]] auto load(const server_load& row) noexcept -> double;
 
 /**
  * @brief Predicts the time to the first byte of an answer.
@@ -129,15 +129,15 @@
  * @param prompt Prompt tokens.
  * @return The time in ms.
  */
-[[nodiscard]] auto predict_first(const backend& row, const fleet::engine* engine, double prompt) noexcept -> double;
+[[nodiscard]] auto predict_first(const server_load& row, const fleet::engine* engine, double prompt) noexcept -> double;
 
 /*! @brief Tells whether a backend server may run a request at all, full or not. @param row It. @param wanted The
  * request. @param now The time. @return Whether it may. */
-[[nodiscard]] auto is_fit(const backend& row, const demand& wanted, time_point now) noexcept -> bool;
+[[nodiscard]] auto is_fit(const server_load& row, const demand& wanted, time_point now) noexcept -> bool;
 
 /*! @brief Tells whether a backend server may be sent one more. @param row It. @param limits The limits.
  * @return Whether it may. */
-[[nodiscard]] auto has_room(const backend& row, const choice_limits& limits) noexcept -> bool;
+[[nodiscard]] auto has_room(const server_load& row, const placement_limits& limits) noexcept -> bool;
 
 /**
  * @brief Chooses the backend server with the least predicted time to the first byte among those that are fit and have
@@ -150,7 +150,8 @@
  * @param now The time.
  * @return The choice, or nothing if none has room.
  */
-[[nodiscard]] auto choose(std::span<const backend* const> rows, const fleet::engine* engine, const demand& wanted,
-                          const choice_limits& limits, std::uint64_t random, time_point now) -> std::optional<choice>;
+[[nodiscard]] auto choose(std::span<const server_load* const> rows, const fleet::engine* engine, const demand& wanted,
+                          const placement_limits& limits, std::uint64_t random, time_point now)
+    -> std::optional<choice>;
 
 } // namespace rhubarbwharf::dispatch
--- a/include/rhubarbwharf/dispatch/fwd.hpp
+++ b/include/rhubarbwharf/dispatch/fwd.hpp
@@ -8,9 +8,9 @@
 namespace rhubarbwharf::dispatch {
 
 struct health;
-struct backend;
+struct server_load;
 struct demand;
-struct choice_limits;
+struct placement_limits;
 struct choice;
 struct waiting;
 struct wait_queue;
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -12,7 +12,7 @@
 /*! @brief Predicted time of a plain service that nothing is known of, in ms. */
 constexpr double plain_ms = 5.0;
 
-[[nodiscard]] auto holds(const backend& row, const demand& wanted) noexcept -> bool {
+[[nodiscard]] auto holds(const server_load& row, const demand& wanted) noexcept -> bool {
     if (wanted.m_model.empty()) {
         return true;
     }
@@ -23,7 +23,7 @@
 
 } // namespace
 
-auto load(const backend& row) noexcept -> double {
+auto load(const server_load& row) noexcept -> double {
     return static_cast<double>(row.m_own) + row.m_others;
 }
 
@@ -33,7 +33,7 @@
     return engine.m_stride * (engine.m_step_ms + running * engine.m_request_ms) * (1.0 + running / slots);
 }
 
-auto predict_first(const backend& row, const fleet::engine* const engine, const double prompt) noexcept -> double {
+auto predict_first(const server_load& row, const fleet::engine* const engine, const double prompt) noexcept -> double {
     const auto held = load(row);
     const auto slots = static_cast<double>(row.m_slots);
     if (engine == nullptr) {
@@ -47,21 +47,21 @@
     return row.m_pace * (waits + reading + passes_before_first * pass_time(*engine, held));
 }
 
-auto is_fit(const backend& row, const demand& wanted, const time_point now) noexcept -> bool {
+auto is_fit(const server_load& row, const demand& wanted, const time_point now) noexcept -> bool {
     const auto tried = std::ranges::find(wanted.m_tried, row.m_id) != wanted.m_tried.end();
     return !row.m_draining && !row.m_gone && !row.m_busy && !tried && is_usable(row.m_health, now) &&
            holds(row, wanted);
 }
 
-auto has_room(const backend& row, const choice_limits& limits) noexcept -> bool {
+auto has_room(const server_load& row, const placement_limits& limits) noexcept -> bool {
     const auto slots = static_cast<double>(row.m_slots);
     const auto held = load(row);
     const auto spare = std::max(0.0, slots - limits.m_reserve - held) / std::max(1.0, limits.m_gateways);
     return row.m_own < row.m_quota + spare && held < slots + limits.m_beyond_slots;
 }
 
-auto choose(const std::span<const backend* const> rows, const fleet::engine* const engine, const demand& wanted,
-            const choice_limits& limits, std::uint64_t random, const time_point now) -> std::optional<choice> {
+auto choose(const std::span<const server_load* const> rows, const fleet::engine* const engine, const demand& wanted,
+            const placement_limits& limits, std::uint64_t random, const time_point now) -> std::optional<choice> {
     std::optional<choice> best{};
     double best_score{};
     auto best_drawn = false;
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-auto place_in_service(daemon& self, const std::shared_ptr<dispatch::backend>& row) -> void {
+auto place_in_service(daemon& self, const std::shared_ptr<dispatch::server_load>& row) -> void {
     auto& rows = self.m_services[row->m_service].m_backends;
     if (std::ranges::find(rows, row) == rows.end()) {
         rows.push_back(row);
@@ -79,7 +79,7 @@
                         found->second->m_service != entry.m_service || found->second->m_address != entry.m_address;
     if (is_new) {
         internal::take_out(self, id);
-        auto row = std::make_shared<dispatch::backend>();
+        auto row = std::make_shared<dispatch::server_load>();
         row->m_id = id;
         row->m_started = entry.m_started;
         row->m_service = entry.m_service;
@@ -109,7 +109,7 @@
     }
     self.m_gateways = std::max(1.0, static_cast<double>(gateways.size()));
     for (auto& [service, state] : self.m_services) {
-        std::vector<dispatch::backend*> rows{};
+        std::vector<dispatch::server_load*> rows{};
         std::vector<dispatch::quota_server> servers{};
         for (const auto& each : state.m_backends) {
             if (!each->m_draining && !each->m_busy) {
@@ -124,7 +124,7 @@
     }
 }
 
-auto service_failure_rate(const daemon& self, const dispatch::backend& row) -> double {
+auto service_failure_rate(const daemon& self, const dispatch::server_load& row) -> double {
     const auto found = self.m_services.find(row.m_service);
     if (found == self.m_services.end()) {
         return 0.0;
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -27,7 +27,7 @@
 
 /*! @brief One attempt of an exchange at a backend server. */
 struct attempt {
-    std::shared_ptr<dispatch::backend> m_backend{};
+    std::shared_ptr<dispatch::server_load> m_backend{};
     std::shared_ptr<net::call> m_call{};
     time_point m_sent{};
     /*! @brief Prompt tokens counted as unread at the backend server; 0 once its answer has begun. */
@@ -87,7 +87,7 @@
 struct service_state {
     dispatch::wait_queue m_queue{};
     dispatch::repeat_budget m_budget{};
-    std::vector<std::shared_ptr<dispatch::backend>> m_backends{};
+    std::vector<std::shared_ptr<dispatch::server_load>> m_backends{};
 };
 
 /*! @brief Longest time that callers have given. */
@@ -110,7 +110,7 @@
 
     std::map<std::string, service_state, std::less<>> m_services{};
     /*! @brief By id. */
-    std::map<std::string, std::shared_ptr<dispatch::backend>, std::less<>> m_backends{};
+    std::map<std::string, std::shared_ptr<dispatch::server_load>, std::less<>> m_backends{};
     std::unordered_map<request_id, std::shared_ptr<exchange>> m_exchanges{};
     routing::quarantine m_quarantine{};
     /*! @brief Longest time that callers of a route have given lately, by the route's name. */
@@ -142,7 +142,7 @@
 
 /*! @brief Sends an exchange to a backend server. @param self The gateway. @param item The exchange.
  * @param to The backend server. @param why Prediction that it rests on. */
-auto dispatch_to(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<dispatch::backend>& to,
+auto dispatch_to(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<dispatch::server_load>& to,
                  const dispatch::choice& why) -> void;
 
 /*! @brief Takes the attempt in progress back: its counts, and its call if it still runs. @param self The gateway.
@@ -205,7 +205,7 @@
 
 /*! @brief Mean failure rate of the other backend servers of a service. @param self The gateway. @param row The one
  * left out. @return The rate. */
-[[nodiscard]] auto service_failure_rate(const daemon& self, const dispatch::backend& row) -> double;
+[[nodiscard]] auto service_failure_rate(const daemon& self, const dispatch::server_load& row) -> double;
 
 /*! @brief Answers what is not a caller's request. */
 auto on_directory(daemon& self, const net::http_request& incoming, const std::shared_ptr<net::responder>& answer)
--- a/src/gateway/place.cpp
+++ b/src/gateway/place.cpp
@@ -40,9 +40,9 @@
     return out;
 }
 
-[[nodiscard]] auto limits_of(const daemon& self, const exchange& item) -> dispatch::choice_limits {
+[[nodiscard]] auto limits_of(const daemon& self, const exchange& item) -> dispatch::placement_limits {
     constexpr double plain_queue = 3.0;
-    dispatch::choice_limits out{};
+    dispatch::placement_limits out{};
     out.m_data_centre = self.m_core.m_self.m_data_centre;
     if (!item.m_service->m_engine) {
         out.m_beyond_slots = plain_queue;
@@ -56,7 +56,7 @@
 [[nodiscard]] auto choose_backend(daemon& self, const exchange& item, const time_point now)
     -> std::optional<dispatch::choice> {
     const auto& rows = self.m_services[item.m_service->m_name].m_backends;
-    std::vector<const dispatch::backend*> views{};
+    std::vector<const dispatch::server_load*> views{};
     views.reserve(rows.size());
     std::ranges::transform(rows, std::back_inserter(views), [](const auto& each) { return each.get(); });
     const auto* const engine = item.m_service->m_engine ? &*item.m_service->m_engine : nullptr;
@@ -104,12 +104,15 @@
     return std::min<duration>(std::clamp<duration>(expected + spread, least_return, most_return), honoured);
 }
 
+[[nodiscard]] auto ms(const duration time) noexcept -> std::int64_t {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 [[nodiscard]] auto left_ms(const exchange& item, const time_point now) -> std::int64_t {
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(item.m_deadline - now).count();
-    return std::max<std::int64_t>(1, left);
+    return std::max<std::int64_t>(1, ms(item.m_deadline - now));
 }
 
-[[nodiscard]] auto request_for(const exchange& item, const dispatch::backend& to, const std::uint64_t only_version,
+[[nodiscard]] auto request_for(const exchange& item, const dispatch::server_load& to, const std::uint64_t only_version,
                                const time_point now) -> net::http_request {
     auto out = item.m_request;
     const auto add = [&out](const std::string_view name, std::string value) {
@@ -133,7 +136,19 @@
 
 auto refuse(daemon& self, const std::shared_ptr<exchange>& item, const duration expected, const std::string_view reason)
     -> void {
-    const auto pause = return_time(self, *item, expected, steady_now());
+    const auto now = steady_now();
+    const auto pause = return_time(self, *item, expected, now);
+    const auto& state = self.m_services[item->m_service->m_name];
+    self.m_core.m_events.write("request.refused",
+                               {{"id", item->m_name},
+                                {"reason", reason},
+                                {"waiting", static_cast<std::int64_t>(state.m_queue.m_rows.size())},
+                                {"sent_per_s", dispatch::rate(state.m_queue, now)},
+                                {"expected_ms", ms(expected)},
+                                {"target_ms", ms(item->m_target - item->m_arrived)},
+                                {"return_ms", ms(pause)},
+                                {"servers", static_cast<std::int64_t>(state.m_backends.size())},
+                                {"configuration", static_cast<std::int64_t>(item->m_configuration->m_version)}});
     end_with(self, item, refusal(503U, reason, pause), reason);
 }
 
@@ -145,7 +160,7 @@
 
 } // namespace internal
 
-auto dispatch_to(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<dispatch::backend>& to,
+auto dispatch_to(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<dispatch::server_load>& to,
                  const dispatch::choice& why) -> void {
     const auto now = steady_now();
     auto made = std::make_shared<attempt>();
@@ -177,13 +192,9 @@
          {"try", static_cast<std::int64_t>(item->m_tried.size())},
          {"load", why.m_load},
          {"first_ms", why.m_first_ms},
-         {"report_age_ms", static_cast<std::int64_t>(
-                               std::chrono::duration_cast<std::chrono::milliseconds>(now - to->m_reported).count())},
-         {"waited_ms", static_cast<std::int64_t>(
-                           std::chrono::duration_cast<std::chrono::milliseconds>(now - item->m_arrived).count())},
-         {"target_ms",
-          static_cast<std::int64_t>(
-              std::chrono::duration_cast<std::chrono::milliseconds>(item->m_target - item->m_arrived).count())},
+         {"report_age_ms", to->m_reported == time_point{} ? std::int64_t{-1} : internal::ms(now - to->m_reported)},
+         {"waited_ms", internal::ms(now - item->m_arrived)},
+         {"target_ms", internal::ms(item->m_target - item->m_arrived)},
          {"version", static_cast<std::int64_t>(held)},
          {"configuration", static_cast<std::int64_t>(item->m_configuration->m_version)}});
     made->m_call = self.m_core.m_http.send(to->m_address, internal::request_for(*item, *to, pinned ? held : 0U, now),
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -112,7 +112,7 @@
 }
 
 /*! @brief Takes over what a refusal tells: the model is not held, or there is no room until the next report. */
-auto note_refusal(dispatch::backend& row, const std::uint16_t status) -> void {
+auto note_refusal(dispatch::server_load& row, const std::uint16_t status) -> void {
     if (status == status_misdirected) {
         row.m_models.clear();
     } else {
--- /dev/null
+++ b/src/loader/swap.cpp
@@ -0,0 +1,40 @@
+#include <loader/swap.hpp>
+
+namespace rhubarbwharf::loader::internal {
+
+/*! @brief Spoilt pieces after which the manifest is read again, as it may be what is spoilt. */
+constexpr unsigned most_spoilt = 3U;
+/*! @brief Letters of a piece's state, by `piece_state`. */
+constexpr std::string_view state_letters = "-f+";
+
+auto states_of(const std::string_view text) -> std::vector<piece_state> {
+    std::vector<piece_state> out(text.size(), piece_state::missing);
+    for (std::size_t index = 0U; index < text.size(); ++index) {
+        const auto letter = state_letters.find(text[index]);
+        if (letter != std::string_view::npos) {
+            out[index] = static_cast<piece_state>(letter);
+        }
+    }
+    return out;
+}
+
+auto written(const std::vector<piece_state>& pieces) -> std::string {
+    std::string out(pieces.size(), state_letters.front());
+    for (std::size_t index = 0U; index < pieces.size(); ++index) {
+        out[index] = state_letters[static_cast<std::size_t>(pieces[index])];
+    }
+    return out;
+}
+
+auto note_spoilt(daemon& self, model_state& model, const std::size_t piece, const std::string& from) -> void {
+    self.m_core.m_events.write("piece.spoilt", {{"model", model.m_name},
+                                                {"version", static_cast<std::int64_t>(model.m_version)},
+                                                {"piece", static_cast<std::int64_t>(piece)},
+                                                {"from", from}});
+    self.m_core.m_counters.add("pieces_spoilt_total");
+    if (++model.m_spoilt >= most_spoilt) {
+        model.m_manifest_asked = false;
+    }
+}
+
+} // namespace rhubarbwharf::loader::internal
--- a/test/dispatch/decisions.cpp
+++ b/test/dispatch/decisions.cpp
@@ -15,8 +15,8 @@
 
 const time_point now{std::chrono::seconds{100}};
 
-[[nodiscard]] auto runner(const std::string& id, const std::uint64_t version) -> backend {
-    backend out{};
+[[nodiscard]] auto runner(const std::string& id, const std::uint64_t version) -> server_load {
+    server_load out{};
     out.m_id = id;
     out.m_data_centre = "here";
     out.m_slots = 16U;
@@ -34,13 +34,13 @@
     return out;
 }
 
-[[nodiscard]] auto pick(const std::vector<backend>& rows, const demand& wanted) -> std::string {
-    std::vector<const backend*> views{};
+[[nodiscard]] auto pick(const std::vector<server_load>& rows, const demand& wanted) -> std::string {
+    std::vector<const server_load*> views{};
     for (const auto& each : rows) {
         views.push_back(&each);
     }
     const auto engine = engine_like();
-    choice_limits limits{};
+    placement_limits limits{};
     limits.m_data_centre = "here";
     const auto found = choose(views, &engine, wanted, limits, 7U, now);
     return found ? rows[found->m_index].m_id : std::string{};
@@ -60,7 +60,7 @@
     wanted.m_prompt = 500.0;
     wanted.m_model = "m";
     wanted.m_layers = 16U;
-    std::vector<backend> rows{runner("old", 1U), runner("new", 2U)};
+    std::vector<server_load> rows{runner("old", 1U), runner("new", 2U)};
     wanted.m_least_version = 2U;
     CHECK(pick(rows, wanted) == "new");
     rows[1].m_draining = true;
@@ -78,7 +78,7 @@
 TEST_CASE("placement prefers the runner whose first token is predicted soonest") {
     demand wanted{};
     wanted.m_prompt = 500.0;
-    std::vector<backend> rows{runner("full", 1U), runner("reading", 1U), runner("idle", 1U)};
+    std::vector<server_load> rows{runner("full", 1U), runner("reading", 1U), runner("idle", 1U)};
     rows[0].m_own = 15U;
     rows[1].m_unread = 6'000.0;
     CHECK(pick(rows, wanted) == "idle");
@@ -91,7 +91,7 @@
 }
 
 TEST_CASE("a gateway refills its own quota, and takes only its part of what else is free") {
-    choice_limits limits{};
+    placement_limits limits{};
     limits.m_gateways = 4.0;
     auto row = runner("a", 1U);
     row.m_quota = 4.0;
