--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 SEED ?= 20261203
 
-.PHONY: all setup build test demo bench fuzz format lint
+.PHONY: all setup build test soak demo bench fuzz format lint
 all: build
 
 setup:
@@ -15,6 +15,9 @@
 test: build
 	tools/run-tests $(BUILD)
 
+soak: build
+	RHUBARBWHARF_BIN=$(BUILD)/app SOAK_SEED=$(SEED) SOAK_SECONDS=$(or $(SECONDS),30) $(BUILD)/test/soak/test_soak
+
 demo: build
 	tools/demo $(BUILD)/app
 
