--- a/include/rhubarbwharf/platform/fwd.hpp
+++ b/include/rhubarbwharf/platform/fwd.hpp
@@ -8,7 +8,6 @@
 class client;
 struct key_value;
 struct put_outcome;
-struct lease;
 struct client_settings;
 struct call_counts;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -5,9 +5,7 @@
 #include <gateway/daemon.hpp>
 #include <platform/names.hpp>
 
-namespace rhubarbwharf::gateway {
-
-namespace internal {
+namespace rhubarbwharf::gateway::internal {
 
 /*! @brief Largest answer that is gathered before it is passed on; a larger one ends as a failure. */
 constexpr std::size_t most_gathered_bytes = std::size_t{8} * 1024U * 1024U;
@@ -179,14 +177,13 @@
 
 auto on_end(daemon& self, const std::shared_ptr<exchange>& item, const net::call_end& end) -> void {
     const auto& made = *item->m_attempt;
-    if (end.m_code != code::ok || !made.m_head) {
-        on_cut(self, item, end);
-    } else if (!made.m_is_stream) {
-        judge(self, item);
-    } else if (item->m_events.has_part()) {
+    const auto came = end.m_code == code::ok && made.m_head;
+    if (!came || (made.m_is_stream && item->m_events.has_part())) {
         on_cut(self, item, end);
-    } else {
+    } else if (made.m_is_stream) {
         finish_stream(self, item);
+    } else {
+        judge(self, item);
     }
 }
 
@@ -216,6 +213,4 @@
     return out;
 }
 
-} // namespace internal
-
-} // namespace rhubarbwharf::gateway
+} // namespace rhubarbwharf::gateway::internal
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -85,6 +85,22 @@
     });
 }
 
+/*! @brief Decides from whom a piece may be fetched now. */
+[[nodiscard]] auto source_of(const plan_input& in, const std::size_t piece, const holders& have)
+    -> std::optional<fetch> {
+    if (!have.m_near.empty() || is_near(in, piece)) {
+        const auto waits = have.m_near.empty() || in.m_yields;
+        return waits ? std::nullopt : std::optional{fetch{piece, pick(have.m_near, in.m_random)}};
+    }
+    const auto place = standing_of(in, piece);
+    const auto line = region_stagger * static_cast<int>(place.m_in_region);
+    if (!have.m_far.empty()) {
+        return in.m_age < line ? std::nullopt : std::optional{fetch{piece, pick(have.m_far, in.m_random)}};
+    }
+    const auto turn = line + origin_stagger * static_cast<int>(place.m_of_regions);
+    return in.m_origin_room == 0U || in.m_age < turn ? std::nullopt : std::optional{fetch{piece, std::nullopt}};
+}
+
 } // namespace
 
 auto next_fetch(const plan_input& in) -> std::optional<fetch> {
@@ -100,24 +116,11 @@
         if (best && have.m_count >= best_count) {
             continue;
         }
-        const auto place = standing_of(in, piece);
-        const auto may_bring = in.m_age >= region_stagger * static_cast<int>(place.m_in_region);
-        const auto line = region_stagger * static_cast<int>(place.m_in_region) +
-                          origin_stagger * static_cast<int>(place.m_of_regions);
-        if (!have.m_near.empty() && in.m_yields) {
-            continue;
-        }
-        if (!have.m_near.empty()) {
-            best = fetch{piece, pick(have.m_near, in.m_random)};
-        } else if (is_near(in, piece)) {
-            continue;
-        } else if (!have.m_far.empty() && may_bring) {
-            best = fetch{piece, pick(have.m_far, in.m_random)};
-        } else if (have.m_far.empty() && in.m_origin_room > 0U && in.m_age >= line) {
-            best = fetch{piece, std::nullopt};
-        } else {
+        const auto found = source_of(in, piece, have);
+        if (!found) {
             continue;
         }
+        best = found;
         best_count = have.m_count;
     }
     return best;
