--- a/src/command/run.cpp
+++ b/src/command/run.cpp
@@ -5,6 +5,7 @@
 #include <command/options.hpp>
 #include <command/ticket.hpp>
 #include <rhubarbwharf/config/load.hpp>
+#include <rhubarbwharf/config/node.hpp>
 
 namespace rhubarbwharf::command {
 
@@ -15,16 +16,18 @@
 constexpr int status_ok = 200;
 
 [[nodiscard]] auto check_config(const std::string& file, std::ostream& out, std::ostream& faults) -> status {
-    const auto outcome = config::load(file);
-    const auto* const found = std::get_if<std::vector<config::fault>>(&outcome);
-    if (found == nullptr) {
-        out << file << ": ok\n";
-        return status::done;
-    }
-    for (const auto& fault : *found) {
-        faults << config::to_string(fault) << '\n';
-    }
-    return status::usage;
+    const auto report = [&](const auto& outcome) {
+        const auto* const found = std::get_if<std::vector<config::fault>>(&outcome);
+        if (found == nullptr) {
+            out << file << ": ok\n";
+            return status::done;
+        }
+        for (const auto& fault : *found) {
+            faults << config::to_string(fault) << '\n';
+        }
+        return status::usage;
+    };
+    return config::is_node(file) ? report(config::load_node(file)) : report(config::load(file));
 }
 
 auto write_codes(std::ostream& out) -> void {
--- a/test/command/run.cpp
+++ b/test/command/run.cpp
@@ -93,6 +93,15 @@
     CHECK(run({"check-config", "/nonexistent"}).m_progress.find("settings_unreadable") != std::string::npos);
 }
 
+TEST_CASE("settings of every role are checked") {
+    const std::string folder{RHUBARBWHARF_SOURCE_DIR "/config/users-platform/"};
+    for (const auto* const name : {"gateway.json", "loader.json"}) {
+        const auto checked = run({"check-config", (folder + name).c_str()});
+        CHECK(checked.m_status == command::status::done);
+        CHECK(checked.m_out.ends_with(": ok\n"));
+    }
+}
+
 TEST_CASE("a submission whose answer is lost is sent again under the same id") {
     const net::http_response lost{.m_status = 0U};
     const net::http_response accepted{.m_status = 200U, .m_body = R"({"number":4,"repeated":true})"};
