Count a version that stands in the store before a process from its start, and take over a peer's earlier time

A listing does not tell when a key was written; it now counts from when the store was last heard, or from before the start.

--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <node/core.hpp>
 #include <platform/decode.hpp>
@@ -14,6 +15,8 @@
 constexpr duration return_time = std::chrono::milliseconds{2'300};
 /*! @brief Pause between words of backend servers: a quarter of the time in which a leaving one must get nothing new. */
 constexpr duration server_gather = std::chrono::milliseconds{500};
+/*! @brief When something was written that stood there before this process. */
+constexpr time_point long_ago{duration{1}};
 /*! @brief Time between looks at whether peers tell what the store says. */
 constexpr duration fall_back_period = std::chrono::milliseconds{2'000};
 /*! @brief Messages that may wait for one peer; a few seconds of pulses and reports. */
@@ -56,7 +59,8 @@
     self.m_counters.set("store_reachable", there ? 1.0 : 0.0);
 }
 
-auto on_operator_item(core& self, const adapter::item& got) -> void {
+/*! @brief Takes over what the operators wrote. @param since When it was written at the earliest. */
+auto on_operator_item(core& self, const adapter::item& got, const time_point since) -> void {
     if (got.m_removed) {
         return;
     }
@@ -65,6 +69,7 @@
         pass_on(self, {});
     } else if (got.m_key.starts_with(adapter::key::weights)) {
         if (auto target = adapter::decode_target(got.m_value)) {
+            target->m_learned = since;
             accept_target(self, std::move(*target), "store");
             pass_on(self, {});
         }
@@ -167,7 +172,7 @@
 auto read_operators(core& self) -> void {
     self.m_store.range(adapter::key::operators, {}, [&self](const adapter::page& got) {
         for (const auto& each : got.m_items) {
-            on_operator_item(self, each);
+            on_operator_item(self, each, long_ago);
         }
     });
 }
@@ -199,11 +204,16 @@
     self.m_operators = follow(
         self, adapter::key::operators, duration::zero(),
         [&self](const std::vector<adapter::item>& rows, std::uint64_t) {
+            // A listing does not tell when a key was written: at the earliest when the store was last heard.
+            const auto since = std::exchange(self.m_operators_heard, steady_now());
             for (const auto& each : rows) {
-                on_operator_item(self, each);
+                on_operator_item(self, each, since);
             }
         },
-        [&self](const adapter::item& got) { on_operator_item(self, got); });
+        [&self](const adapter::item& got) {
+            self.m_operators_heard = steady_now();
+            on_operator_item(self, got, self.m_operators_heard);
+        });
     self.m_server_entries = follow(
         self, adapter::key::servers, server_gather,
         [&self](const std::vector<adapter::item>& rows, const std::uint64_t revision) {
@@ -282,6 +292,13 @@
     if (target.m_learned == time_point{}) {
         target.m_learned = steady_now();
     }
+    const auto is_same = [&target](const fleet::weights_target& each) {
+        return each.m_model == target.m_model && each.m_version == target.m_version;
+    };
+    if (const auto known = std::ranges::find_if(self.m_targets, is_same); known != self.m_targets.end()) {
+        known->m_learned = std::min(known->m_learned, target.m_learned);
+        return;
+    }
     if (target.m_version <= wanted_version(self, target.m_model)) {
         return;
     }
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -64,6 +64,8 @@
     std::vector<fleet::weights_target> m_targets{};
     fleet::servers m_servers{};
     fleet::member_table m_members{};
+    /*! @brief When the store last told what the operators wrote. */
+    time_point m_operators_heard{duration{1}};
     /*! @brief Backend servers whose removal waits, because the store has just come back. */
     std::set<std::string, std::less<>> m_doubted{};
 
