Let a peer's exact time of a version go before a listing's, and count what the machine was suspended

Cause: counting a listed version from before the start is safe, but a gateway that restarts alone then refuses what others may still serve. Peers tell since when they know it, and whether they heard it as it was written.

--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -60,6 +60,8 @@
     std::uint64_t m_version{1};
     /*! @brief When this process learned of it. */
     time_point m_learned{};
+    /*! @brief Whether it was learned as it was written; else it may have been written later than `m_learned`. */
+    bool m_exact{false};
 };
 
 /*! @brief Backend servers by id, merged by revision; a removal is remembered by its revision. */
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -193,6 +193,7 @@
     auto& loop = self.m_core.m_loop;
     loop.every(tick_period, [&self] { internal::tick(self); });
     loop.every(pulse_period, [&self] {
+        node::note_suspension(self.m_core);
         internal::measure_demand(self);
         node::pulse(self.m_core);
         node::review_watch(self.m_core);
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 #include <node/core.hpp>
@@ -15,6 +16,8 @@
 constexpr duration return_time = std::chrono::milliseconds{2'300};
 /*! @brief Pause between words of backend servers: a quarter of the time in which a leaving one must get nothing new. */
 constexpr duration server_gather = std::chrono::milliseconds{500};
+/*! @brief Difference of the clocks from which the machine has been suspended; less is the time between two readings. */
+constexpr duration least_suspension = std::chrono::milliseconds{200};
 /*! @brief When something was written that stood there before this process. */
 constexpr time_point long_ago{duration{1}};
 /*! @brief Time between looks at whether peers tell what the store says. */
@@ -59,8 +62,9 @@
     self.m_counters.set("store_reachable", there ? 1.0 : 0.0);
 }
 
-/*! @brief Takes over what the operators wrote. @param since When it was written at the earliest. */
-auto on_operator_item(core& self, const adapter::item& got, const time_point since) -> void {
+/*! @brief Takes over what the operators wrote. @param since When it was written at the earliest. @param is_exact
+ * Whether it was written just then. */
+auto on_operator_item(core& self, const adapter::item& got, const time_point since, const bool is_exact) -> void {
     if (got.m_removed) {
         return;
     }
@@ -70,6 +74,7 @@
     } else if (got.m_key.starts_with(adapter::key::weights)) {
         if (auto target = adapter::decode_target(got.m_value)) {
             target->m_learned = since;
+            target->m_exact = is_exact;
             accept_target(self, std::move(*target), "store");
             pass_on(self, {});
         }
@@ -172,7 +177,7 @@
 auto read_operators(core& self) -> void {
     self.m_store.range(adapter::key::operators, {}, [&self](const adapter::page& got) {
         for (const auto& each : got.m_items) {
-            on_operator_item(self, each, long_ago);
+            on_operator_item(self, each, long_ago, false);
         }
     });
 }
@@ -207,12 +212,12 @@
             // A listing does not tell when a key was written: at the earliest when the store was last heard.
             const auto since = std::exchange(self.m_operators_heard, steady_now());
             for (const auto& each : rows) {
-                on_operator_item(self, each, since);
+                on_operator_item(self, each, since, false);
             }
         },
         [&self](const adapter::item& got) {
             self.m_operators_heard = steady_now();
-            on_operator_item(self, got, self.m_operators_heard);
+            on_operator_item(self, got, self.m_operators_heard, true);
         });
     self.m_server_entries = follow(
         self, adapter::key::servers, server_gather,
@@ -296,7 +301,11 @@
         return each.m_model == target.m_model && each.m_version == target.m_version;
     };
     if (const auto known = std::ranges::find_if(self.m_targets, is_same); known != self.m_targets.end()) {
-        known->m_learned = std::min(known->m_learned, target.m_learned);
+        if (known->m_exact == target.m_exact) {
+            known->m_learned = std::min(known->m_learned, target.m_learned);
+        } else if (target.m_exact) {
+            *known = std::move(target);
+        }
         return;
     }
     if (target.m_version <= wanted_version(self, target.m_model)) {
@@ -329,6 +338,23 @@
     return least;
 }
 
+auto note_suspension(core& self) -> void {
+    timespec boot{};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    const duration since_boot = std::chrono::seconds{boot.tv_sec} +
+                                std::chrono::duration_cast<duration>(std::chrono::nanoseconds{boot.tv_nsec});
+    const auto ahead = since_boot - steady_now().time_since_epoch();
+    const auto slept = ahead - std::exchange(self.m_boot_ahead, ahead);
+    if (self.m_boot_known && slept > internal::least_suspension) {
+        for (auto& each : self.m_targets) {
+            each.m_learned -= slept;
+        }
+        self.m_events.write("clock.suspended",
+                            {{"slept_ms", std::chrono::duration_cast<std::chrono::milliseconds>(slept).count()}});
+    }
+    self.m_boot_known = true;
+}
+
 auto note_removed(core& self, const std::string& id, const std::uint64_t revision) -> void {
     if (!self.m_servers.m_rows.contains(id)) {
         fleet::remove(self.m_servers, id, revision);
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -66,6 +66,12 @@
     fleet::member_table m_members{};
     /*! @brief When the store last told what the operators wrote. */
     time_point m_operators_heard{duration{1}};
+    /*! @brief How far the clock that counts suspensions is ahead of the steady one, at the last look. */
+    duration m_boot_ahead{};
+    bool m_boot_known{false};
+    /*! @brief Whether a peer has told its whole state since the start. */
+    bool m_state_told{false};
+    unsigned m_seed_calls{};
     /*! @brief Backend servers whose removal waits, because the store has just come back. */
     std::set<std::string, std::less<>> m_doubted{};
 
@@ -171,6 +177,10 @@
  * @param is_listed Whether the store lists it. */
 auto note_member(core& self, const fleet::member& value, bool is_listed) -> void;
 
+/*! @brief Moves the times of versions back by what the machine has been suspended, which the steady clock leaves out.
+ * @param self The core. */
+auto note_suspension(core& self) -> void;
+
 /*! @brief Removes a backend server, or doubts it for a while if the store has just come back. @param self The core.
  * @param id The server. @param revision Revision of the removal. */
 auto note_removed(core& self, const std::string& id, std::uint64_t revision) -> void;
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -15,6 +15,8 @@
 constexpr duration settle_time = std::chrono::milliseconds{1'500};
 /*! @brief Least time between two configurations that a loader takes over from a gateway. */
 constexpr duration loader_pause = std::chrono::seconds{10};
+/*! @brief Questions to seeds by a process that knows the configuration already, but not since when. */
+constexpr unsigned most_seed_calls = 4U;
 /*! @brief Pause before the seeds are asked again. */
 constexpr duration seed_pause = std::chrono::milliseconds{600};
 
@@ -179,6 +181,7 @@
         made->set_version(each.m_version);
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - each.m_learned);
         made->set_age_ms(static_cast<std::uint64_t>(age.count()));
+        made->set_exact(each.m_exact);
     }
 }
 
@@ -308,7 +311,7 @@
     const auto now = steady_now();
     for (const auto& each : state.weights()) {
         const auto age = std::chrono::milliseconds{each.age_ms()};
-        accept_target(self, {each.model(), each.version(), now - age}, source);
+        accept_target(self, {each.model(), each.version(), now - age, each.exact()}, source);
     }
     for (const auto& each : state.servers()) {
         if (!self.m_follows_servers) {
@@ -353,9 +356,11 @@
 }
 
 auto ask_seeds(core& self) -> void {
-    if (self.m_configuration || self.m_settings.m_seeds.empty()) {
+    const auto enough = self.m_state_told || self.m_seed_calls >= internal::most_seed_calls;
+    if ((self.m_configuration && enough) || self.m_settings.m_seeds.empty()) {
         return;
     }
+    ++self.m_seed_calls;
     const auto& seeds = self.m_settings.m_seeds;
     const auto seed = net::parse_endpoint(seeds[self.m_random() % seeds.size()]);
     const auto again = [&self] {
@@ -375,6 +380,7 @@
                           constexpr std::uint16_t ok = 200U;
                           wire::fleet::State state{};
                           if (got.m_status == ok && state.ParseFromString(got.m_body)) {
+                              self.m_state_told = true;
                               accept_state(self, state, "seed");
                           }
                           again();
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -20,7 +20,7 @@
 }
 
 [[nodiscard]] auto target(const std::uint64_t version, const time_point learned) -> fleet::weights_target {
-    return {"m", version, learned};
+    return {"m", version, learned, true};
 }
 
 } // namespace
@@ -46,6 +46,17 @@
     CHECK(least_version(self, "m", now, duration::zero()) == 2U);
 }
 
+TEST_CASE("a peer that heard a version named knows better than a listing") {
+    core self{settings_of("gateway"), true};
+    const auto now = steady_now();
+    accept_target(self, {"m", 2U, now - hour, false}, "listing");
+    CHECK(least_version(self, "m", now, duration::zero()) == 2U);
+    accept_target(self, target(2U, now), "peer");
+    CHECK(least_version(self, "m", now, duration::zero()) == 0U);
+    accept_target(self, {"m", 2U, now - hour, false}, "listing");
+    CHECK(least_version(self, "m", now, duration::zero()) == 0U);
+}
+
 TEST_CASE("a version that stood in the store before the process started is in force at once") {
     core self{settings_of("gateway"), true};
     standin_site::store registry{self.m_loop};
