--- a/include/rhubarbwharf/net/events.hpp
+++ b/include/rhubarbwharf/net/events.hpp
@@ -27,7 +27,7 @@
 class event_log {
 public:
     /*! @brief Makes a log. @param owner The loop; outlives the log. @param instance Name that each line carries. */
-    event_log(loop& owner, std::string instance);
+    event_log(loop& owner, std::string_view instance);
     ~event_log();
 
     event_log(const event_log&) = delete;
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -244,7 +244,7 @@
      * @param handlers What is called as the response comes; never before this call returns.
      * @return The call; it goes on whether or not it is kept.
      */
-    auto send(const endpoint& server, http_request request, call_limits limits, call_handlers handlers)
+    auto send(const endpoint& server, http_request request, const call_limits& limits, call_handlers handlers)
         -> std::shared_ptr<call>;
 
     /*! @brief What `fetch` hands over: the whole response, its status 0 if it did not come whole, and how the call
@@ -259,7 +259,8 @@
      * @param done Called once.
      * @return The call.
      */
-    auto fetch(const endpoint& server, http_request request, call_limits limits, fetched done) -> std::shared_ptr<call>;
+    auto fetch(const endpoint& server, http_request request, const call_limits& limits, fetched done)
+        -> std::shared_ptr<call>;
 
 private:
     struct state;
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -20,6 +20,9 @@
 constexpr double first_time_part = 0.83;
 /*! @brief Pause told to callers before this gateway knows any configuration. */
 constexpr duration unknown_pause = std::chrono::milliseconds{300};
+/*! @brief Crashes at which a request was running, over all gateways, after which it is held back: one more than those
+ * of a neighbour that runs beside it twice. */
+constexpr std::uint32_t most_crashes = 3U;
 constexpr std::string_view bearer = "Bearer ";
 
 namespace {
@@ -205,7 +208,7 @@
         forget(self, item, 0U, "the caller left");
     });
     dispatch::note_request(self.m_services[item->m_service->m_name].m_budget, item->m_arrived);
-    if (routing::crashes(self.m_quarantine, item->m_content, item->m_arrived) >= 3U) {
+    if (routing::crashes(self.m_quarantine, item->m_content, item->m_arrived) >= internal::most_crashes) {
         end_with(self, item, refusal(503U, "the request has crashed backend servers", std::chrono::seconds{2}),
                  "quarantined");
         return;
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -115,7 +115,7 @@
             }
             internal::read_pieces(
                 self, *current, adapter::decode_staged(got.m_body),
-                [&self, name, version](const std::vector<std::size_t>& good, std::vector<std::size_t>) {
+                [&self, name, version](const std::vector<std::size_t>& good, const std::vector<std::size_t>&) {
                     auto* const model_now = find_model(self, name, version);
                     if (model_now == nullptr) {
                         return;
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -64,9 +64,10 @@
 
 } // namespace
 
-client_call::client_call(std::shared_ptr<client_state> owner, endpoint server, const call_limits limits,
+client_call::client_call(std::shared_ptr<client_state> owner, endpoint server, call_limits limits,
                          call_handlers handlers)
-    : m_owner{std::move(owner)}, m_server{std::move(server)}, m_limits{limits}, m_handlers{std::move(handlers)} {}
+    : m_owner{std::move(owner)}, m_server{std::move(server)}, m_limits{std::move(limits)}, m_handlers{
+                                                                                               std::move(handlers)} {}
 
 auto client_call::start(http_request request) -> void {
     const auto now = steady_now();
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -106,7 +106,7 @@
     m_state->m_idle.clear();
 }
 
-auto http_client::send(const endpoint& server, http_request request, const call_limits limits, call_handlers handlers)
+auto http_client::send(const endpoint& server, http_request request, const call_limits& limits, call_handlers handlers)
     -> std::shared_ptr<call> {
     auto made = std::make_shared<internal::client_call>(m_state, server, limits, std::move(handlers));
     m_state->m_calls.insert(made);
@@ -114,7 +114,7 @@
     return made;
 }
 
-auto http_client::fetch(const endpoint& server, http_request request, const call_limits limits, fetched done)
+auto http_client::fetch(const endpoint& server, http_request request, const call_limits& limits, fetched done)
     -> std::shared_ptr<call> {
     struct collected {
         http_response m_response{};
--- a/src/net/events.cpp
+++ b/src/net/events.cpp
@@ -45,7 +45,7 @@
 
 } // namespace internal
 
-event_log::event_log(loop& owner, std::string instance) : m_loop{owner}, m_instance{json_string(instance)} {
+event_log::event_log(loop& owner, const std::string_view instance) : m_loop{owner}, m_instance{json_string(instance)} {
     const auto flags = fcntl(m_descriptor, F_GETFL);
     if (flags >= 0) {
         fcntl(m_descriptor, F_SETFL, flags | O_NONBLOCK);
