Keep the names of fields that the system sets itself in the adapter

Cause: the gateway named them a second time, in lower case; the pages' names are decoded in platform/ once. The cases of the stand-in site pass (a forged organisation is overwritten, no key is passed on).

--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -35,14 +35,20 @@
     return out;
 }
 
+[[nodiscard]] auto same_name(const std::string_view left, const std::string_view lower_right) noexcept -> bool {
+    return std::ranges::equal(left, lower_right, [](const char a, const char b) {
+        return (a >= 'A' && a <= 'Z' ? static_cast<char>(a - 'A' + 'a') : a) == b;
+    });
+}
+
 /*! @brief Tells whether a field concerns one connection, holds a key, or is set by this system. */
 [[nodiscard]] auto is_own_field(const std::string_view lower_name) noexcept -> bool {
     constexpr auto dropped = std::to_array<std::string_view>(
         {"connection", "keep-alive", "proxy-connection", "proxy-authorization", "proxy-authenticate", "te", "trailer",
-         "transfer-encoding", "upgrade", "content-length", "host", "expect", "authorization", "path",
-         "rhubarbwharf-expect-instance", "rhubarbwharf-expect-version", "rhubarbwharf-tenant",
-         "rhubarbwharf-request-priority", "rhubarbwharf-deadline-ms"});
-    return std::ranges::find(dropped, lower_name) != dropped.end();
+         "transfer-encoding", "upgrade", "content-length", "host", "expect", "authorization"});
+    return std::ranges::find(dropped, lower_name) != dropped.end() ||
+           std::ranges::any_of(adapter::field::set_by_system,
+                               [lower_name](const std::string_view each) { return same_name(each, lower_name); });
 }
 
 /*! @brief Lists the fields that the `Connection` fields of a request name. */
