--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -87,7 +87,7 @@
     });
 }
 
-auto follower::list(std::string after) -> void {
+auto follower::list(const std::string& after) -> void {
     if (after.empty()) {
         m_listed.clear();
     }
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -64,7 +64,7 @@
     [[nodiscard]] auto revision() const noexcept -> std::uint64_t { return m_revision; }
 
 private:
-    auto list(std::string after) -> void;
+    auto list(const std::string& after) -> void;
     auto on_page(adapter::page got) -> void;
     auto watch() -> void;
     auto on_changes(adapter::page got) -> void;
--- a/test/dispatch/decisions.cpp
+++ b/test/dispatch/decisions.cpp
@@ -36,6 +36,7 @@
 
 [[nodiscard]] auto pick(const std::vector<server_load>& rows, const demand& wanted) -> std::string {
     std::vector<const server_load*> views{};
+    views.reserve(rows.size());
     for (const auto& each : rows) {
         views.push_back(&each);
     }
--- a/test/fleet/member.cpp
+++ b/test/fleet/member.cpp
@@ -28,6 +28,7 @@
 
 [[nodiscard]] auto ports(const std::vector<net::endpoint>& rows) -> std::vector<unsigned> {
     std::vector<unsigned> out{};
+    out.reserve(rows.size());
     for (const auto& each : rows) {
         out.push_back(each.m_port);
     }
--- a/test/fleet/server.cpp
+++ b/test/fleet/server.cpp
@@ -47,6 +47,7 @@
     CHECK(rc::check([] {
         std::vector<change> changes{};
         const auto count = *rc::gen::inRange(1, 30);
+        changes.reserve(static_cast<std::size_t>(count));
         for (auto index = 0; index < count; ++index) {
             changes.push_back({std::string(1U, *rc::gen::inRange('a', 'e')), static_cast<std::uint64_t>(index + 1),
                                *rc::gen::arbitrary<bool>()});
--- a/test/net/framing.cpp
+++ b/test/net/framing.cpp
@@ -17,7 +17,7 @@
 };
 
 /*! @brief Sends one request to a server that answers each connection with given bytes and then closes it. */
-[[nodiscard]] auto call_scripted(const std::string& bytes, call_limits limits) -> scripted_result {
+[[nodiscard]] auto call_scripted(const std::string& bytes, const call_limits& limits) -> scripted_result {
     namespace asio = boost::asio;
     loop owner{};
     asio::ip::tcp::acceptor acceptor{owner.context(), {asio::ip::make_address(local_address), 0U}};
--- a/test/soak/cases.cpp
+++ b/test/soak/cases.cpp
@@ -119,6 +119,7 @@
 TEST_CASE("a planned stop ends the streams that it has begun") {
     place here{1U};
     std::vector<std::future<process::answer>> running{};
+    running.reserve(4U);
     for (auto index = 0; index < 4; ++index) {
         running.push_back(here.start("b" + std::to_string(index), standin_site::model_path, "b"));
     }
