--- a/test/soak/clients.cpp
+++ b/test/soak/clients.cpp
@@ -19,13 +19,13 @@
     bool m_is_single{false};
 };
 
-clients::clients(fleet& before, const std::uint64_t seed, const std::size_t count) : m_fleet{before}, m_random{seed} {
+clients::clients(fleet& before, const std::uint64_t seed, const std::size_t count)
+    : m_fleet{before}, m_random{seed}, m_running{count} {
     for (const auto& each : m_fleet.daemons()) {
         if (each.is_gateway()) {
             m_directories.push_back(each.m_directory);
         }
     }
-    m_running = count;
     m_loop.every(resolve_period, [this] { resolve(); });
     for (std::size_t index = 0U; index < count; ++index) {
         m_loop.post([this] { next(); });
