--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -10,8 +10,6 @@
 
 namespace internal {
 
-constexpr duration blame_time = std::chrono::seconds{120};
-
 namespace {
 
 auto place_in_service(daemon& self, const std::shared_ptr<dispatch::server_load>& row) -> void {
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -25,6 +25,9 @@
 /*! @brief Time between words to the other gateways. */
 inline constexpr duration pulse_period = std::chrono::milliseconds{300};
 
+/*! @brief Time for which a request that was running when a backend server crashed is remembered. */
+inline constexpr duration blame_time = std::chrono::seconds{120};
+
 /*! @brief One attempt of an exchange at a backend server. */
 struct attempt {
     std::shared_ptr<dispatch::server_load> m_backend{};
--- a/src/gateway/ends.cpp
+++ b/src/gateway/ends.cpp
@@ -9,8 +9,6 @@
 
 namespace internal {
 
-/*! @brief Time for which a request that crashed backend servers is remembered. */
-constexpr duration blame_time = std::chrono::seconds{120};
 /*! @brief Time without an event after which a stream that can go on elsewhere does so. */
 constexpr duration longest_pause = std::chrono::milliseconds{1'100};
 /*! @brief Time without an answer beyond the route's target after which a request is sent elsewhere instead. */
@@ -230,7 +228,7 @@
 }
 
 auto blame(daemon& self, const exchange& item) -> void {
-    const auto crashes = routing::blame(self.m_quarantine, item.m_content, steady_now() + internal::blame_time);
+    const auto crashes = routing::blame(self.m_quarantine, item.m_content, steady_now() + blame_time);
     self.m_core.m_events.write("request.blamed",
                                {{"id", item.m_name}, {"crashes", static_cast<std::int64_t>(crashes)}});
     wire::fleet::Frame frame{};
