Read the members after the own entry is written, and never ask oneself as a seed

Cause: of two gateways that start together both read the list of members before either had written its entry, and the list was read once; a gateway whose only seed is itself then took its own empty state for a peer's. Killed and started again while the store is silent it heard of nobody. Ruled out: the follower's listing and the pause between pulls, which the restarted process never reached.

--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -261,7 +261,11 @@
     internal::follow_store(self);
     self.m_registration = std::make_shared<registration>(
         self.m_loop, self.m_store, std::string{adapter::key::members} + self.m_self.m_instance,
-        adapter::encode_member(self.m_self), std::chrono::milliseconds{self.m_settings.m_store.m_lease_ms});
+        adapter::encode_member(self.m_self), std::chrono::milliseconds{self.m_settings.m_store.m_lease_ms}, [&self] {
+            // Of two processes that start together, the one that writes later reads the other's entry.
+            self.m_members_read = false;
+            internal::read_members(self);
+        });
     self.m_registration->start();
     ask_seeds(self);
     return true;
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -357,11 +357,12 @@
 
 auto ask_seeds(core& self) -> void {
     const auto enough = self.m_state_told || self.m_seed_calls >= internal::most_seed_calls;
-    if ((self.m_configuration && enough) || self.m_settings.m_seeds.empty()) {
+    auto seeds = self.m_settings.m_seeds;
+    std::erase(seeds, self.m_settings.m_listen.m_control);
+    if ((self.m_configuration && enough) || seeds.empty()) {
         return;
     }
     ++self.m_seed_calls;
-    const auto& seeds = self.m_settings.m_seeds;
     const auto seed = net::parse_endpoint(seeds[self.m_random() % seeds.size()]);
     const auto again = [&self] {
         self.m_loop.after(internal::seed_pause, [&self] { ask_seeds(self); });
--- a/src/node/registration.cpp
+++ b/src/node/registration.cpp
@@ -12,8 +12,9 @@
 } // namespace internal
 
 registration::registration(net::loop& owner, adapter::store& store, std::string key, std::string value,
-                           const duration ttl)
-    : m_loop{owner}, m_store{store}, m_key{std::move(key)}, m_value{std::move(value)}, m_ttl{ttl} {}
+                           const duration ttl, std::function<void()> on_written)
+    : m_loop{owner}, m_store{store}, m_key{std::move(key)}, m_value{std::move(value)}, m_ttl{ttl},
+      m_on_written{std::move(on_written)} {}
 
 auto registration::start() -> void {
     m_store.grant(m_ttl, [self = shared_from_this()](const adapter::lease got) {
@@ -35,6 +36,7 @@
     what.m_puts.push_back({m_key, m_value, 0U, m_lease, false});
     m_store.commit(what, [self = shared_from_this()](const adapter::reply got, std::uint64_t) {
         if (got == adapter::reply::ok) {
+            self->m_on_written();
             self->later(self->m_ttl / internal::renewals, &registration::renew);
         } else if (got == adapter::reply::missing) {
             self->later(duration::zero(), &registration::start);
--- a/src/node/registration.hpp
+++ b/src/node/registration.hpp
@@ -26,8 +26,10 @@
      * @param key The entry's key.
      * @param value Its value.
      * @param ttl Time to live of the lease.
+     * @param on_written Called each time the store has taken the entry.
      */
-    registration(net::loop& owner, adapter::store& store, std::string key, std::string value, duration ttl);
+    registration(net::loop& owner, adapter::store& store, std::string key, std::string value, duration ttl,
+                 std::function<void()> on_written);
 
     /*! @brief Takes a lease and writes the entry. */
     auto start() -> void;
@@ -45,6 +47,7 @@
     std::string m_key{};
     std::string m_value{};
     duration m_ttl{};
+    std::function<void()> m_on_written{};
     std::uint64_t m_lease{};
     bool m_stopped{false};
 };
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -1,3 +1,6 @@
+#include <atomic>
+#include <thread>
+
 #include <doctest/doctest.h>
 
 #include <net/fixture.hpp>
@@ -19,6 +22,15 @@
     return out;
 }
 
+/*! @brief Finds an address of this machine that nothing listens on. */
+[[nodiscard]] auto free_address(net::loop& owner) -> net::endpoint {
+    net::http_server probe{owner, net::http_limits{},
+                           [](const net::http_request&, const std::shared_ptr<net::responder>&) {
+                           }};
+    net::ensure_listening(probe);
+    return net::local(probe.port());
+}
+
 [[nodiscard]] auto target(const std::uint64_t version, const time_point learned) -> fleet::weights_target {
     return {"m", version, learned, true};
 }
@@ -70,4 +82,39 @@
     CHECK(least_version(self, "m", steady_now(), duration::zero()) == 2U);
 }
 
+TEST_CASE("of two processes that start together, one hears of the other from the store") {
+    core first{settings_of("gateway"), true};
+    auto other = settings_of("gateway");
+    other.m_instance = "gateway-2";
+    core second{other, true};
+    standin_site::store registry{first.m_loop};
+    const auto address = registry.listen();
+    first.m_store.set_address(address);
+    second.m_store.set_address(address);
+    first.m_self.m_bus = free_address(first.m_loop);
+    second.m_self.m_bus = free_address(second.m_loop);
+    REQUIRE(start(first));
+    REQUIRE(start(second));
+    std::atomic<bool> heard{false};
+    second.m_loop.every(std::chrono::milliseconds{1}, [&] { heard = second.m_members.contains("gateway-1"); });
+    std::thread beside{[&second] {
+        second.m_loop.run();
+    }};
+    CHECK(net::run_until(first.m_loop, [&] { return heard || first.m_members.contains("gateway-2"); }));
+    second.m_loop.stop();
+    beside.join();
+}
+
+TEST_CASE("a process does not take its own state for a peer's") {
+    auto settings = settings_of("gateway");
+    settings.m_listen.m_control = "127.0.0.1:7";
+    settings.m_seeds = {"127.0.0.1:7"};
+    core self{settings, true};
+    ask_seeds(self);
+    CHECK(self.m_seed_calls == 0U);
+    self.m_settings.m_seeds = {"127.0.0.1:7", "127.0.0.1:1"};
+    ask_seeds(self);
+    CHECK(self.m_seed_calls == 1U);
+}
+
 } // namespace rhubarbwharf::node
--- a/test/node/follower.cpp
+++ b/test/node/follower.cpp
@@ -107,7 +107,7 @@
 TEST_CASE("a registration survives lost writes and lapsed leases, and ends with its process") {
     followed all{};
     all.m_registry.set_faults({false, false, 2U});
-    const auto mine = std::make_shared<registration>(all.m_loop, all.m_store, "members/me", "value", wait * 4);
+    const auto mine = std::make_shared<registration>(all.m_loop, all.m_store, "members/me", "value", wait * 4, [] {});
     mine->start();
     REQUIRE(all.until([&] { return all.m_registry.count("members/") == 1U; }));
     all.m_registry.set_faults({true, false, 0U});
