Bring a version in while nobody gives the next one's manifest

Every loader dropped the version it had half fetched for one that nobody could give: 2 of 15 runners took version 2, none could answer from its predecessor's limit (26.0 s) on. Change: a loader goes on with the version that it fetches until it has the newer one's manifest; the manifest's code stands in a file of its own. Ruled out: the links (a version takes 4 s over them) and spoilt pieces (none). Test: test/soak/cases.cpp, fails when the old version is dropped at once.

--- a/app/standin-site/site.cpp
+++ b/app/standin-site/site.cpp
@@ -143,6 +143,10 @@
 
 auto site::on_origin(const net::http_request& request, const std::shared_ptr<net::responder>& to) -> void {
     const auto version = std::strtoull(adapter::query_value(request.m_target, "version").c_str(), nullptr, 10);
+    if (version > m_origin_faults.m_newest) {
+        to->respond(json_answer(503U, {}));
+        return;
+    }
     if (request.m_target.starts_with("/api/manifest/")) {
         boost::json::array digests{};
         for (std::size_t piece = 0U; piece < m_options.m_pieces; ++piece) {
@@ -152,7 +156,10 @@
         return;
     }
     const auto piece = std::strtoull(adapter::query_value(request.m_target, "chunk-count").c_str(), nullptr, 10);
-    to->respond({200U, {}, piece_bytes(version, piece)});
+    ++m_origin_pieces;
+    m_loop.after(m_origin_faults.m_piece_time, [to, version, piece] {
+        to->respond({200U, {}, piece_bytes(version, piece)});
+    });
 }
 
 } // namespace rhubarbwharf::standin_site
--- a/app/standin-site/site.hpp
+++ b/app/standin-site/site.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <future>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -25,6 +26,14 @@
 inline constexpr std::string_view ledger_path = "/ledger/";
 inline constexpr std::string_view lookup_path = "/lookup/";
 
+/*! @brief What goes wrong at the origin of weights. */
+struct origin_faults {
+    /*! @brief Newest version that it gives; it answers 503 for those after it. */
+    std::uint64_t m_newest{std::numeric_limits<std::uint64_t>::max()};
+    /*! @brief Time that it takes for a piece. */
+    duration m_piece_time{};
+};
+
 /**
  * @brief A whole site on a thread of its own: store, origin, runners and ledgers.
  *
@@ -49,6 +58,12 @@
     /*! @brief Names a version of the weights. @param version The version. */
     auto name_weights(std::uint64_t version) -> void;
 
+    /*! @brief Sets what goes wrong at the origin. @param faults It. */
+    auto harm_origin(const origin_faults& faults) -> void { m_origin_faults = faults; }
+
+    /*! @brief Returns the pieces asked of the origin so far. @return The count. */
+    [[nodiscard]] auto origin_pieces() const noexcept -> std::size_t { return m_origin_pieces; }
+
     /*! @brief Replaces a server by a new incarnation at a new address. @param index Index of the server. */
     auto restart_server(std::size_t index) -> void;
 
@@ -76,6 +91,8 @@
     std::uint64_t m_configuration{};
     std::uint64_t m_weights{1U};
     unsigned m_incarnations{};
+    origin_faults m_origin_faults{};
+    std::size_t m_origin_pieces{};
     std::thread m_thread{};
 };
 
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -39,6 +39,12 @@
     std::string m_from{};
 };
 
+/*! @brief How far the manifest of a version has been asked for. */
+struct manifest_question {
+    bool m_asked{false};
+    unsigned m_tries{};
+};
+
 /*! @brief One model of the service. */
 struct model_state {
     std::string m_name{};
@@ -50,8 +56,11 @@
     std::string m_manifest_text{};
     /*! @brief Pieces that came before the manifest, by index. */
     std::map<std::size_t, early_piece> m_unchecked{};
-    bool m_manifest_asked{false};
-    unsigned m_manifest_tries{};
+    manifest_question m_question{};
+    /*! @brief Newer version that is wanted, while its manifest is asked for and this one is still fetched; 0 for none.
+     */
+    std::uint64_t m_next{};
+    manifest_question m_next_question{};
     std::vector<piece_state> m_pieces{};
     /*! @brief Whether what lay staged at the start has been looked at. */
     bool m_staged_read{false};
@@ -101,6 +110,14 @@
 /*! @brief Takes over which versions are wanted. @param self The loader. */
 auto refresh_models(daemon& self) -> void;
 
+/*! @brief Turns a model to another version, of which nothing is known yet. @param self The loader. @param model The
+ * model. @param version The version. */
+auto begin_version(daemon& self, model_state& model, std::uint64_t version) -> void;
+
+/*! @brief Asks the origin and the other loaders by turns for a manifest, unless that goes on. @param self The loader.
+ * @param model The model. @param version The version. @param question How far it has been asked for. */
+auto ask_manifest(daemon& self, const model_state& model, std::uint64_t version, manifest_question& question) -> void;
+
 /*! @brief Does the next step for each model. @param self The loader. */
 auto advance(daemon& self) -> void;
 
--- /dev/null
+++ b/src/loader/manifest.cpp
@@ -0,0 +1,96 @@
+#include <algorithm>
+#include <utility>
+
+#include <loader/daemon.hpp>
+#include <loader/swap.hpp>
+#include <platform/encode.hpp>
+
+namespace rhubarbwharf::loader {
+
+namespace internal {
+
+/*! @brief Longest addition to the pause before a manifest is asked for again, so that loaders do not ask together. */
+constexpr std::uint64_t manifest_jitter_ms = 200U;
+
+namespace {
+
+/*! @brief Finds the question for a version's manifest, if it is still open. */
+[[nodiscard]] auto find_question(daemon& self, const std::string& name, const std::uint64_t version)
+    -> manifest_question* {
+    const auto found = self.m_models.find(name);
+    if (found == self.m_models.end()) {
+        return nullptr;
+    }
+    auto& model = found->second;
+    if (model.m_version == version) {
+        return &model.m_question;
+    }
+    return model.m_next == version ? &model.m_next_question : nullptr;
+}
+
+/*! @brief Takes a manifest over, or asks again after a pause. */
+auto on_manifest(daemon& self, const std::string& name, const std::uint64_t version, net::http_response got) -> void {
+    const auto* const question = find_question(self, name, version);
+    if (question == nullptr) {
+        return;
+    }
+    auto read = got.m_status == status_ok ? adapter::decode_manifest(got.m_body) : std::nullopt;
+    if (!read || read->m_version != version) {
+        const auto pause = ask_period + std::chrono::milliseconds{self.m_core.m_random() % manifest_jitter_ms};
+        self.m_core.m_loop.after(pause, [&self, name, version] {
+            if (auto* const again = find_question(self, name, version)) {
+                again->m_asked = false;
+            }
+        });
+        return;
+    }
+    auto& model = self.m_models[name];
+    const auto tries = question->m_tries;
+    if (model.m_next == version) {
+        begin_version(self, model, version);
+        model.m_question.m_asked = true;
+    }
+    self.m_core.m_events.write("manifest.read", {{"model", name},
+                                                 {"version", static_cast<std::int64_t>(version)},
+                                                 {"tries", static_cast<std::int64_t>(tries)}});
+    model.m_spoilt = 0U;
+    model.m_pieces.resize(read->m_pieces.size(), piece_state::missing);
+    model.m_manifest = std::move(read);
+    model.m_manifest_text = std::move(got.m_body);
+    check_early_pieces(self, model);
+    advance(self);
+}
+
+} // namespace
+
+} // namespace internal
+
+auto ask_manifest(daemon& self, const model_state& model, const std::uint64_t version, manifest_question& question)
+    -> void {
+    const auto* const from = self.m_core.m_configuration ? fleet::find_origin(*self.m_core.m_configuration) : nullptr;
+    if (question.m_asked) {
+        return;
+    }
+    const auto turn = question.m_tries++;
+    const auto ask_a_peer = !model.m_peers.empty() && (from == nullptr || turn % 2U == 1U);
+    if (!ask_a_peer && from == nullptr) {
+        return;
+    }
+    question.m_asked = true;
+    auto ask = adapter::encode_manifest_call(model.m_name, version);
+    auto limits = internal::origin_limits();
+    auto where = from == nullptr ? net::endpoint{} : from->m_address;
+    if (ask_a_peer) {
+        ask = net::http_request{};
+        ask.m_target = internal::peer_target("manifest", model.m_name, version);
+        const auto& name = model.m_peers[self.m_core.m_random() % model.m_peers.size()].m_instance;
+        where = self.m_core.m_members[name].m_member.m_bulk;
+        limits.m_total_time = internal::ask_time;
+    }
+    self.m_core.m_http.fetch(where, std::move(ask), limits,
+                             [&self, name = model.m_name, version](const net::call_end&, net::http_response got) {
+                                 internal::on_manifest(self, name, version, std::move(got));
+                             });
+}
+
+} // namespace rhubarbwharf::loader
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -14,33 +14,15 @@
 constexpr unsigned most_fetches = 4U;
 /*! @brief Pieces fetched from the origin at once by one loader. */
 constexpr unsigned most_origin_fetches = 2U;
-/*! @brief Time for one piece: its bytes at a tenth of the link's rate. */
-constexpr duration piece_time = std::chrono::milliseconds{2'500};
 /*! @brief Time for which a peer that failed is left alone. */
 constexpr duration avoid_time = std::chrono::milliseconds{700};
-/*! @brief Time between questions to peers about what they have. */
-constexpr duration ask_period = std::chrono::milliseconds{120};
 /*! @brief Questions in which each far peer is asked once. */
 constexpr std::uint64_t far_turns = 4U;
-/*! @brief Time for a peer to say what it has. */
-constexpr duration ask_time = std::chrono::milliseconds{800};
 /*! @brief Time in which peers are asked before the origin is read. */
 constexpr duration first_word = std::chrono::milliseconds{80};
 
 namespace {
 
-[[nodiscard]] auto peer_target(const std::string_view kind, const model_state& model) -> std::string {
-    return "/" + std::string{kind} + "?model=" + model.m_name + "&version=" + std::to_string(model.m_version);
-}
-
-/*! @brief Limits of a call to the origin, which takes few connections: none is kept. */
-[[nodiscard]] auto origin_limits() -> net::call_limits {
-    net::call_limits out{};
-    out.m_total_time = piece_time;
-    out.m_keep = false;
-    return out;
-}
-
 auto refresh_peers(daemon& self, model_state& model) -> void {
     std::vector<peer> fresh{};
     for (const auto& [name, row] : self.m_core.m_members) {
@@ -74,7 +56,7 @@
     limits.m_total_time = ask_time;
     limits.m_connect_time = ask_time;
     net::http_request ask{};
-    ask.m_target = peer_target("have", model);
+    ask.m_target = peer_target("have", model.m_name, model.m_version);
     const auto address = self.m_core.m_members[name].m_member.m_bulk;
     self.m_core.m_http.fetch(address, std::move(ask), limits,
                              [&self, name, model_name = model.m_name,
@@ -106,65 +88,6 @@
     }
 }
 
-/*! @brief Stages the pieces that came before the manifest, as far as they are right. */
-auto check_early_pieces(daemon& self, model_state& model) -> void;
-
-/*! @brief Takes a manifest over, or asks again after a pause. */
-auto on_manifest(daemon& self, const std::string& name, const std::uint64_t version, net::http_response got) -> void {
-    auto* const current = find_model(self, name, version);
-    if (current == nullptr) {
-        return;
-    }
-    auto read = got.m_status == status_ok ? adapter::decode_manifest(got.m_body) : std::nullopt;
-    if (!read || read->m_version != version) {
-        const auto pause = ask_period + std::chrono::milliseconds{self.m_core.m_random() % 200U};
-        self.m_core.m_loop.after(pause, [&self, name, version] {
-            if (auto* const again = find_model(self, name, version)) {
-                again->m_manifest_asked = false;
-            }
-        });
-        return;
-    }
-    self.m_core.m_events.write("manifest.read", {{"model", name},
-                                                 {"version", static_cast<std::int64_t>(version)},
-                                                 {"tries", static_cast<std::int64_t>(current->m_manifest_tries)}});
-    current->m_spoilt = 0U;
-    current->m_pieces.resize(read->m_pieces.size(), piece_state::missing);
-    current->m_manifest = std::move(read);
-    current->m_manifest_text = std::move(got.m_body);
-    check_early_pieces(self, *current);
-    advance(self);
-}
-
-/*! @brief Asks for the manifest: the origin and a peer by turns. */
-auto ask_manifest(daemon& self, model_state& model) -> void {
-    const auto* const from = self.m_core.m_configuration ? fleet::find_origin(*self.m_core.m_configuration) : nullptr;
-    if (model.m_manifest_asked) {
-        return;
-    }
-    const auto turn = model.m_manifest_tries++;
-    const auto ask_a_peer = !model.m_peers.empty() && (from == nullptr || turn % 2U == 1U);
-    if (!ask_a_peer && from == nullptr) {
-        return;
-    }
-    model.m_manifest_asked = true;
-    auto ask = adapter::encode_manifest_call(model.m_name, model.m_version);
-    auto limits = origin_limits();
-    auto where = from == nullptr ? net::endpoint{} : from->m_address;
-    if (ask_a_peer) {
-        ask = net::http_request{};
-        ask.m_target = peer_target("manifest", model);
-        const auto& name = model.m_peers[self.m_core.m_random() % model.m_peers.size()].m_instance;
-        where = self.m_core.m_members[name].m_member.m_bulk;
-        limits.m_total_time = ask_time;
-    }
-    self.m_core.m_http.fetch(
-        where, std::move(ask), limits,
-        [&self, name = model.m_name, version = model.m_version](const net::call_end&, net::http_response got) {
-            on_manifest(self, name, version, std::move(got));
-        });
-}
-
 /*! @brief Stages a piece that has its digest. */
 auto stage_piece(daemon& self, const model_state& model, const std::size_t piece, std::string bytes) -> void {
     self.m_core.m_http.fetch(
@@ -191,17 +114,6 @@
            sha256(bytes) == model.m_manifest->m_pieces[piece];
 }
 
-auto check_early_pieces(daemon& self, model_state& model) -> void {
-    for (auto& [piece, early] : std::exchange(model.m_unchecked, {})) {
-        if (is_right(model, piece, early.m_bytes)) {
-            stage_piece(self, model, piece, std::move(early.m_bytes));
-        } else {
-            model.m_pieces[piece] = piece_state::missing;
-            note_spoilt(self, model, piece, early.m_from.empty() ? "origin" : early.m_from);
-        }
-    }
-}
-
 auto on_piece(daemon& self, model_state& model, const std::size_t piece, const std::string& from,
               const time_point asked, net::http_response got) -> void {
     self.m_core.m_events.write(
@@ -252,7 +164,7 @@
         ++row.m_fetches;
         from = row.m_instance;
         where = self.m_core.m_members[from].m_member.m_bulk;
-        ask.m_target = peer_target("piece", model) + "&index=" + std::to_string(piece);
+        ask.m_target = peer_target("piece", model.m_name, model.m_version) + "&index=" + std::to_string(piece);
     } else {
         const auto* const origin = fleet::find_origin(*self.m_core.m_configuration);
         where = origin->m_address;
@@ -274,6 +186,17 @@
 
 } // namespace
 
+auto check_early_pieces(daemon& self, model_state& model) -> void {
+    for (auto& [piece, early] : std::exchange(model.m_unchecked, {})) {
+        if (is_right(model, piece, early.m_bytes)) {
+            stage_piece(self, model, piece, std::move(early.m_bytes));
+        } else {
+            model.m_pieces[piece] = piece_state::missing;
+            note_spoilt(self, model, piece, early.m_from.empty() ? "origin" : early.m_from);
+        }
+    }
+}
+
 } // namespace internal
 
 auto fetch_pieces(daemon& self, model_state& model) -> void {
@@ -282,7 +205,7 @@
         return;
     }
     internal::refresh_peers(self, model);
-    internal::ask_manifest(self, model);
+    ask_manifest(self, model, model.m_version, model.m_question);
     if (!model.m_staged_read) {
         return;
     }
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -202,24 +202,39 @@
     }
     for (const auto& name : service->m_engine->m_models) {
         auto& model = self.m_models[name];
+        model.m_name = name;
         const auto wanted = node::wanted_version(self.m_core, name);
-        if (model.m_version == wanted) {
+        if (model.m_version == wanted || model.m_next == wanted) {
             continue;
         }
-        // Beside a runner that holds the version before lies nothing of the new one.
-        const auto is_update = model.m_version != 0U && model.m_stage == stage::settled;
-        model = model_state{};
-        model.m_staged_read = is_update;
-        model.m_claimed = is_update;
-        model.m_name = name;
-        model.m_version = wanted;
-        model.m_wanted_since = steady_now();
-        model.m_stage = stage::settled;
-        model.m_pieces.assign(service->m_engine->m_pieces, piece_state::missing);
+        // While nobody gives the new version's manifest, the one before can still be brought in, and answer till the
+        // new one's time limit.
+        if (model.m_manifest && model.m_stage != stage::settled) {
+            model.m_next = wanted;
+            model.m_next_question = {};
+        } else {
+            begin_version(self, model, wanted);
+        }
     }
     advance(self);
 }
 
+auto begin_version(daemon& self, model_state& model, const std::uint64_t version) -> void {
+    const auto& known = self.m_core.m_configuration;
+    const auto* const service = known ? fleet::find_service(*known, self.m_core.m_self.m_service) : nullptr;
+    // Beside a runner that holds the version before lies nothing of the new one.
+    const auto is_update = model.m_version != 0U && model.m_stage == stage::settled;
+    const auto pieces = service != nullptr && service->m_engine ? service->m_engine->m_pieces : model.m_pieces.size();
+    auto name = std::move(model.m_name);
+    model = model_state{};
+    model.m_name = std::move(name);
+    model.m_staged_read = is_update;
+    model.m_claimed = is_update;
+    model.m_version = version;
+    model.m_wanted_since = steady_now();
+    model.m_pieces.assign(pieces, piece_state::missing);
+}
+
 auto advance(daemon& self) -> void {
     if (!self.m_report_known) {
         return;
@@ -227,6 +242,12 @@
     const auto now = steady_now();
     for (auto& [name, model] : self.m_models) {
         internal::settle(self, model, now);
+        if (model.m_next != 0U && model.m_stage == stage::settled) {
+            begin_version(self, model, model.m_next);
+            internal::settle(self, model, now);
+        } else if (model.m_next != 0U) {
+            ask_manifest(self, model, model.m_next, model.m_next_question);
+        }
         if (model.m_stage == stage::settled && !std::exchange(model.m_claimed, true)) {
             claim_staged(self, model);
         }
--- a/src/loader/swap.cpp
+++ b/src/loader/swap.cpp
@@ -7,6 +7,18 @@
 /*! @brief Letters of a piece's state, by `piece_state`. */
 constexpr std::string_view state_letters = "-f+";
 
+auto peer_target(const std::string_view kind, const std::string_view model, const std::uint64_t version)
+    -> std::string {
+    return "/" + std::string{kind} + "?model=" + std::string{model} + "&version=" + std::to_string(version);
+}
+
+auto origin_limits() -> net::call_limits {
+    net::call_limits out{};
+    out.m_total_time = piece_time;
+    out.m_keep = false;
+    return out;
+}
+
 auto states_of(const std::string_view text) -> std::vector<piece_state> {
     std::vector<piece_state> out(text.size(), piece_state::missing);
     for (std::size_t index = 0U; index < text.size(); ++index) {
@@ -33,7 +45,7 @@
                                                 {"from", from}});
     self.m_core.m_counters.add("pieces_spoilt_total");
     if (++model.m_spoilt >= most_spoilt) {
-        model.m_manifest_asked = false;
+        model.m_question.m_asked = false;
     }
 }
 
--- a/src/loader/swap.hpp
+++ b/src/loader/swap.hpp
@@ -18,6 +18,24 @@
 /*! @brief Field in which a loader tells the version that its runner holds. */
 constexpr std::string_view held_field = "Version-Held";
 
+/*! @brief Time for one piece: its bytes at a tenth of the link's rate. */
+inline constexpr duration piece_time = std::chrono::milliseconds{2'500};
+/*! @brief Time between questions to peers about what they have. */
+inline constexpr duration ask_period = std::chrono::milliseconds{120};
+/*! @brief Time for a peer to say what it has. */
+inline constexpr duration ask_time = std::chrono::milliseconds{800};
+
+/*! @brief Returns the target of a call to another loader. @param kind `have`, `manifest` or `piece`.
+ * @param model The model. @param version The version. @return The target. */
+[[nodiscard]] auto peer_target(std::string_view kind, std::string_view model, std::uint64_t version) -> std::string;
+
+/*! @brief Limits of a call to the origin, which takes few connections: none is kept. @return The limits. */
+[[nodiscard]] auto origin_limits() -> net::call_limits;
+
+/*! @brief Stages the pieces that came before the manifest, as far as they are right. @param self The loader.
+ * @param model The model. */
+auto check_early_pieces(daemon& self, model_state& model) -> void;
+
 /*! @brief Reads a `has_field`. @param text Its value. @return The states. */
 [[nodiscard]] auto states_of(std::string_view text) -> std::vector<piece_state>;
 
--- a/test/soak/cases.cpp
+++ b/test/soak/cases.cpp
@@ -44,6 +44,19 @@
         });
     }
 
+    /*! @brief Waits until every runner holds a version of the weights. */
+    [[nodiscard]] auto holds_everywhere(const std::uint64_t version) -> bool {
+        return process::wait_until([&] {
+            auto all = true;
+            m_site.call([&](standin_site::site& site) {
+                for (std::size_t index = 0U; index < site.options().m_runners; ++index) {
+                    all = all && site.servers()[index]->version() == version;
+                }
+            });
+            return all;
+        });
+    }
+
     [[nodiscard]] auto runs(const std::string& attempt) -> unsigned {
         unsigned out{};
         m_site.call([&](standin_site::site& site) {
@@ -132,19 +145,32 @@
     CHECK(here.m_fleet.daemons()[0].m_process->wait() == 0);
 }
 
+TEST_CASE("a version that is being fetched is brought in while the origin does not give the next one") {
+    place here{1U};
+    constexpr std::uint64_t first = 2U;
+    constexpr std::uint64_t second = 3U;
+    std::size_t before{};
+    here.m_site.call([&](standin_site::site& site) {
+        before = site.origin_pieces();
+        site.harm_origin({first, std::chrono::milliseconds{100}});
+        site.name_weights(first);
+    });
+    REQUIRE(process::wait_until([&] {
+        auto begun = false;
+        here.m_site.call([&](const standin_site::site& site) { begun = site.origin_pieces() > before; });
+        return begun;
+    }));
+    here.m_site.call([](standin_site::site& site) { site.name_weights(second); });
+    CHECK(here.holds_everywhere(first));
+    here.m_site.call([](standin_site::site& site) { site.harm_origin({}); });
+    CHECK(here.holds_everywhere(second));
+}
+
 TEST_CASE("a new version is whole at every runner, also at one that has restarted empty") {
     place here{1U};
     here.m_site.call([](standin_site::site& site) { site.restart_server(0U); });
     here.m_site.call([](standin_site::site& site) { site.name_weights(2U); });
-    CHECK(process::wait_until([&] {
-        auto all = true;
-        here.m_site.call([&](standin_site::site& site) {
-            for (std::size_t index = 0U; index < site.options().m_runners; ++index) {
-                all = all && site.servers()[index]->version() == 2U;
-            }
-        });
-        return all;
-    }));
+    CHECK(here.holds_everywhere(2U));
     CHECK(here.runs("a2") >= 1U);
 }
 
