--- a/src/entry/daemon.hpp
+++ b/src/entry/daemon.hpp
@@ -112,6 +112,10 @@
     std::mt19937_64 m_random{};
     digest m_quarantine_key{};
     time_point m_started{};
+    /*! @brief When this process last looked at queues and deadlines; far back after it has been suspended. */
+    time_point m_looked{steady_now()};
+    /*! @brief When it last went on after a suspension; the epoch if it never did. */
+    time_point m_resumed{};
 
     net::loop m_loop{};
     net::counters m_counters{};
@@ -176,6 +180,10 @@
 /*! @brief Answers a request whose answer is whole. @param self The entry. @param target The request. */
 auto finish(daemon& self, const std::shared_ptr<request>& target) -> void;
 
+/*! @brief Notes that this process has been suspended, if it has not looked at its queues for long. @param self The
+ * entry. @param now The time. */
+auto note_suspension(daemon& self, time_point now) -> void;
+
 /*! @brief Sends waiting requests for which there is room. @param self The entry. */
 auto pump(daemon& self) -> void;
 
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -1,14 +1,20 @@
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include <entry/daemon.hpp>
 #include <rhubarbwharf/core/assert.hpp>
 #include <rhubarbwharf/execution/key.hpp>
+#include <rhubarbwharf/net/log.hpp>
 
 namespace rhubarbwharf::entry {
 
 namespace internal {
 
+/*! @brief Reports after a suspension by which every live peer has been heard again: one that was about to leave, and
+ * one that may be lost. */
+constexpr int reports_after_suspension = 2;
+
 /*! @brief Why a request was not sent. */
 enum class placed : std::uint8_t { sent, no_room, none_live };
 
@@ -149,6 +155,13 @@
     refuse(self, target, routing::give_up(target->m_flight, why, false, routing::retry_after_default));
 }
 
+/*! @brief Tells whether this process has just been suspended, so that silence says nothing of its peers yet. */
+[[nodiscard]] auto hears_again(daemon& self, const time_point now) -> bool {
+    note_suspension(self, now);
+    const auto reports = std::chrono::milliseconds{self.m_settings.m_routing.m_report_ms} * reports_after_suspension;
+    return self.m_resumed != time_point{} && now - self.m_resumed < reports;
+}
+
 /*! @brief Lets a request wait; one that has begun is neither refused nor displaced. */
 auto wait(daemon& self, const std::shared_ptr<request>& target) -> void {
     const auto now = steady_now();
@@ -183,7 +196,8 @@
     case placed::no_room:
         return wait(self, target);
     case placed::none_live:
-        return refuse_unsent(self, target, code::no_backend_server);
+        return hears_again(self, steady_now()) ? wait(self, target)
+                                               : refuse_unsent(self, target, code::no_backend_server);
     }
 }
 
@@ -311,6 +325,16 @@
     answer->respond(std::move(target->m_collected));
 }
 
+auto note_suspension(daemon& self, const time_point now) -> void {
+    const auto gap = now - std::exchange(self.m_looked, now);
+    if (gap < self.m_bounds.m_suspect / 2) {
+        return;
+    }
+    self.m_resumed = now;
+    const auto gap_ms = std::chrono::duration_cast<std::chrono::milliseconds>(gap).count();
+    net::log(net::level::warn, "entry", "was suspended for " + std::to_string(gap_ms) + " ms");
+}
+
 auto pump(daemon& self) -> void {
     for (auto& [group, queue] : self.m_queues) {
         std::vector<routing::queued> set_aside{};
