Relay weights through the gateways, and load at most half of a region at once

Cause: a version took 4 s of links, as each loader's link of 9.4 Mbit/s carried it twice, in and out to other loaders. A gateway's link is far faster. Change: each gateway of a data centre relays its share of the pieces (rendezvous hashing), checked against the manifest and kept for 6 s; one gateway brings a piece into a region, one of these reads it from the origin. Loaders swap pieces among themselves only while no gateway answers. A runner that is told to load takes nothing until what it runs has ended (2.3 s at load), so loaders wait while half of their region loads, at most until 5/8 of the version's time limit. Loaders leave an origin that failed alone for 300 ms. Ruled out: most of the 4.3 s being the origin (1.3 s) or spoilt pieces (none).

--- a/include/rhubarbwharf/fleet/member.hpp
+++ b/include/rhubarbwharf/fleet/member.hpp
@@ -22,7 +22,7 @@
     net::endpoint m_callers{};
     /*! @brief Where messages between processes arrive. */
     net::endpoint m_bus{};
-    /*! @brief Where weight pieces are served; port 0 for a gateway. */
+    /*! @brief Where weight pieces are served; port 0 for a gateway that relays none. */
     net::endpoint m_bulk{};
     /*! @brief Service whose weights a loader holds. */
     std::string m_service{};
--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -26,6 +26,17 @@
     unsigned m_fetches{};
     /*! @brief Until when it is left alone after a failure. */
     time_point m_avoid_until{};
+    /*! @brief Whether its runner has been told to load, and has not yet. */
+    bool m_loading{false};
+};
+
+/*! @brief A gateway of the own data centre that relays weights. */
+struct relay {
+    std::string m_instance{};
+    /*! @brief Fetches from it that are under way. */
+    unsigned m_fetches{};
+    /*! @brief Until when it is left alone after a failure. */
+    time_point m_avoid_until{};
 };
 
 /*! @brief Inputs of a plan. */
@@ -37,8 +48,11 @@
     std::uint64_t m_held{};
     std::span<const piece_state> m_pieces{};
     std::span<const peer> m_peers{};
+    std::span<const relay> m_relays{};
     /*! @brief Time since this version was first wanted here. */
     duration m_age{};
+    /*! @brief Time after which it is loaded whatever the others do. */
+    duration m_load_by{};
     time_point m_now{};
     std::uint64_t m_random{};
     /*! @brief Whether this loader lets others of its region have a version first, and only brings pieces in. */
@@ -50,8 +64,10 @@
 /*! @brief One piece to fetch, and from whom. */
 struct fetch {
     std::size_t m_piece{};
-    /*! @brief Index into the peers; nothing for the origin. */
+    /*! @brief Index into the peers; nothing for the origin or a relay. */
     std::optional<std::size_t> m_peer{};
+    /*! @brief Index into the relays, if one of them is asked. */
+    std::optional<std::size_t> m_relay{};
 };
 
 /*! @brief Time that each further loader of a region waits before it brings a piece into the region itself. */
@@ -62,8 +78,10 @@
 inline constexpr unsigned most_fetches_of_peer = 2U;
 
 /**
- * @brief Chooses the next fetch. A piece is read from the origin by one loader, brought into each region by one loader,
- * and swapped inside the region; the next in line takes over after a while. Rarest pieces go first.
+ * @brief Chooses the next fetch. Each gateway nearby relays its share of the pieces, over a link that is faster than a
+ * loader's; a loader's own link then carries a version once. While none of them answers, a piece is read from the
+ * origin by one loader, brought into each region by one loader, and swapped inside the region; the next in line takes
+ * over after a while. Rarest pieces go first.
  * @param in The inputs.
  * @return The fetch, or nothing that can be begun now.
  */
@@ -84,4 +102,16 @@
  */
 [[nodiscard]] auto yields(const plan_input& in) -> bool;
 
+/*! @brief Part of a version's time limit after which it is loaded whatever the others do. */
+inline constexpr double last_load_part = 0.625;
+
+/**
+ * @brief Tells whether a loader lets others of its region load a version first. A runner that has been told to load
+ * takes nothing new until what it runs has ended; if all were told at once, none would take anything. Runners with the
+ * oldest version come first; each that has loaded makes room for the next.
+ * @param in The inputs.
+ * @return Whether it waits; never beside a runner that holds no version.
+ */
+[[nodiscard]] auto loads_later(const plan_input& in) -> bool;
+
 } // namespace rhubarbwharf::loader
--- a/src/config/node_schema.hpp
+++ b/src/config/node_schema.hpp
@@ -14,7 +14,7 @@
                   text("HTTP listener that tells callers where to connect; gateways only.", form::listen_address));
     visitor.field("bus", values.m_bus, text("Listener for the other processes.", form::listen_address, true));
     visitor.field("bulk", values.m_bulk,
-                  text("Weight pieces for other loaders over HTTP; loaders only.", form::listen_address));
+                  text("Weight pieces over HTTP, for loaders and for gateways that relay them.", form::listen_address));
     visitor.field("metrics", values.m_metrics, text("HTTP listener for metrics and the dump.", form::listen_address));
     visitor.field("control", values.m_control,
                   text("HTTP listener for processes that know no others yet; gateways only.", form::listen_address));
--- /dev/null
+++ b/src/fleet/relay.cpp
@@ -0,0 +1,60 @@
+#include <rhubarbwharf/fleet/relay.hpp>
+
+namespace rhubarbwharf::fleet {
+
+namespace {
+
+/*! @brief Finds the gateway that comes first for a part, of one region or of all. */
+[[nodiscard]] auto first_of(const member_table& table, const std::string_view region, const part& wanted,
+                            const time_point now) -> const member* {
+    const member* best{};
+    std::uint64_t most{};
+    for (const auto& [name, row] : table) {
+        if (!relays(row, now) || (!region.empty() && row.m_member.m_region != region)) {
+            continue;
+        }
+        const auto value = weight(name, wanted.m_version, wanted.m_index);
+        if (best == nullptr || value > most) {
+            best = &row.m_member;
+            most = value;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+auto weight(const std::string_view instance, const std::uint64_t version, const std::size_t piece) noexcept
+    -> std::uint64_t {
+    constexpr std::uint64_t offset = 14'695'981'039'346'656'037ULL;
+    constexpr std::uint64_t prime = 1'099'511'628'211ULL;
+    constexpr std::uint64_t mixer = 0x9e3779b97f4a7c15ULL;
+    constexpr unsigned half = 32U;
+    auto out = offset;
+    for (const auto letter : instance) {
+        out = (out ^ static_cast<unsigned char>(letter)) * prime;
+    }
+    out = (out ^ (version * mixer)) * prime;
+    out = (out ^ (piece * mixer)) * prime;
+    return out ^ (out >> half);
+}
+
+auto relays(const sighting& row, const time_point now) noexcept -> bool {
+    return row.m_member.is_gateway() && row.m_member.m_bulk.m_port != 0U && !row.m_leaving &&
+           now - row.m_heard <= silent_time;
+}
+
+auto upstream_of(const member_table& table, const member& self, const part& wanted, const time_point now)
+    -> const member* {
+    const auto is_self = [&self](const member* const found) {
+        return found == nullptr || found->m_instance == self.m_instance;
+    };
+    const auto* const in_region = first_of(table, self.m_region, wanted, now);
+    if (!is_self(in_region)) {
+        return in_region;
+    }
+    const auto* const of_all = first_of(table, {}, wanted, now);
+    return is_self(of_all) ? nullptr : of_all;
+}
+
+} // namespace rhubarbwharf::fleet
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -16,6 +16,7 @@
 #include <rhubarbwharf/routing/quarantine.hpp>
 
 #include <gateway/event_stream.hpp>
+#include <gateway/weights.hpp>
 #include <node/core.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -110,7 +111,9 @@
     net::http_server m_directory;
     net::http_server m_metrics;
     net::http_server m_control;
+    net::http_server m_bulk;
 
+    weights_relay m_weights{};
     std::map<std::string, service_state, std::less<>> m_services{};
     /*! @brief By id. */
     std::map<std::string, std::shared_ptr<dispatch::server_load>, std::less<>> m_backends{};
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -139,7 +139,7 @@
     const auto& listen_at = self.m_core.m_settings.m_listen;
     return listen(self.m_callers, listen_at.m_callers) && listen(self.m_readiness, listen_at.m_readiness) &&
            listen(self.m_directory, listen_at.m_directory) && listen(self.m_metrics, listen_at.m_metrics) &&
-           listen(self.m_control, listen_at.m_control);
+           listen(self.m_control, listen_at.m_control) && listen(self.m_bulk, listen_at.m_bulk);
 }
 
 auto set_handlers(daemon& self) -> void {
@@ -181,7 +181,11 @@
       m_control{m_core.m_loop, internal::small_limits(),
                 [this](const net::http_request& incoming, const std::shared_ptr<net::responder>& answer) {
                     on_control(*this, incoming, answer);
-                }} {}
+                }},
+      m_bulk{m_core.m_loop, internal::small_limits(),
+             [this](const net::http_request& incoming, const std::shared_ptr<net::responder>& answer) {
+                 on_weights(*this, incoming, answer);
+             }} {}
 
 auto run(const config::node_settings& settings, const std::string& file) -> int {
     daemon self{settings, file};
@@ -199,6 +203,7 @@
         node::review_watch(self.m_core);
         internal::share_budget(self);
         assign_quotas(self);
+        sweep_weights(self, steady_now());
     });
     loop.on_stop_signal([&self](const int count) { internal::on_stop(self, count); });
     loop.on_reload_signal([&self] { internal::reload(self); });
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -68,8 +68,11 @@
     /*! @brief Whether staged pieces were taken over without reading them. */
     bool m_claimed{false};
     std::vector<peer> m_peers{};
+    std::vector<relay> m_relays{};
     time_point m_asked_peers{};
     unsigned m_origin_fetches{};
+    /*! @brief Until when the origin is left alone after a failure. */
+    time_point m_origin_avoid_until{};
     unsigned m_fetches{};
     /*! @brief Pieces that did not have their digest since the manifest came. */
     unsigned m_spoilt{};
@@ -124,6 +127,10 @@
 /*! @brief Begins fetches as far as there is room. @param self The loader. @param model The model. */
 auto fetch_pieces(daemon& self, model_state& model) -> void;
 
+/*! @brief Tells whether a version that is staged whole is loaded later, so that the runners of the region do not all
+ * stop at once. @param self The loader. @param model The model. @return Whether it waits. */
+[[nodiscard]] auto waits_to_load(daemon& self, const model_state& model) -> bool;
+
 /*! @brief Reads all staged pieces back, then orders the load. @param self The loader. @param model The model. */
 auto verify_and_order(daemon& self, model_state& model) -> void;
 
--- a/src/loader/manifest.cpp
+++ b/src/loader/manifest.cpp
@@ -28,6 +28,19 @@
     return model.m_next == version ? &model.m_next_question : nullptr;
 }
 
+/*! @brief Chooses whom to ask: a gateway that relays weights, the origin and another loader by turns.
+ * @return Name of the gateway or loader; empty for the origin. */
+[[nodiscard]] auto source_of(daemon& self, const model_state& model, const unsigned turn, const bool has_origin)
+    -> std::string {
+    constexpr unsigned sources = 3U;
+    const auto random = self.m_core.m_random();
+    if (!model.m_relays.empty() && turn % sources == 0U) {
+        return model.m_relays[random % model.m_relays.size()].m_instance;
+    }
+    const auto from_peer = !model.m_peers.empty() && (!has_origin || turn % sources == 2U);
+    return from_peer ? model.m_peers[random % model.m_peers.size()].m_instance : std::string{};
+}
+
 /*! @brief Takes a manifest over, or asks again after a pause. */
 auto on_manifest(daemon& self, const std::string& name, const std::uint64_t version, net::http_response got) -> void {
     const auto* const question = find_question(self, name, version);
@@ -71,19 +84,17 @@
     if (question.m_asked) {
         return;
     }
-    const auto turn = question.m_tries++;
-    const auto ask_a_peer = !model.m_peers.empty() && (from == nullptr || turn % 2U == 1U);
-    if (!ask_a_peer && from == nullptr) {
+    const auto name = internal::source_of(self, model, question.m_tries++, from != nullptr);
+    if (name.empty() && from == nullptr) {
         return;
     }
     question.m_asked = true;
-    auto ask = adapter::encode_manifest_call(model.m_name, version);
     auto limits = internal::origin_limits();
+    auto ask = adapter::encode_manifest_call(model.m_name, version);
     auto where = from == nullptr ? net::endpoint{} : from->m_address;
-    if (ask_a_peer) {
+    if (!name.empty()) {
         ask = net::http_request{};
         ask.m_target = internal::peer_target("manifest", model.m_name, version);
-        const auto& name = model.m_peers[self.m_core.m_random() % model.m_peers.size()].m_instance;
         where = self.m_core.m_members[name].m_member.m_bulk;
         limits.m_total_time = internal::ask_time;
     }
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -5,6 +5,7 @@
 #include <loader/swap.hpp>
 #include <platform/encode.hpp>
 #include <rhubarbwharf/core/digest.hpp>
+#include <rhubarbwharf/fleet/relay.hpp>
 
 namespace rhubarbwharf::loader {
 
@@ -16,6 +17,10 @@
 constexpr unsigned most_origin_fetches = 2U;
 /*! @brief Time for which a peer that failed is left alone. */
 constexpr duration avoid_time = std::chrono::milliseconds{700};
+/*! @brief The same while gateways relay the pieces: a few times in the load of a version. */
+constexpr duration relayed_ask_period = std::chrono::milliseconds{300};
+/*! @brief Time for which an origin that failed is left alone. */
+constexpr duration origin_avoid_time = std::chrono::milliseconds{300};
 /*! @brief Questions in which each far peer is asked once. */
 constexpr std::uint64_t far_turns = 4U;
 /*! @brief Time in which peers are asked before the origin is read. */
@@ -32,11 +37,28 @@
             continue;
         }
         const auto known = std::ranges::find(model.m_peers, name, &peer::m_instance);
-        fresh.push_back(known != model.m_peers.end() ? *known : peer{name, member.m_region, {}, 0U, 0U, {}});
+        fresh.push_back(known != model.m_peers.end() ? *known : peer{name, member.m_region, {}, 0U, 0U, {}, false});
     }
     model.m_peers = std::move(fresh);
 }
 
+auto refresh_relays(const daemon& self, model_state& model, const time_point now) -> void {
+    std::vector<relay> fresh{};
+    for (const auto& [name, row] : self.m_core.m_members) {
+        if (!fleet::relays(row, now) || row.m_member.m_data_centre != self.m_core.m_self.m_data_centre) {
+            continue;
+        }
+        const auto known = std::ranges::find(model.m_relays, name, &relay::m_instance);
+        fresh.push_back(known != model.m_relays.end() ? *known : relay{name, 0U, {}});
+    }
+    model.m_relays = std::move(fresh);
+}
+
+[[nodiscard]] auto find_relay(model_state& model, const std::string& name) -> relay* {
+    const auto found = std::ranges::find(model.m_relays, name, &relay::m_instance);
+    return found == model.m_relays.end() ? nullptr : &*found;
+}
+
 [[nodiscard]] auto find_peer(model_state& model, const std::string& name) -> peer* {
     const auto found = std::ranges::find(model.m_peers, name, &peer::m_instance);
     return found == model.m_peers.end() ? nullptr : &*found;
@@ -44,11 +66,18 @@
 
 auto note_has(model_state& model, const std::string& name, const net::http_response& got) -> void {
     const auto text = net::find(got.m_headers, has_field);
+    const auto held = net::find(got.m_headers, held_field);
     auto* const row = find_peer(model, name);
-    if (row != nullptr && text.size() == model.m_pieces.size()) {
+    if (row == nullptr) {
+        return;
+    }
+    if (text.size() == model.m_pieces.size()) {
         row->m_has = states_of(text);
-        row->m_held = std::strtoull(std::string{net::find(got.m_headers, held_field)}.c_str(), nullptr, 10);
     }
+    if (!held.empty()) {
+        row->m_held = std::strtoull(std::string{held}.c_str(), nullptr, 10);
+    }
+    row->m_loading = net::find(got.m_headers, loading_field) == yes;
 }
 
 auto ask_peer(daemon& self, const model_state& model, const std::string& name) -> void {
@@ -68,12 +97,15 @@
                              });
 }
 
-/*! @brief Asks all peers at first, then those of the region each time and a few far ones by turns. */
+/*! @brief Asks all peers at first, then those of the region each time and a few far ones by turns. While gateways relay
+ * the pieces, only the version that the runners of the region hold counts, and that seldom. */
 auto ask_peers(daemon& self, model_state& model, const time_point now) -> void {
-    if (now - model.m_asked_peers < ask_period || model.m_peers.empty()) {
+    const auto relayed =
+        std::ranges::any_of(model.m_relays, [now](const relay& each) { return now >= each.m_avoid_until; });
+    if (now - model.m_asked_peers < (relayed ? relayed_ask_period : ask_period) || model.m_peers.empty()) {
         return;
     }
-    const auto first = model.m_asked_peers == time_point{};
+    const auto first = !relayed && model.m_asked_peers == time_point{};
     model.m_asked_peers = now;
     const auto turn = self.m_core.m_random() % far_turns;
     for (std::size_t index = 0U; index < model.m_peers.size(); ++index) {
@@ -81,8 +113,8 @@
         const auto near = each.m_region == self.m_core.m_self.m_region;
         const auto is_whole =
             std::ranges::all_of(each.m_has, [](const piece_state state) { return state == piece_state::held; });
-        const auto done = !each.m_has.empty() && is_whole;
-        if (first || (near && !done) || (!near && index % far_turns == turn)) {
+        const auto done = !each.m_has.empty() && is_whole && each.m_held >= model.m_version;
+        if (first || (near && !done) || (!near && !relayed && index % far_turns == turn)) {
             ask_peer(self, model, each.m_instance);
         }
     }
@@ -126,6 +158,10 @@
          {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(steady_now() - asked).count()}});
     --model.m_fetches;
     auto* const row = find_peer(model, from);
+    auto* const relayed = find_relay(model, from);
+    if (relayed != nullptr) {
+        relayed->m_fetches -= std::min(relayed->m_fetches, 1U);
+    }
     if (row != nullptr) {
         row->m_fetches -= std::min(row->m_fetches, 1U);
         note_has(model, from, got);
@@ -152,6 +188,29 @@
     if (row != nullptr) {
         row->m_avoid_until = steady_now() + avoid_time;
     }
+    if (relayed != nullptr) {
+        relayed->m_avoid_until = steady_now() + avoid_time;
+    }
+    if (from.empty()) {
+        model.m_origin_avoid_until = steady_now() + origin_avoid_time;
+    }
+}
+
+[[nodiscard]] auto input_of(daemon& self, const model_state& model, const time_point now) -> plan_input {
+    plan_input out{};
+    out.m_instance = self.m_core.m_self.m_instance;
+    out.m_region = self.m_core.m_self.m_region;
+    out.m_version = model.m_version;
+    out.m_held = model.m_held;
+    out.m_pieces = model.m_pieces;
+    out.m_peers = model.m_peers;
+    out.m_relays = model.m_relays;
+    out.m_age = now - model.m_wanted_since;
+    out.m_load_by = std::chrono::duration_cast<duration>(
+        std::chrono::milliseconds{self.m_core.m_settings.m_bounds.m_version_ms} * last_load_part);
+    out.m_now = now;
+    out.m_random = self.m_core.m_random();
+    return out;
 }
 
 auto begin_fetch(daemon& self, model_state& model, const fetch& chosen) -> void {
@@ -159,10 +218,16 @@
     net::endpoint where{};
     net::http_request ask{};
     std::string from{};
-    if (chosen.m_peer) {
-        auto& row = model.m_peers[*chosen.m_peer];
-        ++row.m_fetches;
-        from = row.m_instance;
+    if (chosen.m_peer || chosen.m_relay) {
+        if (chosen.m_peer) {
+            auto& row = model.m_peers[*chosen.m_peer];
+            ++row.m_fetches;
+            from = row.m_instance;
+        } else {
+            auto& row = model.m_relays[*chosen.m_relay];
+            ++row.m_fetches;
+            from = row.m_instance;
+        }
         where = self.m_core.m_members[from].m_member.m_bulk;
         ask.m_target = peer_target("piece", model.m_name, model.m_version) + "&index=" + std::to_string(piece);
     } else {
@@ -174,7 +239,7 @@
     ++model.m_fetches;
     model.m_pieces[piece] = piece_state::fetching;
     auto limits = origin_limits();
-    limits.m_keep = chosen.m_peer.has_value();
+    limits.m_keep = !from.empty();
     self.m_core.m_http.fetch(where, std::move(ask), limits,
                              [&self, name = model.m_name, version = model.m_version, piece, from,
                               asked = steady_now()](const net::call_end&, net::http_response got) {
@@ -205,27 +270,19 @@
         return;
     }
     internal::refresh_peers(self, model);
+    internal::refresh_relays(self, model, now);
     ask_manifest(self, model, model.m_version, model.m_question);
     if (!model.m_staged_read) {
         return;
     }
     internal::ask_peers(self, model, now);
     const auto* const origin = fleet::find_origin(*self.m_core.m_configuration);
-    const auto age = now - model.m_wanted_since;
     while (model.m_fetches < internal::most_fetches) {
-        plan_input in{};
-        in.m_instance = self.m_core.m_self.m_instance;
-        in.m_region = self.m_core.m_self.m_region;
-        in.m_version = model.m_version;
-        in.m_pieces = model.m_pieces;
-        in.m_peers = model.m_peers;
-        in.m_age = age;
-        in.m_now = now;
-        in.m_random = self.m_core.m_random();
+        auto in = internal::input_of(self, model, now);
         const auto room =
             internal::most_origin_fetches - std::min(model.m_origin_fetches, internal::most_origin_fetches);
-        in.m_origin_room = origin != nullptr && age >= internal::first_word ? room : 0U;
-        in.m_held = model.m_held;
+        const auto answers = origin != nullptr && in.m_age >= internal::first_word && now >= model.m_origin_avoid_until;
+        in.m_origin_room = answers ? room : 0U;
         in.m_yields = model.m_held != 0U && yields(in);
         const auto chosen = next_fetch(in);
         if (!chosen) {
@@ -235,4 +292,10 @@
     }
 }
 
+auto waits_to_load(daemon& self, const model_state& model) -> bool {
+    const auto now = steady_now();
+    const auto least = node::least_version(self.m_core, model.m_name, now, node::version_margin);
+    return least <= model.m_held && loads_later(internal::input_of(self, model, now));
+}
+
 } // namespace rhubarbwharf::loader
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -1,28 +1,13 @@
 #include <algorithm>
 #include <map>
 
+#include <rhubarbwharf/fleet/relay.hpp>
 #include <rhubarbwharf/loader/plan.hpp>
 
 namespace rhubarbwharf::loader {
 
 namespace {
 
-/*! @brief Mixes a name, a version and a piece into one number (FNV-1a with a final mix). */
-[[nodiscard]] auto weight(const std::string_view name, const std::uint64_t version, const std::uint64_t piece) noexcept
-    -> std::uint64_t {
-    constexpr std::uint64_t offset = 14'695'981'039'346'656'037ULL;
-    constexpr std::uint64_t prime = 1'099'511'628'211ULL;
-    constexpr std::uint64_t mixer = 0x9e3779b97f4a7c15ULL;
-    constexpr unsigned half = 32U;
-    auto out = offset;
-    for (const auto letter : name) {
-        out = (out ^ static_cast<unsigned char>(letter)) * prime;
-    }
-    out = (out ^ (version * mixer)) * prime;
-    out = (out ^ (piece * mixer)) * prime;
-    return out ^ (out >> half);
-}
-
 /*! @brief Place of this loader in the lines for one piece. */
 struct standing {
     /*! @brief Loaders of the own region that come first. */
@@ -32,12 +17,12 @@
 };
 
 [[nodiscard]] auto standing_of(const plan_input& in, const std::size_t piece) -> standing {
-    const auto own = weight(in.m_instance, in.m_version, piece);
+    const auto own = fleet::weight(in.m_instance, in.m_version, piece);
     standing out{};
     std::map<std::string_view, std::uint64_t> best{};
     auto best_own = own;
     for (const auto& each : in.m_peers) {
-        const auto theirs = weight(each.m_instance, in.m_version, piece);
+        const auto theirs = fleet::weight(each.m_instance, in.m_version, piece);
         if (each.m_region == in.m_region) {
             out.m_in_region += theirs > own ? 1U : 0U;
             best_own = std::max(best_own, theirs);
@@ -90,20 +75,58 @@
     -> std::optional<fetch> {
     if (!have.m_near.empty() || is_near(in, piece)) {
         const auto waits = have.m_near.empty() || in.m_yields;
-        return waits ? std::nullopt : std::optional{fetch{piece, pick(have.m_near, in.m_random)}};
+        return waits ? std::nullopt : std::optional{fetch{piece, pick(have.m_near, in.m_random), std::nullopt}};
     }
     const auto place = standing_of(in, piece);
     const auto line = region_stagger * static_cast<int>(place.m_in_region);
     if (!have.m_far.empty()) {
-        return in.m_age < line ? std::nullopt : std::optional{fetch{piece, pick(have.m_far, in.m_random)}};
+        return in.m_age < line ? std::nullopt
+                               : std::optional{fetch{piece, pick(have.m_far, in.m_random), std::nullopt}};
     }
     const auto turn = line + origin_stagger * static_cast<int>(place.m_of_regions);
-    return in.m_origin_room == 0U || in.m_age < turn ? std::nullopt : std::optional{fetch{piece, std::nullopt}};
+    return in.m_origin_room == 0U || in.m_age < turn ? std::nullopt
+                                                     : std::optional{fetch{piece, std::nullopt, std::nullopt}};
+}
+
+/*! @brief What the gateways nearby can give. */
+struct relayed {
+    /*! @brief Whether any of them answers; the other loaders are left alone then. */
+    bool m_usable{false};
+    std::optional<fetch> m_fetch{};
+};
+
+[[nodiscard]] auto from_relays(const plan_input& in) -> relayed {
+    relayed out{};
+    const auto count = in.m_pieces.size();
+    for (std::size_t step = 0U; step < count && !out.m_fetch; ++step) {
+        const auto piece = (step + in.m_random) % count;
+        if (in.m_pieces[piece] != piece_state::missing) {
+            continue;
+        }
+        std::optional<std::size_t> best{};
+        std::uint64_t most{};
+        for (std::size_t index = 0U; index < in.m_relays.size(); ++index) {
+            const auto& each = in.m_relays[index];
+            const auto value = fleet::weight(each.m_instance, in.m_version, piece);
+            if (in.m_now >= each.m_avoid_until && (!best || value > most)) {
+                best = index;
+                most = value;
+            }
+        }
+        out.m_usable = best.has_value();
+        if (best && in.m_relays[*best].m_fetches < most_fetches_of_peer) {
+            out.m_fetch = fetch{piece, std::nullopt, best};
+        }
+    }
+    return out;
 }
 
 } // namespace
 
 auto next_fetch(const plan_input& in) -> std::optional<fetch> {
+    if (const auto near = from_relays(in); near.m_usable) {
+        return near.m_fetch;
+    }
     std::optional<fetch> best{};
     std::size_t best_count{};
     const auto count = in.m_pieces.size();
@@ -126,27 +149,39 @@
     return best;
 }
 
-auto yields(const plan_input& in) -> bool {
-    struct turn {
-        std::uint64_t m_held{};
-        std::uint64_t m_weight{};
+namespace {
 
-        [[nodiscard]] auto before(const turn& other) const noexcept -> bool {
-            return m_held != other.m_held ? m_held < other.m_held : m_weight > other.m_weight;
-        }
-    };
+/*! @brief Place of a loader in the line of its region. */
+struct turn {
+    std::uint64_t m_held{};
+    std::uint64_t m_weight{};
 
-    std::vector<turn> turns{{in.m_held, weight(in.m_instance, in.m_version, 0U)}};
+    [[nodiscard]] auto before(const turn& other) const noexcept -> bool {
+        return m_held != other.m_held ? m_held < other.m_held : m_weight > other.m_weight;
+    }
+};
+
+/*! @brief Loaders of the own region in line, the own one first in the list. */
+[[nodiscard]] auto turns_of(const plan_input& in) -> std::vector<turn> {
+    std::vector<turn> out{{in.m_held, fleet::weight(in.m_instance, in.m_version, 0U)}};
     for (const auto& each : in.m_peers) {
         if (each.m_region == in.m_region) {
-            turns.push_back({each.m_held, weight(each.m_instance, in.m_version, 0U)});
+            out.push_back({each.m_held, fleet::weight(each.m_instance, in.m_version, 0U)});
         }
     }
-    const auto is_first = [&turns](const turn& own) {
-        const auto before = std::ranges::count_if(turns, [&own](const turn& each) { return each.before(own); });
-        return static_cast<double>(before) < first_part * static_cast<double>(turns.size());
-    };
-    if (in.m_age >= first_part_time || is_first(turns.front())) {
+    return out;
+}
+
+[[nodiscard]] auto is_first(const std::span<const turn> turns, const turn& own) -> bool {
+    const auto before = std::ranges::count_if(turns, [&own](const turn& each) { return each.before(own); });
+    return static_cast<double>(before) < first_part * static_cast<double>(turns.size());
+}
+
+} // namespace
+
+auto yields(const plan_input& in) -> bool {
+    const auto turns = turns_of(in);
+    if (in.m_age >= first_part_time || is_first(turns, turns.front())) {
         return false;
     }
     return std::ranges::any_of(in.m_peers, [&](const peer& each) {
@@ -154,8 +189,27 @@
             return state == piece_state::held;
         });
         return each.m_region == in.m_region && !whole &&
-               is_first({each.m_held, weight(each.m_instance, in.m_version, 0U)});
+               is_first(turns, {each.m_held, fleet::weight(each.m_instance, in.m_version, 0U)});
     });
 }
 
+auto loads_later(const plan_input& in) -> bool {
+    if (in.m_held == 0U || in.m_age >= in.m_load_by) {
+        return false;
+    }
+    const turn own{in.m_held, fleet::weight(in.m_instance, in.m_version, 0U)};
+    std::size_t loaders{1U};
+    std::size_t before{};
+    for (const auto& each : in.m_peers) {
+        if (each.m_region != in.m_region) {
+            continue;
+        }
+        ++loaders;
+        const auto loads = each.m_held != 0U && each.m_held < in.m_version;
+        const turn theirs{each.m_held, fleet::weight(each.m_instance, in.m_version, 0U)};
+        before += each.m_loading || (loads && theirs.before(own)) ? 1U : 0U;
+    }
+    return static_cast<double>(before) >= first_part * static_cast<double>(loaders);
+}
+
 } // namespace rhubarbwharf::loader
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -266,7 +266,7 @@
                  {"took_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - model.m_wanted_since).count()}});
         }
-        if (model.m_manifest && model.m_staged_read && internal::is_whole(model)) {
+        if (model.m_manifest && model.m_staged_read && internal::is_whole(model) && !waits_to_load(self, model)) {
             verify_and_order(self, model);
         }
     }
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -161,16 +161,22 @@
     const auto name = adapter::query_value(incoming.m_target, "model");
     const auto version = adapter::query_value(incoming.m_target, "version");
     const auto found = self.m_models.find(name);
-    const auto refuse = [&answer] {
-        answer->respond(net::problem(code::chunk_unavailable, outcome::not_run, {}, duration::zero()));
+    const auto refuse = [&answer, &found, &self] {
+        auto refusal = net::problem(code::chunk_unavailable, outcome::not_run, {}, duration::zero());
+        if (found != self.m_models.end()) {
+            refusal.m_headers.push_back({std::string{internal::held_field}, std::to_string(found->second.m_held)});
+        }
+        answer->respond(std::move(refusal));
     };
     if (found == self.m_models.end() || std::to_string(found->second.m_version) != version) {
         refuse();
         return;
     }
     auto& model = found->second;
-    const std::vector<net::header> headers{{std::string{internal::has_field}, internal::written(model.m_pieces)},
-                                           {std::string{internal::held_field}, std::to_string(model.m_held)}};
+    const std::vector<net::header> headers{
+        {std::string{internal::has_field}, internal::written(model.m_pieces)},
+        {std::string{internal::held_field}, std::to_string(model.m_held)},
+        {std::string{internal::loading_field}, std::string{model.m_stage == stage::ordered ? internal::yes : "no"}}};
     if (incoming.m_target.starts_with("/have")) {
         answer->respond({internal::status_ok, headers, {}});
         return;
--- a/src/loader/swap.hpp
+++ b/src/loader/swap.hpp
@@ -36,6 +36,10 @@
  * @param model The model. */
 auto check_early_pieces(daemon& self, model_state& model) -> void;
 
+/*! @brief Field in which a loader tells that its runner has been told to load and has not yet. */
+constexpr std::string_view loading_field = "Version-Loading";
+constexpr std::string_view yes = "yes";
+
 /*! @brief Reads a `has_field`. @param text Its value. @return The states. */
 [[nodiscard]] auto states_of(std::string_view text) -> std::vector<piece_state>;
 
