Ask the origin for one piece a gateway at a time, and take refusals of gateways as such

None came within its time limit, so that 8.4 copies were sent for three versions, and version 3 was whole only 8.3 s after the return. Change: one call a gateway at once, ended by silence and not by a total time; a gateway passes a refusal of the one upstream on, and asks the origin in its place only after two calls without an answer; loaders ask the origin only while no gateway answers at all; a loader drops no version that it has begun, also before it has that one's manifest.

--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -37,6 +37,8 @@
     unsigned m_fetches{};
     /*! @brief Until when it is left alone after a failure. */
     time_point m_avoid_until{};
+    /*! @brief Whether it answered the last call, with a piece or without: it asks the origin itself, then. */
+    bool m_answers{true};
 };
 
 /*! @brief Inputs of a plan. */
--- a/src/gateway/weights.cpp
+++ b/src/gateway/weights.cpp
@@ -11,13 +11,19 @@
 namespace internal {
 
 constexpr std::uint16_t status_ok = 200U;
-/*! @brief Calls to the origin at once; it shares its link out among few connections. */
-constexpr unsigned most_at_origin = 3U;
+/*! @brief Calls of one gateway to the origin at once: all gateways together fill its link. With more, no call would end
+ * in time where there are many gateways. */
+constexpr unsigned most_at_origin = 1U;
 /*! @brief Gateways between a loader and the one that reads the origin: that of its data centre and that of its region.
  */
 constexpr unsigned most_hops = 2U;
-/*! @brief Time for one part: all pieces of a version over the origin's link, and some slack. */
-constexpr duration part_time = std::chrono::milliseconds{2'000};
+/*! @brief Time for one part, which may stand in line behind all other pieces of its version at the origin. */
+constexpr duration part_time = std::chrono::milliseconds{6'000};
+/*! @brief Time without a byte after which a call is given up: a piece a gateway over a link of 9 Mbit/s. */
+constexpr duration part_idle_time = std::chrono::milliseconds{2'500};
+constexpr duration part_connect_time = std::chrono::milliseconds{500};
+/*! @brief Calls to another gateway without an answer after which the origin is asked instead. */
+constexpr unsigned most_unanswered = 2U;
 /*! @brief Time without a request after which a version is forgotten: loaders that restart fetch it within that. */
 constexpr duration keep_time = std::chrono::seconds{6};
 /*! @brief Versions kept at once: the one in force, the one being fetched, and the one named while that went on. */
@@ -79,7 +85,6 @@
 }
 
 auto refuse_waiting(kept_part& part) -> void {
-    part.m_failed = false;
     for (const auto& each : std::exchange(part.m_waiting, {})) {
         each->respond(net::problem(code::chunk_unavailable, outcome::not_run, {}, duration::zero()));
     }
@@ -174,21 +179,19 @@
          {"took_ms", took}});
     if (good) {
         part.m_bytes = std::move(got.m_body);
+        part.m_unanswered = 0U;
         for (const auto& each : std::exchange(part.m_waiting, {})) {
             each->respond({status_ok, {}, part.m_bytes});
         }
-    } else if (!from_origin) {
-        part.m_failed = true;
-        fetch_part(self, key);
     } else {
+        part.m_unanswered = from_origin ? 0U : part.m_unanswered + (got.m_status == 0U ? 1U : 0U);
         refuse_waiting(part);
     }
-    const auto decided = good || from_origin;
     if (version->m_spoilt >= most_spoilt) {
         version->m_manifest.reset();
         version->m_parts[fleet::manifest_index].m_bytes.clear();
-        version->m_parts[fleet::manifest_index].m_failed = true;
-    } else if (key.m_index == fleet::manifest_index && decided) {
+        version->m_parts[fleet::manifest_index].m_unanswered = most_unanswered;
+    } else if (key.m_index == fleet::manifest_index) {
         on_manifest(self, *version, key, good);
     }
     next_at_origin(self);
@@ -205,7 +208,7 @@
         return;
     }
     const auto* const known = self.m_core.m_configuration ? fleet::find_origin(*self.m_core.m_configuration) : nullptr;
-    const auto at_origin = part.m_failed || part.m_hops >= most_hops;
+    const auto at_origin = part.m_unanswered >= most_unanswered || part.m_hops >= most_hops;
     const auto* const upstream = at_origin
                                      ? nullptr
                                      : fleet::upstream_of(self.m_core.m_members, self.m_core.m_self,
@@ -222,6 +225,8 @@
     self.m_weights.m_at_origin += upstream == nullptr ? 1U : 0U;
     net::call_limits limits{};
     limits.m_total_time = part_time;
+    limits.m_idle_time = part_idle_time;
+    limits.m_connect_time = part_connect_time;
     limits.m_keep = upstream != nullptr;
     self.m_core.m_http.fetch(upstream == nullptr ? known->m_address : upstream->m_bulk,
                              upstream == nullptr ? call_to_origin(key) : call_to_gateway(key, part.m_hops + 1U), limits,
--- a/src/gateway/weights.hpp
+++ b/src/gateway/weights.hpp
@@ -32,8 +32,8 @@
     /*! @brief Gateways that it was asked through. */
     unsigned m_hops{};
     bool m_asked{false};
-    /*! @brief Whether another gateway could not give it, so that the origin is asked. */
-    bool m_failed{false};
+    /*! @brief Calls to other gateways without an answer, one after the other. */
+    unsigned m_unanswered{};
 };
 
 /*! @brief One version that is relayed, in memory and for a short while. */
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -19,8 +19,10 @@
 constexpr duration avoid_time = std::chrono::milliseconds{700};
 /*! @brief The same while gateways relay the pieces: a few times in the load of a version. */
 constexpr duration relayed_ask_period = std::chrono::milliseconds{300};
-/*! @brief Time for which an origin that failed is left alone. */
-constexpr duration origin_avoid_time = std::chrono::milliseconds{300};
+/*! @brief Time for a piece from a gateway, which may have to wait for all others of its version at the origin. */
+constexpr duration relayed_piece_time = std::chrono::milliseconds{3'500};
+/*! @brief Time for which an origin that failed is left alone, or a gateway that could not give a piece. */
+constexpr duration refused_avoid_time = std::chrono::milliseconds{300};
 /*! @brief Questions in which each far peer is asked once. */
 constexpr std::uint64_t far_turns = 4U;
 /*! @brief Time in which peers are asked before the origin is read. */
@@ -49,7 +51,7 @@
             continue;
         }
         const auto known = std::ranges::find(model.m_relays, name, &relay::m_instance);
-        fresh.push_back(known != model.m_relays.end() ? *known : relay{name, 0U, {}});
+        fresh.push_back(known != model.m_relays.end() ? *known : relay{name, 0U, {}, true});
     }
     model.m_relays = std::move(fresh);
 }
@@ -161,6 +163,7 @@
     auto* const relayed = find_relay(model, from);
     if (relayed != nullptr) {
         relayed->m_fetches -= std::min(relayed->m_fetches, 1U);
+        relayed->m_answers = got.m_status != 0U;
     }
     if (row != nullptr) {
         row->m_fetches -= std::min(row->m_fetches, 1U);
@@ -189,10 +192,10 @@
         row->m_avoid_until = steady_now() + avoid_time;
     }
     if (relayed != nullptr) {
-        relayed->m_avoid_until = steady_now() + avoid_time;
+        relayed->m_avoid_until = steady_now() + (relayed->m_answers ? refused_avoid_time : avoid_time);
     }
     if (from.empty()) {
-        model.m_origin_avoid_until = steady_now() + origin_avoid_time;
+        model.m_origin_avoid_until = steady_now() + refused_avoid_time;
     }
 }
 
@@ -240,6 +243,9 @@
     model.m_pieces[piece] = piece_state::fetching;
     auto limits = origin_limits();
     limits.m_keep = !from.empty();
+    if (chosen.m_relay) {
+        limits.m_total_time = relayed_piece_time;
+    }
     self.m_core.m_http.fetch(where, std::move(ask), limits,
                              [&self, name = model.m_name, version = model.m_version, piece, from,
                               asked = steady_now()](const net::call_end&, net::http_response got) {
@@ -281,8 +287,10 @@
         auto in = internal::input_of(self, model, now);
         const auto room =
             internal::most_origin_fetches - std::min(model.m_origin_fetches, internal::most_origin_fetches);
-        const auto answers = origin != nullptr && in.m_age >= internal::first_word && now >= model.m_origin_avoid_until;
-        in.m_origin_room = answers ? room : 0U;
+        const auto relayed = std::ranges::any_of(model.m_relays, &relay::m_answers);
+        const auto may_ask =
+            origin != nullptr && !relayed && in.m_age >= internal::first_word && now >= model.m_origin_avoid_until;
+        in.m_origin_room = may_ask ? room : 0U;
         in.m_yields = model.m_held != 0U && yields(in);
         const auto chosen = next_fetch(in);
         if (!chosen) {
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -209,7 +209,7 @@
         }
         // While nobody gives the new version's manifest, the one before can still be brought in, and answer till the
         // new one's time limit.
-        if (model.m_manifest && model.m_stage != stage::settled) {
+        if (model.m_version != 0U && model.m_stage != stage::settled) {
             model.m_next = wanted;
             model.m_next_question = {};
         } else {
--- a/test/loader/plan.cpp
+++ b/test/loader/plan.cpp
@@ -159,7 +159,7 @@
 TEST_CASE("pieces come from the gateways nearby, each from the same one, and from other loaders only without them") {
     const std::vector<piece_state> none(pieces, piece_state::missing);
     const std::vector<piece_state> all(pieces, piece_state::held);
-    std::vector<relay> relays{{"gateway-0", 0U, {}}, {"gateway-1", 0U, {}}, {"gateway-2", 0U, {}}};
+    std::vector<relay> relays{{"gateway-0", 0U, {}, true}, {"gateway-1", 0U, {}, true}, {"gateway-2", 0U, {}, true}};
     const std::vector<peer> peers{{"other", "region-0", all, 2U, 0U, {}, false}};
     plan_input in{};
     in.m_instance = "own";
