Let loaders begin with the version wanted, and with their neighbours where these have it

Change: where half of a region's loaders hold a version whole, the others fetch it from them, and from gateways only what these are too busy for; gateways keep a version for 60 s, refuse manifests in their first 500 ms and fetch pieces after that; loaders turn to each other while gateways refuse; a manifest is asked of a gateway, the origin and a loader without a pause between; a state's weights are taken over before its configuration. Ruled out: the links (16 pieces/s each of 24); staged pieces that were lost (none more than before). Tests: test/loader/plan.cpp; the order in a state has none yet.

--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -39,6 +39,8 @@
     time_point m_avoid_until{};
     /*! @brief Whether it answered the last call, with a piece or without: it asks the origin itself, then. */
     bool m_answers{true};
+    /*! @brief Whether it answered the last call without a piece; it is asked again where no loader has one. */
+    bool m_refuses{false};
 };
 
 /*! @brief Inputs of a plan. */
@@ -79,11 +81,15 @@
 /*! @brief Fetches from one peer at a time, so that its link is shared out evenly. */
 inline constexpr unsigned most_fetches_of_peer = 2U;
 
+/*! @brief Part of a region's loaders that hold a version whole from which on the others fetch it from them, so that no
+ * byte of it leaves the origin or enters the region again. */
+inline constexpr double sufficient_part = 0.5;
+
 /**
  * @brief Chooses the next fetch. Each gateway nearby relays its share of the pieces, over a link that is faster than a
- * loader's; a loader's own link then carries a version once. While none of them answers, a piece is read from the
- * origin by one loader, brought into each region by one loader, and swapped inside the region; the next in line takes
- * over after a while. Rarest pieces go first.
+ * loader's; a loader's own link then carries a version once. While none of them answers, or if many loaders of the
+ * region have the version, a piece is read from the origin by one loader, brought into each region by one loader, and
+ * swapped inside the region; the next in line takes over after a while. Rarest pieces go first.
  * @param in The inputs.
  * @return The fetch, or nothing that can be begun now.
  */
--- a/src/gateway/weights.cpp
+++ b/src/gateway/weights.cpp
@@ -22,10 +22,15 @@
 /*! @brief Time without a byte after which a call is given up: a piece a gateway over a link of 9 Mbit/s. */
 constexpr duration part_idle_time = std::chrono::milliseconds{2'500};
 constexpr duration part_connect_time = std::chrono::milliseconds{500};
+/*! @brief Time after the start in which a gateway hears of the others; one that knows none would ask the origin for
+ * all.
+ */
+constexpr duration acquaintance_time = std::chrono::milliseconds{500};
 /*! @brief Calls to another gateway without an answer after which the origin is asked instead. */
 constexpr unsigned most_unanswered = 2U;
-/*! @brief Time without a request after which a version is forgotten: loaders that restart fetch it within that. */
-constexpr duration keep_time = std::chrono::seconds{6};
+/*! @brief Time without a request after which a version is forgotten: runners that crash or are added fetch it within
+ * that, also while the origin is down. */
+constexpr duration keep_time = std::chrono::seconds{60};
 /*! @brief Versions kept at once: the one in force, the one being fetched, and the one named while that went on. */
 constexpr std::size_t most_versions = 3U;
 /*! @brief Pieces of a version, at most. */
@@ -203,6 +208,22 @@
         return;
     }
     auto& part = version->m_parts[key.m_index];
+    const auto age = steady_now() - self.m_core.m_started;
+    if (age < acquaintance_time && key.m_index == fleet::manifest_index) {
+        // Whoever asks does better to turn to another source than to wait.
+        refuse_waiting(part);
+        return;
+    }
+    if (age < acquaintance_time) {
+        part.m_asked = true;
+        self.m_core.m_loop.after(acquaintance_time - age, [&self, key] {
+            if (auto* const later = find_version(self, key)) {
+                later->m_parts[key.m_index].m_asked = false;
+                fetch_part(self, key);
+            }
+        });
+        return;
+    }
     if (key.m_index != fleet::manifest_index && !version->m_manifest) {
         fetch_part(self, {key.m_model, key.m_version, fleet::manifest_index});
         return;
--- a/src/loader/manifest.cpp
+++ b/src/loader/manifest.cpp
@@ -9,6 +9,8 @@
 
 namespace internal {
 
+/*! @brief Sources that are asked one after the other before a pause: a gateway, the origin, another loader. */
+constexpr unsigned manifest_sources = 3U;
 /*! @brief Longest addition to the pause before a manifest is asked for again, so that loaders do not ask together. */
 constexpr std::uint64_t manifest_jitter_ms = 200U;
 
@@ -32,12 +34,11 @@
  * @return Name of the gateway or loader; empty for the origin. */
 [[nodiscard]] auto source_of(daemon& self, const model_state& model, const unsigned turn, const bool has_origin)
     -> std::string {
-    constexpr unsigned sources = 3U;
     const auto random = self.m_core.m_random();
-    if (!model.m_relays.empty() && turn % sources == 0U) {
+    if (!model.m_relays.empty() && turn % manifest_sources == 0U) {
         return model.m_relays[random % model.m_relays.size()].m_instance;
     }
-    const auto from_peer = !model.m_peers.empty() && (!has_origin || turn % sources == 2U);
+    const auto from_peer = !model.m_peers.empty() && (!has_origin || turn % manifest_sources == 2U);
     return from_peer ? model.m_peers[random % model.m_peers.size()].m_instance : std::string{};
 }
 
@@ -49,7 +50,9 @@
     }
     auto read = got.m_status == status_ok ? adapter::decode_manifest(got.m_body) : std::nullopt;
     if (!read || read->m_version != version) {
-        const auto pause = ask_period + std::chrono::milliseconds{self.m_core.m_random() % manifest_jitter_ms};
+        const auto round = question->m_tries % manifest_sources == 0U;
+        const auto jitter = std::chrono::milliseconds{self.m_core.m_random() % manifest_jitter_ms};
+        const auto pause = round ? duration{ask_period + jitter} : duration::zero();
         self.m_core.m_loop.after(pause, [&self, name, version] {
             if (auto* const again = find_question(self, name, version)) {
                 again->m_asked = false;
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -25,7 +25,7 @@
 constexpr duration refused_avoid_time = std::chrono::milliseconds{300};
 /*! @brief Questions in which each far peer is asked once. */
 constexpr std::uint64_t far_turns = 4U;
-/*! @brief Time in which peers are asked before the origin is read. */
+/*! @brief Time in which peers are asked before a gateway or the origin is. */
 constexpr duration first_word = std::chrono::milliseconds{80};
 
 namespace {
@@ -51,7 +51,7 @@
             continue;
         }
         const auto known = std::ranges::find(model.m_relays, name, &relay::m_instance);
-        fresh.push_back(known != model.m_relays.end() ? *known : relay{name, 0U, {}, true});
+        fresh.push_back(known != model.m_relays.end() ? *known : relay{name, 0U, {}, true, false});
     }
     model.m_relays = std::move(fresh);
 }
@@ -102,12 +102,12 @@
 /*! @brief Asks all peers at first, then those of the region each time and a few far ones by turns. While gateways relay
  * the pieces, only the version that the runners of the region hold counts, and that seldom. */
 auto ask_peers(daemon& self, model_state& model, const time_point now) -> void {
-    const auto relayed =
-        std::ranges::any_of(model.m_relays, [now](const relay& each) { return now >= each.m_avoid_until; });
+    const auto relayed = std::ranges::any_of(
+        model.m_relays, [now](const relay& each) { return !each.m_refuses && now >= each.m_avoid_until; });
     if (now - model.m_asked_peers < (relayed ? relayed_ask_period : ask_period) || model.m_peers.empty()) {
         return;
     }
-    const auto first = !relayed && model.m_asked_peers == time_point{};
+    const auto first = model.m_asked_peers == time_point{};
     model.m_asked_peers = now;
     const auto turn = self.m_core.m_random() % far_turns;
     for (std::size_t index = 0U; index < model.m_peers.size(); ++index) {
@@ -116,7 +116,7 @@
         const auto is_whole =
             std::ranges::all_of(each.m_has, [](const piece_state state) { return state == piece_state::held; });
         const auto done = !each.m_has.empty() && is_whole && each.m_held >= model.m_version;
-        if (first || (near && !done) || (!near && !relayed && index % far_turns == turn)) {
+        if ((first && (near || !relayed)) || (near && !done) || (!near && !relayed && index % far_turns == turn)) {
             ask_peer(self, model, each.m_instance);
         }
     }
@@ -164,6 +164,7 @@
     if (relayed != nullptr) {
         relayed->m_fetches -= std::min(relayed->m_fetches, 1U);
         relayed->m_answers = got.m_status != 0U;
+        relayed->m_refuses = relayed->m_answers && got.m_status != status_ok;
     }
     if (row != nullptr) {
         row->m_fetches -= std::min(row->m_fetches, 1U);
@@ -207,8 +208,10 @@
     out.m_held = model.m_held;
     out.m_pieces = model.m_pieces;
     out.m_peers = model.m_peers;
-    out.m_relays = model.m_relays;
     out.m_age = now - model.m_wanted_since;
+    if (out.m_age >= first_word) {
+        out.m_relays = model.m_relays;
+    }
     out.m_load_by = std::chrono::duration_cast<duration>(
         std::chrono::milliseconds{self.m_core.m_settings.m_bounds.m_version_ms} * last_load_part);
     out.m_now = now;
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -88,6 +88,23 @@
                                                      : std::optional{fetch{piece, std::nullopt, std::nullopt}};
 }
 
+/*! @brief Tells whether so many loaders of the region hold a version whole that their links suffice for the others. */
+[[nodiscard]] auto peers_suffice(const plan_input& in) -> bool {
+    std::size_t loaders{1U};
+    std::size_t whole{};
+    for (const auto& each : in.m_peers) {
+        if (each.m_region != in.m_region) {
+            continue;
+        }
+        ++loaders;
+        const auto has_all = !each.m_has.empty() && std::ranges::all_of(each.m_has, [](const piece_state state) {
+            return state == piece_state::held;
+        });
+        whole += has_all && in.m_now >= each.m_avoid_until ? 1U : 0U;
+    }
+    return static_cast<double>(whole) >= sufficient_part * static_cast<double>(loaders);
+}
+
 /*! @brief What the gateways nearby can give. */
 struct relayed {
     /*! @brief Whether any of them answers; the other loaders are left alone then. */
@@ -95,7 +112,7 @@
     std::optional<fetch> m_fetch{};
 };
 
-[[nodiscard]] auto from_relays(const plan_input& in) -> relayed {
+[[nodiscard]] auto from_relays(const plan_input& in, const bool refusing) -> relayed {
     relayed out{};
     const auto count = in.m_pieces.size();
     for (std::size_t step = 0U; step < count && !out.m_fetch; ++step) {
@@ -108,7 +125,8 @@
         for (std::size_t index = 0U; index < in.m_relays.size(); ++index) {
             const auto& each = in.m_relays[index];
             const auto value = fleet::weight(each.m_instance, in.m_version, piece);
-            if (in.m_now >= each.m_avoid_until && (!best || value > most)) {
+            const auto fits = each.m_refuses == refusing && in.m_now >= each.m_avoid_until;
+            if (fits && (!best || value > most)) {
                 best = index;
                 most = value;
             }
@@ -124,7 +142,8 @@
 } // namespace
 
 auto next_fetch(const plan_input& in) -> std::optional<fetch> {
-    if (const auto near = from_relays(in); near.m_usable) {
+    const auto near = from_relays(in, false);
+    if (near.m_usable && !peers_suffice(in)) {
         return near.m_fetch;
     }
     std::optional<fetch> best{};
@@ -146,7 +165,10 @@
         best = found;
         best_count = have.m_count;
     }
-    return best;
+    if (best) {
+        return best;
+    }
+    return near.m_fetch ? near.m_fetch : from_relays(in, true).m_fetch;
 }
 
 namespace {
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -305,14 +305,15 @@
 }
 
 auto accept_state(core& self, const wire::fleet::State& state, const std::string_view source) -> void {
-    if (!state.configuration().empty()) {
-        accept_configuration(self, state.configuration(), source);
-    }
+    // Weights first: a loader that learns its models begins with the version wanted, not with one before it.
     const auto now = steady_now();
     for (const auto& each : state.weights()) {
         const auto age = std::chrono::milliseconds{each.age_ms()};
         accept_target(self, {each.model(), each.version(), now - age, each.exact()}, source);
     }
+    if (!state.configuration().empty()) {
+        accept_configuration(self, state.configuration(), source);
+    }
     for (const auto& each : state.servers()) {
         if (!self.m_follows_servers) {
             break;
--- a/test/loader/plan.cpp
+++ b/test/loader/plan.cpp
@@ -159,8 +159,11 @@
 TEST_CASE("pieces come from the gateways nearby, each from the same one, and from other loaders only without them") {
     const std::vector<piece_state> none(pieces, piece_state::missing);
     const std::vector<piece_state> all(pieces, piece_state::held);
-    std::vector<relay> relays{{"gateway-0", 0U, {}, true}, {"gateway-1", 0U, {}, true}, {"gateway-2", 0U, {}, true}};
-    const std::vector<peer> peers{{"other", "region-0", all, 2U, 0U, {}, false}};
+    std::vector<relay> relays{
+        {"gateway-0", 0U, {}, true, false}, {"gateway-1", 0U, {}, true, false}, {"gateway-2", 0U, {}, true, false}};
+    std::vector<peer> peers{{"other", "region-0", all, 2U, 0U, {}, false},
+                            {"third", "region-0", none, 1U, 0U, {}, false},
+                            {"fourth", "region-0", none, 1U, 0U, {}, false}};
     plan_input in{};
     in.m_instance = "own";
     in.m_region = "region-0";
@@ -188,6 +191,10 @@
     in.m_random = 7U;
     CHECK(next_fetch(in)->m_relay == source_of[7U]);
 
+    peers[1].m_has = all;
+    CHECK(next_fetch(in)->m_peer);
+    peers[1].m_has = none;
+
     relays[source_of[7U]].m_avoid_until = in.m_now + std::chrono::seconds{1};
     const auto instead = next_fetch(in);
     REQUIRE(instead->m_relay);
@@ -203,6 +210,13 @@
     const auto swapped = next_fetch(in);
     REQUIRE(swapped);
     CHECK(swapped->m_peer);
+
+    for (auto& each : relays) {
+        each = {each.m_instance, 0U, {}, true, true};
+    }
+    CHECK(next_fetch(in)->m_peer);
+    in.m_peers = {};
+    CHECK(next_fetch(in)->m_relay);
 }
 
 TEST_CASE("at most half of a region's runners are told to load at once") {
