Use an older version until shortly before its limit where no runner holds a newer one

Change: while no backend server of the service holds the newer version, the margin is 0.6 s; what has not begun 0.3 s before the limit is taken back as before. Tests: test/dispatch/decisions.cpp, test/node/core.cpp.

--- a/include/rhubarbwharf/dispatch/choice.hpp
+++ b/include/rhubarbwharf/dispatch/choice.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -131,6 +132,10 @@
  */
 [[nodiscard]] auto predict_first(const server_load& row, const fleet::engine* engine, double prompt) noexcept -> double;
 
+/*! @brief Tells whether any backend server holds the model in a version that a request may begin on, busy or not.
+ * @param rows The backend servers. @param wanted The request. @return Whether one does. */
+[[nodiscard]] auto is_held(std::span<const std::shared_ptr<server_load>> rows, const demand& wanted) noexcept -> bool;
+
 /*! @brief Tells whether a backend server may run a request at all, full or not. @param row It. @param wanted The
  * request. @param now The time. @return Whether it may. */
 [[nodiscard]] auto is_fit(const server_load& row, const demand& wanted, time_point now) noexcept -> bool;
--- a/src/dispatch/choice.cpp
+++ b/src/dispatch/choice.cpp
@@ -47,6 +47,10 @@
     return row.m_pace * (waits + reading + passes_before_first * pass_time(*engine, held));
 }
 
+auto is_held(const std::span<const std::shared_ptr<server_load>> rows, const demand& wanted) noexcept -> bool {
+    return std::ranges::any_of(rows, [&wanted](const auto& each) { return holds(*each, wanted); });
+}
+
 auto is_fit(const server_load& row, const demand& wanted, const time_point now) noexcept -> bool {
     const auto tried = std::ranges::find(wanted.m_tried, row.m_id) != wanted.m_tried.end();
     return !row.m_draining && !row.m_gone && !row.m_busy && !tried && is_usable(row.m_health, now) &&
--- a/src/gateway/place.cpp
+++ b/src/gateway/place.cpp
@@ -36,6 +36,11 @@
         out.m_model = item.m_model;
         out.m_layers = item.m_service->m_engine->m_layers;
         out.m_least_version = node::least_version(self.m_core, item.m_model, now, node::version_margin);
+        const auto late = node::least_version(self.m_core, item.m_model, now, node::version_least_margin);
+        const auto& rows = self.m_services.at(item.m_service->m_name).m_backends;
+        if (late < out.m_least_version && !dispatch::is_held(rows, out)) {
+            out.m_least_version = late;
+        }
     }
     return out;
 }
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -127,6 +127,9 @@
 /*! @brief Time before a version's time limit from which requests keep to it: it covers a wait at a runner that has just
  * filled up. */
 inline constexpr duration version_margin = std::chrono::milliseconds{1'500};
+/*! @brief The same where no runner holds a newer version yet: the way to a runner that has a free slot, and its next
+ * step, before requests are taken back. */
+inline constexpr duration version_least_margin = std::chrono::milliseconds{600};
 /*! @brief Time before a version's time limit at which a request that has not begun on an older one is taken back: its
  * runner hears of that within one way over the farthest link. */
 inline constexpr duration version_last_call = std::chrono::milliseconds{300};
--- a/test/dispatch/decisions.cpp
+++ b/test/dispatch/decisions.cpp
@@ -76,6 +76,23 @@
     CHECK(pick(rows, wanted).empty());
 }
 
+TEST_CASE("whether a newer version is held counts runners that are busy, but none without all its layers") {
+    std::vector<std::shared_ptr<server_load>> rows{std::make_shared<server_load>(runner("a", 1U)),
+                                                   std::make_shared<server_load>(runner("b", 1U))};
+    demand wanted{};
+    wanted.m_model = "m";
+    wanted.m_layers = 4U;
+    wanted.m_least_version = 2U;
+    CHECK_FALSE(is_held(rows, wanted));
+    rows[1]->m_models = {{"m", 2U, 3U}};
+    CHECK_FALSE(is_held(rows, wanted));
+    rows[1]->m_models = {{"m", 2U, 4U}};
+    rows[1]->m_busy = true;
+    CHECK(is_held(rows, wanted));
+    wanted.m_least_version = 1U;
+    CHECK(is_held(rows, wanted));
+}
+
 TEST_CASE("placement prefers the runner whose first token is predicted soonest") {
     demand wanted{};
     wanted.m_prompt = 500.0;
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -50,6 +50,19 @@
     CHECK(least_version(self, "other", now + hour, duration::zero()) == 0U);
 }
 
+TEST_CASE("the older version may be used for longer where no runner holds the newer one") {
+    core self{settings_of("gateway"), true};
+    const auto bound = duration{std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms}};
+    const auto named = steady_now();
+    accept_target(self, target(2U, named), "test");
+    const auto between = named + bound - version_margin / 2;
+    REQUIRE(version_least_margin < version_margin / 2);
+    REQUIRE(version_last_call < version_least_margin);
+    CHECK(least_version(self, "m", between, version_margin) == 2U);
+    CHECK(least_version(self, "m", between, version_least_margin) == 0U);
+    CHECK(least_version(self, "m", named + bound - version_last_call, version_least_margin) == 2U);
+}
+
 TEST_CASE("a version that a peer has known for longer counts from the peer's time") {
     core self{settings_of("gateway"), true};
     const auto now = steady_now();
