--- a/src/gateway/weights.cpp
+++ b/src/gateway/weights.cpp
@@ -33,6 +33,8 @@
 constexpr duration keep_time = std::chrono::seconds{60};
 /*! @brief Versions kept at once: the one in force, the one being fetched, and the one named while that went on. */
 constexpr std::size_t most_versions = 3U;
+/*! @brief Bytes kept of one version: three of them are a third of the memory of the smallest edge machine. */
+constexpr std::size_t most_bytes = std::size_t{16} * 1024U * 1024U;
 /*! @brief Pieces of a version, at most. */
 constexpr std::size_t most_pieces = 65'536U;
 /*! @brief Spoilt pieces after which the manifest is read again, as it may be what is spoilt. */
@@ -95,6 +97,35 @@
     }
 }
 
+/*! @brief Says that this gateway does not relay what was asked for, so that loaders turn to each other. */
+auto send_away(const std::shared_ptr<net::responder>& to) -> void {
+    to->respond(net::problem(code::not_found, outcome::not_run, "not relayed here", duration::zero()));
+}
+
+[[nodiscard]] auto bytes_of(const kept_version& version) -> std::size_t {
+    std::size_t bytes{};
+    for (const auto& [index, part] : version.m_parts) {
+        bytes += part.m_bytes.size();
+    }
+    return bytes;
+}
+
+/*! @brief Gives a version up whose pieces have become too many bytes, here or at the gateway asked. */
+auto drop_large(daemon& self, kept_version& version, const part_key& key, const std::string_view from) -> void {
+    const auto bytes = bytes_of(version);
+    version.m_too_large = true;
+    for (auto& [index, part] : version.m_parts) {
+        for (const auto& each : std::exchange(part.m_waiting, {})) {
+            send_away(each);
+        }
+    }
+    version.m_parts.clear();
+    self.m_core.m_events.write("weights.too_large", {{"model", key.m_model},
+                                                     {"version", static_cast<std::int64_t>(key.m_version)},
+                                                     {"bytes", static_cast<std::int64_t>(bytes)},
+                                                     {"from", from}});
+}
+
 auto fetch_part(daemon& self, const part_key& key) -> void;
 
 /*! @brief Begins the next call to the origin, if there is room for one. */
@@ -159,6 +190,10 @@
         self.m_core.m_counters.add("origin_bytes_total", static_cast<double>(got.m_body.size()));
     }
     auto* const version = find_version(self, key);
+    if (version != nullptr && version->m_too_large) {
+        next_at_origin(self);
+        return;
+    }
     const auto manifest_gone =
         version != nullptr && key.m_index != fleet::manifest_index && !version->m_manifest.has_value();
     if (version == nullptr || manifest_gone) {
@@ -192,7 +227,10 @@
         part.m_unanswered = from_origin ? 0U : part.m_unanswered + (got.m_status == 0U ? 1U : 0U);
         refuse_waiting(part);
     }
-    if (version->m_spoilt >= most_spoilt) {
+    constexpr std::uint16_t not_relayed = 404U;
+    if (bytes_of(*version) > most_bytes || (!from_origin && got.m_status == not_relayed)) {
+        drop_large(self, *version, key, from);
+    } else if (version->m_spoilt >= most_spoilt) {
         version->m_manifest.reset();
         version->m_parts[fleet::manifest_index].m_bytes.clear();
         version->m_parts[fleet::manifest_index].m_unanswered = most_unanswered;
@@ -204,7 +242,7 @@
 
 auto fetch_part(daemon& self, const part_key& key) -> void {
     auto* const version = find_version(self, key);
-    if (version == nullptr || version->m_parts[key.m_index].m_asked) {
+    if (version == nullptr || version->m_too_large || version->m_parts[key.m_index].m_asked) {
         return;
     }
     auto& part = version->m_parts[key.m_index];
@@ -277,7 +315,7 @@
     -> void {
     const auto read = internal::read_call(incoming.m_target);
     if (!read) {
-        answer->respond(net::problem(code::not_found, outcome::not_run, "no such path", duration::zero()));
+        internal::send_away(answer);
         return;
     }
     if (internal::find_version(self, read->m_key) == nullptr) {
@@ -285,6 +323,10 @@
     }
     auto& version = self.m_weights.m_versions[{read->m_key.m_model, read->m_key.m_version}];
     version.m_used = steady_now();
+    if (version.m_too_large) {
+        internal::send_away(answer);
+        return;
+    }
     auto& part = version.m_parts[read->m_key.m_index];
     if (!part.m_bytes.empty()) {
         answer->respond({internal::status_ok, {}, part.m_bytes});
--- a/src/gateway/weights.hpp
+++ b/src/gateway/weights.hpp
@@ -43,6 +43,8 @@
     std::optional<adapter::manifest> m_manifest{};
     /*! @brief Pieces that did not have their digest since the manifest came. */
     unsigned m_spoilt{};
+    /*! @brief Whether its pieces do not fit into this gateway's memory; the loaders swap them, then. */
+    bool m_too_large{false};
     time_point m_used{};
 };
 
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -163,7 +163,8 @@
     auto* const relayed = find_relay(model, from);
     if (relayed != nullptr) {
         relayed->m_fetches -= std::min(relayed->m_fetches, 1U);
-        relayed->m_answers = got.m_status != 0U;
+        constexpr std::uint16_t not_relayed = 404U;
+        relayed->m_answers = got.m_status != 0U && got.m_status != not_relayed;
         relayed->m_refuses = relayed->m_answers && got.m_status != status_ok;
     }
     if (row != nullptr) {
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -176,8 +176,8 @@
 /*! @brief Reads what the operators want, as a loader does that hears no gateway. */
 auto read_operators(core& self) -> void {
     self.m_store.range(adapter::key::operators, {}, [&self](adapter::page got) {
-        std::ranges::stable_partition(got.m_items,
-                                      [](const auto& each) { return each.m_key != adapter::key::configuration; });
+        std::stable_partition(got.m_items.begin(), got.m_items.end(),
+                              [](const auto& each) { return each.m_key != adapter::key::configuration; });
         for (const auto& each : got.m_items) {
             on_operator_item(self, each, long_ago, false);
         }
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <fleet.pb.h>
 #include <net/fixture.hpp>
 #include <node/core.hpp>
 #include <standin-site/store.hpp>
@@ -95,6 +96,21 @@
     CHECK(least_version(self, "m", steady_now(), duration::zero()) == 2U);
 }
 
+TEST_CASE("a state's weights are known when its configuration comes into force") {
+    core teller{settings_of("gateway"), true};
+    accept_configuration(teller, R"({"version":1,"routes":[],"services":[],"limits":{},"tenants":[]})", "test");
+    REQUIRE(teller.m_configuration != nullptr);
+    accept_target(teller, target(3U, steady_now()), "test");
+    core self{settings_of("loader"), false};
+    std::uint64_t wanted{};
+    self.m_handlers.m_on_configuration = [&] {
+        wanted = wanted_version(self, "m");
+    };
+    accept_state(self, whole_state(teller, 0U, false), "test");
+    CHECK(self.m_configuration != nullptr);
+    CHECK(wanted == 3U);
+}
+
 TEST_CASE("of two processes that start together, one hears of the other from the store") {
     core first{settings_of("gateway"), true};
     auto other = settings_of("gateway");
