--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -169,6 +169,9 @@
         if (got.m_reply == adapter::reply::ok) {
             on_member_list(self, got.m_items);
             self.m_members_read = true;
+            if (!self.m_watching && !self.m_store_there) {
+                note_contact(self, adapter::key::members, true);
+            }
         }
     });
 }
@@ -194,7 +197,9 @@
 auto fall_back(core& self) -> void {
     const auto now = steady_now();
     const auto heard = hears_gateway(self, now);
-    if (!self.m_members_read || (!heard && !self.m_follows_servers)) {
+    // A gateway that does not watch would never learn that the store it once lost answers again, and never take over.
+    const auto seeks_store = self.m_follows_servers && !self.m_watching && !self.m_store_there;
+    if (!self.m_members_read || seeks_store || (!heard && !self.m_follows_servers)) {
         read_members(self);
     }
     if (!heard && !self.m_follows_servers) {
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -111,6 +111,20 @@
     CHECK(wanted == 3U);
 }
 
+TEST_CASE("a gateway that does not watch the store notices that it answers again") {
+    core self{settings_of("gateway"), true};
+    standin_site::store registry{self.m_loop};
+    self.m_store.set_address(registry.listen());
+    REQUIRE(start(self));
+    REQUIRE(net::run_until(self.m_loop, [&] { return self.m_store_there; }));
+    for (const auto& each : {self.m_operators, self.m_server_entries}) {
+        each->pause();
+    }
+    self.m_watching = false;
+    self.m_store_there = false;
+    CHECK(net::run_until(self.m_loop, [&] { return self.m_store_there; }));
+}
+
 TEST_CASE("of two processes that start together, one hears of the other from the store") {
     core first{settings_of("gateway"), true};
     auto other = settings_of("gateway");
