Keep few pieces on their way over a slow link; show the users' platform in make demo

Three loaders' links are squeezed to 1.2 Mbit/s from 18.7 to 25.7 s while a version is named: four pieces on their way fill such a link for 1.4 s (piece.fetched took 1,311 to 1,513 ms there, 240 elsewhere), and word that a caller has left waits behind them at the machine that the runner stands on. Change: a loader learns the link's time for a piece and keeps at most 250 ms of them on their way, four at most, two until it has learned it.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 demo: build
 	tools/demo $(BUILD)/app
+	tools/demo-platform $(BUILD)/app
 
 bench: build
 	tools/bench $(BUILD)/app $(SEED)
--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -74,6 +74,21 @@
     std::optional<std::size_t> m_relay{};
 };
 
+/*! @brief Pieces fetched at once over a link that is as fast as it should be. */
+inline constexpr unsigned most_fetches = 4U;
+/*! @brief The same while nothing is known of the link. */
+inline constexpr unsigned first_fetches = 2U;
+/*! @brief Longest time for which the pieces on their way may fill the link. The runner's requests, and word that a
+ * caller has left, wait behind them. */
+inline constexpr duration link_backlog = std::chrono::milliseconds{250};
+
+/**
+ * @brief Tells how many pieces may be on their way at once.
+ * @param piece_time Time that the link takes for one; zero if that is not known.
+ * @return The count, at least 1.
+ */
+[[nodiscard]] auto fetches_at_once(duration piece_time) noexcept -> unsigned;
+
 /*! @brief Time that each further loader of a region waits before it brings a piece into the region itself. */
 inline constexpr duration region_stagger = std::chrono::milliseconds{1'200};
 /*! @brief Time that each further region waits before it reads a piece from the origin itself. */
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -94,6 +94,9 @@
     net::endpoint m_runner{};
 
     std::map<std::string, model_state, std::less<>> m_models{};
+    /*! @brief Time that the link takes for a piece, smoothed; zero until one has come. */
+    duration m_piece_time{};
+    time_point m_last_piece{};
     fleet::load_report m_report{};
     bool m_report_known{false};
     bool m_report_asked{false};
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -11,8 +11,6 @@
 
 namespace internal {
 
-/*! @brief Pieces fetched at once; two keep the link full while a third is on its way. */
-constexpr unsigned most_fetches = 4U;
 /*! @brief Pieces fetched from the origin at once by one loader. */
 constexpr unsigned most_origin_fetches = 2U;
 /*! @brief Time for which a peer that failed is left alone. */
@@ -148,6 +146,17 @@
            sha256(bytes) == model.m_manifest->m_pieces[piece];
 }
 
+/*! @brief Learns how long the link takes for a piece: the time since the one before while others were on their way, or
+ * the whole call of one that came alone. */
+auto note_piece_time(daemon& self, const bool beside_others, const time_point asked) -> void {
+    constexpr int parts = 2;
+    const auto now = steady_now();
+    const auto since = std::max(asked, std::exchange(self.m_last_piece, now));
+    const auto measured = now - (beside_others ? since : asked);
+    const auto known = self.m_piece_time == duration::zero() ? measured : self.m_piece_time;
+    self.m_piece_time = known + (measured - known) / parts;
+}
+
 auto on_piece(daemon& self, model_state& model, const std::size_t piece, const std::string& from,
               const time_point asked, net::http_response got) -> void {
     self.m_core.m_events.write(
@@ -158,6 +167,9 @@
          {"from", from.empty() ? std::string_view{"origin"} : std::string_view{from}},
          {"status", static_cast<std::int64_t>(got.m_status)},
          {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(steady_now() - asked).count()}});
+    if (got.m_status == status_ok) {
+        note_piece_time(self, model.m_fetches > 1U, asked);
+    }
     --model.m_fetches;
     auto* const row = find_peer(model, from);
     auto* const relayed = find_relay(model, from);
@@ -287,7 +299,7 @@
     }
     internal::ask_peers(self, model, now);
     const auto* const origin = fleet::find_origin(*self.m_core.m_configuration);
-    while (model.m_fetches < internal::most_fetches) {
+    while (model.m_fetches < fetches_at_once(self.m_piece_time)) {
         auto in = internal::input_of(self, model, now);
         const auto room =
             internal::most_origin_fetches - std::min(model.m_origin_fetches, internal::most_origin_fetches);
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -141,6 +141,14 @@
 
 } // namespace
 
+auto fetches_at_once(const duration piece_time) noexcept -> unsigned {
+    if (piece_time <= duration::zero()) {
+        return first_fetches;
+    }
+    const auto fits = static_cast<unsigned>(std::min<duration::rep>(link_backlog / piece_time, most_fetches));
+    return std::max(fits, 1U);
+}
+
 auto next_fetch(const plan_input& in) -> std::optional<fetch> {
     const auto near = from_relays(in, false);
     if (near.m_usable && !peers_suffice(in)) {
--- a/test/loader/plan.cpp
+++ b/test/loader/plan.cpp
@@ -219,6 +219,14 @@
     CHECK(next_fetch(in)->m_relay);
 }
 
+TEST_CASE("over a slow link few pieces are on their way, so that what the runner is sent does not wait behind them") {
+    CHECK(fetches_at_once(duration::zero()) == first_fetches);
+    CHECK(fetches_at_once(std::chrono::milliseconds{42}) == most_fetches);
+    CHECK(fetches_at_once(std::chrono::milliseconds{100}) == 2U);
+    CHECK(fetches_at_once(std::chrono::milliseconds{350}) == 1U);
+    CHECK(fetches_at_once(std::chrono::seconds{3}) == 1U);
+}
+
 TEST_CASE("at most half of a region's runners are told to load at once") {
     constexpr std::size_t loaders = 6U;
     constexpr auto version = std::uint64_t{3U};
