Keep one of each piece that the relay of weights wrote again

Found on reading the change: whether all pieces are held stood in four places (loader plan, twice, pieces, run), the target of a call for weights in the loader and in the gateway, the count of spoilt pieces and the status of a version that is not relayed in both; fleet::part carried a model that nothing read; a relay's two flags stood for three states; forgetting a version stood twice; fetch_part both chose and sent. Change: loader::is_whole, fleet::transfer_target, fleet::most_spoilt, fleet::status_not_relayed, loader::relay_state, forget_version and send_call. Behaviour is unchanged. Tests: names and initializers follow, the assertions stay; fleet, loader, gateway and node pass.

--- a/include/rhubarbwharf/fleet/relay.hpp
+++ b/include/rhubarbwharf/fleet/relay.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <string>
 #include <string_view>
 
 #include <rhubarbwharf/fleet/member.hpp>
@@ -11,13 +12,25 @@
 
 /*! @brief One part of a version of weights: a piece, or the manifest. */
 struct part {
-    std::string_view m_model{};
     std::uint64_t m_version{};
     std::size_t m_index{};
 };
 
 /*! @brief Index that stands for the manifest. */
 inline constexpr std::size_t manifest_index = std::numeric_limits<std::size_t>::max();
+/*! @brief Status of a gateway that does not relay a version. */
+inline constexpr std::uint16_t status_not_relayed = 404U;
+/*! @brief Spoilt pieces after which the manifest is read again, as it may be what is spoilt. */
+inline constexpr unsigned most_spoilt = 3U;
+
+/**
+ * @brief Returns the target of a call to a gateway or loader that has weights.
+ * @param kind `have`, `manifest` or `piece`.
+ * @param model The model.
+ * @param version The version.
+ * @return The target; a piece's index is added to it as `index`.
+ */
+[[nodiscard]] auto transfer_target(std::string_view kind, std::string_view model, std::uint64_t version) -> std::string;
 
 /**
  * @brief Weight of an instance for a piece: the instance with the most comes first (rendezvous hashing), so that all
--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -15,6 +15,10 @@
 /*! @brief What a loader has of one piece. */
 enum class piece_state : std::uint8_t { missing, fetching, held };
 
+/*! @brief Tells whether all pieces of a version are held. @param pieces Their states. @return Whether they are; not if
+ * there are none. */
+[[nodiscard]] auto is_whole(std::span<const piece_state> pieces) noexcept -> bool;
+
 /*! @brief Another loader of the same service, and the pieces of the wanted version that it has. */
 struct peer {
     std::string m_instance{};
@@ -30,6 +34,16 @@
     bool m_loading{false};
 };
 
+/*! @brief What a gateway's last answer says of the weights that it relays. */
+enum class relay_state : std::uint8_t {
+    /*! @brief It gave the piece, or has not been asked. */
+    gives,
+    /*! @brief It answered without the piece: it asks the origin itself, and is asked again where no loader has one. */
+    refuses,
+    /*! @brief It did not answer, or does not relay this version. */
+    silent,
+};
+
 /*! @brief A gateway of the own data centre that relays weights. */
 struct relay {
     std::string m_instance{};
@@ -37,10 +51,7 @@
     unsigned m_fetches{};
     /*! @brief Until when it is left alone after a failure. */
     time_point m_avoid_until{};
-    /*! @brief Whether it answered the last call, with a piece or without: it asks the origin itself, then. */
-    bool m_answers{true};
-    /*! @brief Whether it answered the last call without a piece; it is asked again where no loader has one. */
-    bool m_refuses{false};
+    relay_state m_state{relay_state::gives};
 };
 
 /*! @brief Inputs of a plan. */
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -24,6 +24,11 @@
 
 } // namespace
 
+auto transfer_target(const std::string_view kind, const std::string_view model, const std::uint64_t version)
+    -> std::string {
+    return "/" + std::string{kind} + "?model=" + std::string{model} + "&version=" + std::to_string(version);
+}
+
 auto weight(const std::string_view instance, const std::uint64_t version, const std::size_t piece) noexcept
     -> std::uint64_t {
     constexpr std::uint64_t offset = 14'695'981'039'346'656'037ULL;
--- a/src/gateway/weights.cpp
+++ b/src/gateway/weights.cpp
@@ -37,8 +37,6 @@
 constexpr std::size_t most_bytes = std::size_t{16} * 1024U * 1024U;
 /*! @brief Pieces of a version, at most. */
 constexpr std::size_t most_pieces = 65'536U;
-/*! @brief Spoilt pieces after which the manifest is read again, as it may be what is spoilt. */
-constexpr unsigned most_spoilt = 3U;
 
 namespace {
 
@@ -75,8 +73,8 @@
 [[nodiscard]] auto call_to_gateway(const part_key& key, const unsigned hops) -> net::http_request {
     const auto is_manifest = key.m_index == fleet::manifest_index;
     net::http_request out{};
-    out.m_target = std::string{is_manifest ? "/manifest" : "/piece"} + "?model=" + key.m_model +
-                   "&version=" + std::to_string(key.m_version) + "&hops=" + std::to_string(hops) +
+    out.m_target = fleet::transfer_target(is_manifest ? "manifest" : "piece", key.m_model, key.m_version) +
+                   "&hops=" + std::to_string(hops) +
                    (is_manifest ? std::string{} : "&index=" + std::to_string(key.m_index));
     return out;
 }
@@ -227,10 +225,9 @@
         part.m_unanswered = from_origin ? 0U : part.m_unanswered + (got.m_status == 0U ? 1U : 0U);
         refuse_waiting(part);
     }
-    constexpr std::uint16_t not_relayed = 404U;
-    if (bytes_of(*version) > most_bytes || (!from_origin && got.m_status == not_relayed)) {
+    if (bytes_of(*version) > most_bytes || (!from_origin && got.m_status == fleet::status_not_relayed)) {
         drop_large(self, *version, key, from);
-    } else if (version->m_spoilt >= most_spoilt) {
+    } else if (version->m_spoilt >= fleet::most_spoilt) {
         version->m_manifest.reset();
         version->m_parts[fleet::manifest_index].m_bytes.clear();
         version->m_parts[fleet::manifest_index].m_unanswered = most_unanswered;
@@ -240,6 +237,23 @@
     next_at_origin(self);
 }
 
+/*! @brief Asks a gateway, or the origin if there is none to ask, for a part. */
+auto send_call(daemon& self, const part_key& key, const unsigned hops, const fleet::member* const upstream) -> void {
+    self.m_weights.m_at_origin += upstream == nullptr ? 1U : 0U;
+    net::call_limits limits{};
+    limits.m_total_time = part_time;
+    limits.m_idle_time = part_idle_time;
+    limits.m_connect_time = part_connect_time;
+    limits.m_keep = upstream != nullptr;
+    const auto where =
+        upstream == nullptr ? fleet::find_origin(*self.m_core.m_configuration)->m_address : upstream->m_bulk;
+    self.m_core.m_http.fetch(where, upstream == nullptr ? call_to_origin(key) : call_to_gateway(key, hops), limits,
+                             [&self, key, from = upstream == nullptr ? std::string{} : upstream->m_instance,
+                              asked = steady_now()](const net::call_end&, net::http_response got) {
+                                 on_part(self, key, from, asked, std::move(got));
+                             });
+}
+
 auto fetch_part(daemon& self, const part_key& key) -> void {
     auto* const version = find_version(self, key);
     if (version == nullptr || version->m_too_large || version->m_parts[key.m_index].m_asked) {
@@ -268,10 +282,9 @@
     }
     const auto* const known = self.m_core.m_configuration ? fleet::find_origin(*self.m_core.m_configuration) : nullptr;
     const auto at_origin = part.m_unanswered >= most_unanswered || part.m_hops >= most_hops;
-    const auto* const upstream = at_origin
-                                     ? nullptr
-                                     : fleet::upstream_of(self.m_core.m_members, self.m_core.m_self,
-                                                          {key.m_model, key.m_version, key.m_index}, steady_now());
+    const auto* const upstream = at_origin ? nullptr
+                                           : fleet::upstream_of(self.m_core.m_members, self.m_core.m_self,
+                                                                {key.m_version, key.m_index}, steady_now());
     if (upstream == nullptr && known == nullptr) {
         refuse_waiting(part);
         return;
@@ -281,29 +294,24 @@
         self.m_weights.m_line.push_back(key);
         return;
     }
-    self.m_weights.m_at_origin += upstream == nullptr ? 1U : 0U;
-    net::call_limits limits{};
-    limits.m_total_time = part_time;
-    limits.m_idle_time = part_idle_time;
-    limits.m_connect_time = part_connect_time;
-    limits.m_keep = upstream != nullptr;
-    self.m_core.m_http.fetch(upstream == nullptr ? known->m_address : upstream->m_bulk,
-                             upstream == nullptr ? call_to_origin(key) : call_to_gateway(key, part.m_hops + 1U), limits,
-                             [&self, key, from = upstream == nullptr ? std::string{} : upstream->m_instance,
-                              asked = steady_now()](const net::call_end&, net::http_response got) {
-                                 on_part(self, key, from, asked, std::move(got));
-                             });
+    send_call(self, key, part.m_hops + 1U, upstream);
+}
+
+using version_place = decltype(weights_relay::m_versions)::iterator;
+
+/*! @brief Forgets a version, and refuses those who wait for it. @return The version after it. */
+auto forget_version(weights_relay& relay, const version_place which) -> version_place {
+    for (auto& [index, part] : which->second.m_parts) {
+        refuse_waiting(part);
+    }
+    return relay.m_versions.erase(which);
 }
 
 /*! @brief Makes room for one more version: the one asked for longest ago goes. */
 auto make_room(weights_relay& relay) -> void {
     while (relay.m_versions.size() >= most_versions) {
-        const auto oldest =
-            std::ranges::min_element(relay.m_versions, {}, [](const auto& each) { return each.second.m_used; });
-        for (auto& [index, part] : oldest->second.m_parts) {
-            refuse_waiting(part);
-        }
-        relay.m_versions.erase(oldest);
+        forget_version(
+            relay, std::ranges::min_element(relay.m_versions, {}, [](const auto& each) { return each.second.m_used; }));
     }
 }
 
@@ -340,14 +348,8 @@
 auto sweep_weights(daemon& self, const time_point now) -> void {
     auto& versions = self.m_weights.m_versions;
     for (auto each = versions.begin(); each != versions.end();) {
-        if (now - each->second.m_used < internal::keep_time) {
-            ++each;
-            continue;
-        }
-        for (auto& [index, part] : each->second.m_parts) {
-            internal::refuse_waiting(part);
-        }
-        each = versions.erase(each);
+        const auto is_used = now - each->second.m_used < internal::keep_time;
+        each = is_used ? std::next(each) : internal::forget_version(self.m_weights, each);
     }
 }
 
--- a/src/loader/manifest.cpp
+++ b/src/loader/manifest.cpp
@@ -4,6 +4,7 @@
 #include <loader/daemon.hpp>
 #include <loader/swap.hpp>
 #include <platform/encode.hpp>
+#include <rhubarbwharf/fleet/relay.hpp>
 
 namespace rhubarbwharf::loader {
 
@@ -97,7 +98,7 @@
     auto where = from == nullptr ? net::endpoint{} : from->m_address;
     if (!name.empty()) {
         ask = net::http_request{};
-        ask.m_target = internal::peer_target("manifest", model.m_name, version);
+        ask.m_target = fleet::transfer_target("manifest", model.m_name, version);
         where = self.m_core.m_members[name].m_member.m_bulk;
         limits.m_total_time = internal::ask_time;
     }
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -49,7 +49,7 @@
             continue;
         }
         const auto known = std::ranges::find(model.m_relays, name, &relay::m_instance);
-        fresh.push_back(known != model.m_relays.end() ? *known : relay{name, 0U, {}, true, false});
+        fresh.push_back(known != model.m_relays.end() ? *known : relay{name, 0U, {}, relay_state::gives});
     }
     model.m_relays = std::move(fresh);
 }
@@ -85,7 +85,7 @@
     limits.m_total_time = ask_time;
     limits.m_connect_time = ask_time;
     net::http_request ask{};
-    ask.m_target = peer_target("have", model.m_name, model.m_version);
+    ask.m_target = fleet::transfer_target("have", model.m_name, model.m_version);
     const auto address = self.m_core.m_members[name].m_member.m_bulk;
     self.m_core.m_http.fetch(address, std::move(ask), limits,
                              [&self, name, model_name = model.m_name,
@@ -100,8 +100,9 @@
 /*! @brief Asks all peers at first, then those of the region each time and a few far ones by turns. While gateways relay
  * the pieces, only the version that the runners of the region hold counts, and that seldom. */
 auto ask_peers(daemon& self, model_state& model, const time_point now) -> void {
-    const auto relayed = std::ranges::any_of(
-        model.m_relays, [now](const relay& each) { return !each.m_refuses && now >= each.m_avoid_until; });
+    const auto relayed = std::ranges::any_of(model.m_relays, [now](const relay& each) {
+        return each.m_state != relay_state::refuses && now >= each.m_avoid_until;
+    });
     if (now - model.m_asked_peers < (relayed ? relayed_ask_period : ask_period) || model.m_peers.empty()) {
         return;
     }
@@ -111,9 +112,7 @@
     for (std::size_t index = 0U; index < model.m_peers.size(); ++index) {
         const auto& each = model.m_peers[index];
         const auto near = each.m_region == self.m_core.m_self.m_region;
-        const auto is_whole =
-            std::ranges::all_of(each.m_has, [](const piece_state state) { return state == piece_state::held; });
-        const auto done = !each.m_has.empty() && is_whole && each.m_held >= model.m_version;
+        const auto done = is_whole(each.m_has) && each.m_held >= model.m_version;
         if ((first && (near || !relayed)) || (near && !done) || (!near && !relayed && index % far_turns == turn)) {
             ask_peer(self, model, each.m_instance);
         }
@@ -146,6 +145,13 @@
            sha256(bytes) == model.m_manifest->m_pieces[piece];
 }
 
+[[nodiscard]] auto state_after(const std::uint16_t status) -> relay_state {
+    if (status == 0U || status == fleet::status_not_relayed) {
+        return relay_state::silent;
+    }
+    return status == status_ok ? relay_state::gives : relay_state::refuses;
+}
+
 /*! @brief Learns how long the link takes for a piece: the time since the one before while others were on their way, or
  * the whole call of one that came alone. */
 auto note_piece_time(daemon& self, const bool beside_others, const time_point asked) -> void {
@@ -175,9 +181,7 @@
     auto* const relayed = find_relay(model, from);
     if (relayed != nullptr) {
         relayed->m_fetches -= std::min(relayed->m_fetches, 1U);
-        constexpr std::uint16_t not_relayed = 404U;
-        relayed->m_answers = got.m_status != 0U && got.m_status != not_relayed;
-        relayed->m_refuses = relayed->m_answers && got.m_status != status_ok;
+        relayed->m_state = state_after(got.m_status);
     }
     if (row != nullptr) {
         row->m_fetches -= std::min(row->m_fetches, 1U);
@@ -206,7 +210,8 @@
         row->m_avoid_until = steady_now() + avoid_time;
     }
     if (relayed != nullptr) {
-        relayed->m_avoid_until = steady_now() + (relayed->m_answers ? refused_avoid_time : avoid_time);
+        relayed->m_avoid_until =
+            steady_now() + (relayed->m_state == relay_state::silent ? avoid_time : refused_avoid_time);
     }
     if (from.empty()) {
         model.m_origin_avoid_until = steady_now() + refused_avoid_time;
@@ -248,7 +253,8 @@
             from = row.m_instance;
         }
         where = self.m_core.m_members[from].m_member.m_bulk;
-        ask.m_target = peer_target("piece", model.m_name, model.m_version) + "&index=" + std::to_string(piece);
+        ask.m_target =
+            fleet::transfer_target("piece", model.m_name, model.m_version) + "&index=" + std::to_string(piece);
     } else {
         const auto* const origin = fleet::find_origin(*self.m_core.m_configuration);
         where = origin->m_address;
@@ -303,7 +309,8 @@
         auto in = internal::input_of(self, model, now);
         const auto room =
             internal::most_origin_fetches - std::min(model.m_origin_fetches, internal::most_origin_fetches);
-        const auto relayed = std::ranges::any_of(model.m_relays, &relay::m_answers);
+        const auto relayed =
+            std::ranges::any_of(model.m_relays, [](const relay& each) { return each.m_state != relay_state::silent; });
         const auto may_ask =
             origin != nullptr && !relayed && in.m_age >= internal::first_word && now >= model.m_origin_avoid_until;
         in.m_origin_room = may_ask ? room : 0U;
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -97,10 +97,7 @@
             continue;
         }
         ++loaders;
-        const auto has_all = !each.m_has.empty() && std::ranges::all_of(each.m_has, [](const piece_state state) {
-            return state == piece_state::held;
-        });
-        whole += has_all && in.m_now >= each.m_avoid_until ? 1U : 0U;
+        whole += is_whole(each.m_has) && in.m_now >= each.m_avoid_until ? 1U : 0U;
     }
     return static_cast<double>(whole) >= sufficient_part * static_cast<double>(loaders);
 }
@@ -125,7 +122,7 @@
         for (std::size_t index = 0U; index < in.m_relays.size(); ++index) {
             const auto& each = in.m_relays[index];
             const auto value = fleet::weight(each.m_instance, in.m_version, piece);
-            const auto fits = each.m_refuses == refusing && in.m_now >= each.m_avoid_until;
+            const auto fits = (each.m_state == relay_state::refuses) == refusing && in.m_now >= each.m_avoid_until;
             if (fits && (!best || value > most)) {
                 best = index;
                 most = value;
@@ -141,6 +138,11 @@
 
 } // namespace
 
+auto is_whole(const std::span<const piece_state> pieces) noexcept -> bool {
+    return !pieces.empty() &&
+           std::ranges::all_of(pieces, [](const piece_state each) { return each == piece_state::held; });
+}
+
 auto fetches_at_once(const duration piece_time) noexcept -> unsigned {
     if (piece_time <= duration::zero()) {
         return first_fetches;
@@ -191,12 +193,20 @@
     }
 };
 
+[[nodiscard]] auto own_turn(const plan_input& in) -> turn {
+    return {in.m_held, fleet::weight(in.m_instance, in.m_version, 0U)};
+}
+
+[[nodiscard]] auto turn_of(const plan_input& in, const peer& other) -> turn {
+    return {other.m_held, fleet::weight(other.m_instance, in.m_version, 0U)};
+}
+
 /*! @brief Loaders of the own region in line, the own one first in the list. */
 [[nodiscard]] auto turns_of(const plan_input& in) -> std::vector<turn> {
-    std::vector<turn> out{{in.m_held, fleet::weight(in.m_instance, in.m_version, 0U)}};
+    std::vector<turn> out{own_turn(in)};
     for (const auto& each : in.m_peers) {
         if (each.m_region == in.m_region) {
-            out.push_back({each.m_held, fleet::weight(each.m_instance, in.m_version, 0U)});
+            out.push_back(turn_of(in, each));
         }
     }
     return out;
@@ -215,11 +225,7 @@
         return false;
     }
     return std::ranges::any_of(in.m_peers, [&](const peer& each) {
-        const auto whole = !each.m_has.empty() && std::ranges::all_of(each.m_has, [](const piece_state state) {
-            return state == piece_state::held;
-        });
-        return each.m_region == in.m_region && !whole &&
-               is_first(turns, {each.m_held, fleet::weight(each.m_instance, in.m_version, 0U)});
+        return each.m_region == in.m_region && !is_whole(each.m_has) && is_first(turns, turn_of(in, each));
     });
 }
 
@@ -227,7 +233,7 @@
     if (in.m_held == 0U || in.m_age >= in.m_load_by) {
         return false;
     }
-    const turn own{in.m_held, fleet::weight(in.m_instance, in.m_version, 0U)};
+    const auto own = own_turn(in);
     std::size_t loaders{1U};
     std::size_t before{};
     for (const auto& each : in.m_peers) {
@@ -236,8 +242,7 @@
         }
         ++loaders;
         const auto loads = each.m_held != 0U && each.m_held < in.m_version;
-        const turn theirs{each.m_held, fleet::weight(each.m_instance, in.m_version, 0U)};
-        before += each.m_loading || (loads && theirs.before(own)) ? 1U : 0U;
+        before += each.m_loading || (loads && turn_of(in, each).before(own)) ? 1U : 0U;
     }
     return static_cast<double>(before) >= first_part * static_cast<double>(loaders);
 }
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -82,11 +82,6 @@
     }
 }
 
-[[nodiscard]] auto is_whole(const model_state& model) -> bool {
-    return !model.m_pieces.empty() &&
-           std::ranges::all_of(model.m_pieces, [](const piece_state each) { return each == piece_state::held; });
-}
-
 [[nodiscard]] auto listen(net::http_server& server, const std::string& where) -> bool {
     const auto parsed = net::parse_endpoint(where);
     return where.empty() || (parsed && server.listen(*parsed) == code::ok);
@@ -258,7 +253,7 @@
             read_staged(self, model);
         }
         fetch_pieces(self, model);
-        if (internal::is_whole(model) && !std::exchange(model.m_whole_told, true)) {
+        if (is_whole(model.m_pieces) && !std::exchange(model.m_whole_told, true)) {
             self.m_core.m_events.write(
                 "stage.whole",
                 {{"model", name},
@@ -266,7 +261,7 @@
                  {"took_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - model.m_wanted_since).count()}});
         }
-        if (model.m_manifest && model.m_staged_read && internal::is_whole(model) && !waits_to_load(self, model)) {
+        if (model.m_manifest && model.m_staged_read && is_whole(model.m_pieces) && !waits_to_load(self, model)) {
             verify_and_order(self, model);
         }
     }
--- a/src/loader/swap.cpp
+++ b/src/loader/swap.cpp
@@ -1,17 +1,11 @@
 #include <loader/swap.hpp>
+#include <rhubarbwharf/fleet/relay.hpp>
 
 namespace rhubarbwharf::loader::internal {
 
-/*! @brief Spoilt pieces after which the manifest is read again, as it may be what is spoilt. */
-constexpr unsigned most_spoilt = 3U;
 /*! @brief Letters of a piece's state, by `piece_state`. */
 constexpr std::string_view state_letters = "-f+";
 
-auto peer_target(const std::string_view kind, const std::string_view model, const std::uint64_t version)
-    -> std::string {
-    return "/" + std::string{kind} + "?model=" + std::string{model} + "&version=" + std::to_string(version);
-}
-
 auto origin_limits() -> net::call_limits {
     net::call_limits out{};
     out.m_total_time = piece_time;
@@ -44,7 +38,7 @@
                                                 {"piece", static_cast<std::int64_t>(piece)},
                                                 {"from", from}});
     self.m_core.m_counters.add("pieces_spoilt_total");
-    if (++model.m_spoilt >= most_spoilt) {
+    if (++model.m_spoilt >= fleet::most_spoilt) {
         model.m_question.m_asked = false;
     }
 }
--- a/src/loader/swap.hpp
+++ b/src/loader/swap.hpp
@@ -25,10 +25,6 @@
 /*! @brief Time for a peer to say what it has. */
 inline constexpr duration ask_time = std::chrono::milliseconds{800};
 
-/*! @brief Returns the target of a call to another loader. @param kind `have`, `manifest` or `piece`.
- * @param model The model. @param version The version. @return The target. */
-[[nodiscard]] auto peer_target(std::string_view kind, std::string_view model, std::uint64_t version) -> std::string;
-
 /*! @brief Limits of a call to the origin, which takes few connections: none is kept. @return The limits. */
 [[nodiscard]] auto origin_limits() -> net::call_limits;
 
--- a/test/fleet/relay.cpp
+++ b/test/fleet/relay.cpp
@@ -31,7 +31,7 @@
 }
 
 [[nodiscard]] auto piece(const std::size_t index) -> part {
-    return {"model", 2U, index};
+    return {2U, index};
 }
 
 } // namespace
--- a/test/loader/plan.cpp
+++ b/test/loader/plan.cpp
@@ -159,8 +159,9 @@
 TEST_CASE("pieces come from the gateways nearby, each from the same one, and from other loaders only without them") {
     const std::vector<piece_state> none(pieces, piece_state::missing);
     const std::vector<piece_state> all(pieces, piece_state::held);
-    std::vector<relay> relays{
-        {"gateway-0", 0U, {}, true, false}, {"gateway-1", 0U, {}, true, false}, {"gateway-2", 0U, {}, true, false}};
+    std::vector<relay> relays{{"gateway-0", 0U, {}, relay_state::gives},
+                              {"gateway-1", 0U, {}, relay_state::gives},
+                              {"gateway-2", 0U, {}, relay_state::gives}};
     std::vector<peer> peers{{"other", "region-0", all, 2U, 0U, {}, false},
                             {"third", "region-0", none, 1U, 0U, {}, false},
                             {"fourth", "region-0", none, 1U, 0U, {}, false}};
@@ -212,7 +213,7 @@
     CHECK(swapped->m_peer);
 
     for (auto& each : relays) {
-        each = {each.m_instance, 0U, {}, true, true};
+        each = {each.m_instance, 0U, {}, relay_state::refuses};
     }
     CHECK(next_fetch(in)->m_peer);
     in.m_peers = {};
