Keep base64 in one place

Two copies stood in the product, in the client of the first form's key-value service and in the platform's store; both now call core/base64, which is the first one's code. For well-formed text nothing changes; the store's client now takes padded text with white space around it, or padding alone, for unreadable, as the other one did. Tests: test/platform/decisions.cpp as before; the fuzz target follows.

--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -7,6 +7,7 @@
 
 #include <rhubarbwharf/config/load.hpp>
 #include <rhubarbwharf/core/assert.hpp>
+#include <rhubarbwharf/core/base64.hpp>
 #include <rhubarbwharf/distribution/manifest.hpp>
 #include <rhubarbwharf/execution/segment.hpp>
 #include <rhubarbwharf/net/http.hpp>
--- a/src/platform/wire.hpp
+++ b/src/platform/wire.hpp
@@ -32,12 +32,6 @@
     std::vector<key_value> m_changes{};
 };
 
-/*! @brief Writes bytes in base64. @param bytes The bytes. @return The text. */
-[[nodiscard]] auto to_base64(std::string_view bytes) -> std::string;
-
-/*! @brief Reads base64. @param text The text. @return The bytes, or nothing. */
-[[nodiscard]] auto from_base64(std::string_view text) -> std::optional<std::string>;
-
 /*! @brief Returns the first key after all that start with a prefix. @param prefix The prefix. @return The key. */
 [[nodiscard]] auto prefix_end(std::string_view prefix) -> std::string;
 
--- a/test/platform/decisions.cpp
+++ b/test/platform/decisions.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <rhubarbwharf/core/base64.hpp>
+
 #include "platform/decisions.hpp"
 #include "platform/wire.hpp"
 
--- a/test/platform/fake.cpp
+++ b/test/platform/fake.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include <rhubarbwharf/core/base64.hpp>
+
 namespace rhubarbwharf::platform {
 
 namespace json = boost::json;
@@ -14,12 +16,12 @@
 }
 
 [[nodiscard]] auto bytes_of(const json::object& object, const std::string_view name) -> std::string {
-    return *internal::from_base64(text_of(object, name));
+    return *from_base64(text_of(object, name));
 }
 
 [[nodiscard]] auto key_json(const key_value& key) -> std::string {
-    return R"({"key":")" + internal::to_base64(key.m_key) + R"(","value":")" + internal::to_base64(key.m_value) +
-           R"(","mod_revision":")" + std::to_string(key.m_modified) + "\"}";
+    return R"({"key":")" + to_base64(key.m_key) + R"(","value":")" + to_base64(key.m_value) + R"(","mod_revision":")" +
+           std::to_string(key.m_modified) + "\"}";
 }
 
 } // namespace
