Let the servers of the stand-in site pause

A server can send and handle nothing for a while and then continue, or pause before one event of each response; its connections stay open. The head of a stream is sent with its first event, as model runners do. No check uses it yet.

--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -1,6 +1,7 @@
 #include "runner.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -57,6 +58,9 @@
     unsigned m_next_event{1};
     /*! @brief Event in the middle of which the connection is closed; beyond the last event for an intact stream. */
     unsigned m_cut_event{};
+    /*! @brief Status and headers, which are sent with the first event. */
+    net::http_response m_head{};
+    bool m_started{false};
     bool m_disconnected{false};
 };
 
@@ -96,6 +100,21 @@
     m_store.remove("servers/" + m_options.m_id);
 }
 
+auto server::pause(const duration length) -> void {
+    m_paused_until = std::max<time_point>(m_paused_until, steady_now() + length);
+}
+
+auto server::run_after(const duration delay, std::function<void()> task) -> void {
+    m_loop.after(delay, [this, alive = m_alive, task = std::move(task)] {
+        const auto now = steady_now();
+        if (*alive && now < m_paused_until) {
+            run_after(m_paused_until - now, task);
+        } else {
+            task();
+        }
+    });
+}
+
 auto server::set_faults(const server_faults& faults) -> void {
     m_faults = faults;
     if (!faults.m_unresponsive) {
@@ -215,6 +234,14 @@
 }
 
 auto server::on_request(const net::http_request& request, const responder_ptr& responder) -> void {
+    if (steady_now() < m_paused_until) {
+        run_after(duration::zero(), [this, alive = m_alive, request, responder] {
+            if (*alive) {
+                on_request(request, responder);
+            }
+        });
+        return;
+    }
     if (on_control(request, responder)) {
         return;
     }
@@ -257,7 +284,7 @@
     }
     const auto attempt = internal::header_value(request, adapter::field::attempt);
     ++m_running_requests;
-    m_loop.after(m_options.m_step_duration, [this, alive = m_alive, attempt, responder] {
+    run_after(delay_before(1U), [this, alive = m_alive, attempt, responder] {
         if (*alive) {
             --m_running_requests;
             responder->respond({internal::ok,
@@ -273,47 +300,58 @@
     auto output = std::make_shared<stream>();
     output->m_responder = responder;
     output->m_request_body = request.m_body;
+    output->m_head = {internal::ok,
+                      {{"Content-Type", "text/event-stream"},
+                       {std::string{adapter::field::attempt}, attempt},
+                       {std::string{adapter::field::version}, std::to_string(m_options.m_version)},
+                       {std::string{adapter::field::signature}, "seal-" + attempt}},
+                      {}};
     const auto last_event = internal::header_value(request, adapter::field::last_event);
     output->m_next_event = last_event.empty() ? 1U : static_cast<unsigned>(std::stoul(last_event)) + 1U;
     output->m_cut_event = m_faults.m_cut_every != 0U && m_request_count % m_faults.m_cut_every == 0U
                               ? output->m_next_event + 3U
                               : events_per_stream + 1U;
     responder->on_close([output] { output->m_disconnected = true; });
-    responder->start({internal::ok,
-                      {{"Content-Type", "text/event-stream"},
-                       {std::string{adapter::field::attempt}, attempt},
-                       {std::string{adapter::field::version}, std::to_string(m_options.m_version)},
-                       {std::string{adapter::field::signature}, "seal-" + attempt}},
-                      {}});
     ++m_running_requests;
     schedule_event(output);
 }
 
 auto server::schedule_event(const std::shared_ptr<stream>& output) -> void {
-    m_loop.after(m_options.m_step_duration, [this, alive = m_alive, output] {
-        if (!*alive) {
-            output->m_responder->abort();
-            return;
-        }
-        if (output->m_disconnected) {
-            --m_running_requests;
-            return;
-        }
-        const auto text = event_text(output->m_request_body, output->m_next_event);
-        if (output->m_next_event == output->m_cut_event) {
-            output->m_responder->write(std::string_view{text}.substr(0U, text.size() / 2U));
+    run_after(delay_before(output->m_next_event), [this, alive = m_alive, output] {
+        if (*alive) {
+            send_event(output);
+        } else {
             output->m_responder->abort();
-            --m_running_requests;
-            return;
         }
-        output->m_responder->write(text);
-        if (output->m_next_event++ == events_per_stream) {
-            output->m_responder->finish();
-            --m_running_requests;
-            return;
-        }
-        schedule_event(output);
     });
 }
 
+auto server::delay_before(const unsigned event) const -> duration {
+    return event == m_faults.m_pause_event ? m_faults.m_pause : m_options.m_step_duration;
+}
+
+auto server::send_event(const std::shared_ptr<stream>& output) -> void {
+    if (output->m_disconnected) {
+        --m_running_requests;
+        return;
+    }
+    if (!std::exchange(output->m_started, true)) {
+        output->m_responder->start(output->m_head);
+    }
+    const auto text = event_text(output->m_request_body, output->m_next_event);
+    if (output->m_next_event == output->m_cut_event) {
+        output->m_responder->write(std::string_view{text}.substr(0U, text.size() / 2U));
+        output->m_responder->abort();
+        --m_running_requests;
+        return;
+    }
+    output->m_responder->write(text);
+    if (output->m_next_event++ == events_per_stream) {
+        output->m_responder->finish();
+        --m_running_requests;
+        return;
+    }
+    schedule_event(output);
+}
+
 } // namespace rhubarbwharf::standin_site
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -41,6 +42,10 @@
     unsigned m_lose_reply_every{};
     /*! @brief Refuses every n-th request with 503, as an overloaded server does; 0 disables the fault. */
     unsigned m_refuse_every{};
+    /*! @brief Event before which each stream pauses for `m_pause`; 0 disables the fault. A plain response is event 1.
+     */
+    unsigned m_pause_event{};
+    duration m_pause{};
 };
 
 /*! @brief Properties of one server. */
@@ -83,6 +88,9 @@
     /*! @brief Removes the entry of the server from the store, as the platform does for an unresponsive server. */
     auto unregister() -> void;
 
+    /*! @brief Sends and handles nothing for a while, then continues; connections stay open. */
+    auto pause(duration length) -> void;
+
     /*! @brief Replaces the injected faults; aborts unanswered requests unless the server stays unresponsive. */
     auto set_faults(const server_faults& faults) -> void;
 
@@ -107,6 +115,11 @@
     auto execute(const net::http_request& request, const responder_ptr& responder) -> void;
     auto execute_stream(const net::http_request& request, const responder_ptr& responder) -> void;
     auto schedule_event(const std::shared_ptr<stream>& output) -> void;
+    /*! @brief Returns the time until an event of a response is sent. */
+    [[nodiscard]] auto delay_before(unsigned event) const -> duration;
+    auto send_event(const std::shared_ptr<stream>& output) -> void;
+    /*! @brief Runs a task after a delay, and not before a pause of the server has ended. */
+    auto run_after(duration delay, std::function<void()> task) -> void;
     auto check_request(const net::http_request& request) -> void;
     auto publish_entry() -> void;
     [[nodiscard]] auto make_entry() const -> boost::json::object;
@@ -126,6 +139,7 @@
     bool m_loading{false};
     bool m_draining{false};
     time_point m_draining_since{};
+    time_point m_paused_until{};
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
 };
 
