Tell why connections, attempts and requests end

- net: close_reason, given to on_close handlers and counted per listener
- gateway: attempt.ended has silent_ms; request.ended has events_bytes, configuration and newest; counters requests_cut_total and caller_connections_closed_total by reason; gateway.stopped has connections; gateway.cut when a further signal ends the process

--- a/app/rhubarbwharf-standin/engine.cpp
+++ b/app/rhubarbwharf-standin/engine.cpp
@@ -280,7 +280,7 @@
         }
         return finish_generation(*self, *generation);
     }
-    responder->on_close([generation] { generation->m_finished = true; });
+    responder->on_close([generation](net::close_reason) { generation->m_finished = true; });
     const auto position =
         std::find_if(self->m_waiting.begin(), self->m_waiting.end(),
                      [&generation](const auto& other) { return other->m_priority < generation->m_priority; });
--- a/app/rhubarbwharf-standin/fault.cpp
+++ b/app/rhubarbwharf-standin/fault.cpp
@@ -69,7 +69,9 @@
 
     auto abort() -> void override { m_inner->abort(); }
 
-    auto on_close(std::function<void()> handler) -> void override { m_inner->on_close(std::move(handler)); }
+    auto on_close(std::function<void(net::close_reason)> handler) -> void override {
+        m_inner->on_close(std::move(handler));
+    }
 
     [[nodiscard]] auto pending() const noexcept -> std::size_t override { return m_inner->pending(); }
 
--- a/app/rhubarbwharf-standin/platform.cpp
+++ b/app/rhubarbwharf-standin/platform.cpp
@@ -121,7 +121,7 @@
     subscriber->m_first = base64_decode(string_member(create, "key"));
     subscriber->m_end = base64_decode(string_member(create, "range_end"));
     subscriber->m_responder = responder;
-    responder->on_close([subscriber] { subscriber->m_closed = true; });
+    responder->on_close([subscriber](net::close_reason) { subscriber->m_closed = true; });
     responder->start({.m_status = 200, .m_headers = {{"Content-Type", "application/json"}}, .m_body = {}});
     responder->write(
         boost::json::serialize(boost::json::object{{"result", {{"header", header_json(self)}, {"created", true}}}}) +
--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -311,7 +311,7 @@
     output->m_cut_event = m_faults.m_cut_every != 0U && m_request_count % m_faults.m_cut_every == 0U
                               ? output->m_next_event + 3U
                               : events_per_stream + 1U;
-    responder->on_close([output] { output->m_disconnected = true; });
+    responder->on_close([output](net::close_reason) { output->m_disconnected = true; });
     ++m_running_requests;
     schedule_event(output);
 }
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -82,6 +82,25 @@
     std::size_t m_send_queue_bytes{std::size_t{1024} * 1024U};
 };
 
+/*! @brief Why a server closed a connection. */
+enum class close_reason : std::uint8_t {
+    /*! @brief The client closed it, or it broke. */
+    client_left,
+    /*! @brief The client did not take bytes in time. */
+    slow_reader,
+    /*! @brief More bytes were pending than the limit. */
+    queue_full,
+    /*! @brief No request arrived in time. */
+    idle,
+    /*! @brief The server is draining. */
+    drained,
+    /*! @brief The response ended the connection, whole or aborted. */
+    response_ended,
+};
+
+/*! @brief Returns the name of a reason, for logs and metrics. */
+[[nodiscard]] auto to_string(close_reason value) noexcept -> std::string_view;
+
 /**
  * @brief Answers one request; kept alive by whoever still has to answer.
  *
@@ -111,8 +130,9 @@
     /*! @brief Cuts the connection, so that the client sees the response was not whole. */
     virtual auto abort() -> void = 0;
 
-    /*! @brief Sets what is called once if the client goes away first. @param handler The handler. */
-    virtual auto on_close(std::function<void()> handler) -> void = 0;
+    /*! @brief Sets what is called once if the connection closes before the response has ended. @param handler Gets the
+     * reason. */
+    virtual auto on_close(std::function<void(close_reason)> handler) -> void = 0;
 
     /*! @brief Returns the bytes not yet taken by the socket. @return The count. */
     [[nodiscard]] virtual auto pending() const noexcept -> std::size_t = 0;
@@ -160,6 +180,9 @@
     /*! @brief Returns the count of open connections. @return The count. */
     [[nodiscard]] auto connections() const noexcept -> std::size_t;
 
+    /*! @brief Sets what is called after each connection has closed. @param handler Gets the reason. */
+    auto on_connection_closed(std::function<void(close_reason)> handler) -> void;
+
 private:
     struct state;
     std::shared_ptr<state> m_state;
--- a/src/entry/callers.cpp
+++ b/src/entry/callers.cpp
@@ -268,7 +268,8 @@
     pending->m_dispatch.set_content_digest(pending->m_content_digest);
     pending->m_dispatch.set_body(std::move(incoming.m_body));
     pending->m_responder = std::move(responder);
-    pending->m_responder->on_close([&self, id = pending->m_id] { on_caller_disconnected(self, id); });
+    pending->m_responder->on_close(
+        [&self, id = pending->m_id](net::close_reason) { on_caller_disconnected(self, id); });
     submit_request(self, pending);
 }
 
--- a/src/exchange/serve.cpp
+++ b/src/exchange/serve.cpp
@@ -63,7 +63,7 @@
 }
 
 auto start_upload(exchange_state& state, const std::shared_ptr<upload>& item, net::http_response head) -> void {
-    item->m_responder->on_close([weak = std::weak_ptr<upload>{item}] {
+    item->m_responder->on_close([weak = std::weak_ptr<upload>{item}](net::close_reason) {
         if (const auto closed = weak.lock()) {
             closed->m_closed = true;
         }
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -24,6 +24,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+/*! @brief Returns the time since the attempt last sent an event, or since it was sent. */
+[[nodiscard]] auto silence_of(const exchange& item, const attempt& current, const time_point now) noexcept -> duration {
+    return now - std::max(item.m_last_event_at, current.m_sent_at);
+}
+
 /*! @brief Checks whether the route and the earlier attempts allow another attempt. */
 [[nodiscard]] auto may_retry(const exchange& item, const attempt_failure& failure) -> bool {
     const auto idempotent = item.m_route->m_idempotency == fleet::idempotency::idempotent;
@@ -78,7 +83,7 @@
     if (!idempotent || item->m_tried_servers.size() >= item->m_route->m_max_attempts) {
         return;
     }
-    const auto silence = now - std::max(item->m_last_event_at, current.m_sent_at);
+    const auto silence = silence_of(*item, current, now);
     const auto first_byte_timeout = item->m_route->m_first_byte_target + late_response_timeout;
     const auto timeout = item->m_stream_started
                              ? event_gap_timeout
@@ -136,7 +141,10 @@
     dispatch::release_probe(backend.m_health);
     current->m_call->cancel();
     self.m_core.m_events.write("attempt.ended",
-                               {{"id", item->m_attempt_id}, {"server", backend.m_id}, {"reason", reason}});
+                               {{"id", item->m_attempt_id},
+                                {"server", backend.m_id},
+                                {"reason", reason},
+                                {"silent_ms", internal::to_ms(internal::silence_of(*item, *current, steady_now()))}});
 }
 
 auto retry_or_end(daemon& self, const std::shared_ptr<exchange>& item, const attempt_failure& failure) -> void {
@@ -174,6 +182,14 @@
     close_exchange(self, item, sent_status, reason);
 }
 
+namespace {
+
+[[nodiscard]] auto version_of(const fleet::shared_configuration& configuration) noexcept -> std::int64_t {
+    return configuration ? static_cast<std::int64_t>(configuration->m_version) : 0;
+}
+
+} // namespace
+
 auto close_exchange(daemon& self, const std::shared_ptr<exchange>& item, const std::uint16_t status,
                     const std::string_view reason) -> void {
     if (std::exchange(item->m_ended, true)) {
@@ -191,8 +207,14 @@
                                                  {"took_ms", internal::to_ms(now - item->m_arrived_at)},
                                                  {"first_ms", internal::to_ms(item->m_first_byte_latency)},
                                                  {"pause_ms", internal::to_ms(item->m_longest_pause)},
-                                                 {"route", item->m_route->m_name}});
+                                                 {"route", item->m_route->m_name},
+                                                 {"events_bytes", static_cast<std::int64_t>(item->m_event_bytes)},
+                                                 {"configuration", version_of(item->m_configuration)},
+                                                 {"newest", version_of(self.m_core.m_configuration)}});
     self.m_core.m_counters.add("requests_ended_total", 1.0, std::to_string(status));
+    if (status == 0U) {
+        self.m_core.m_counters.add("requests_cut_total", 1.0, reason);
+    }
     self.m_core.m_counters.observe("request_seconds", now - item->m_arrived_at);
     if (const auto current = std::exchange(item->m_attempt, nullptr)) {
         auto& backend = *current->m_backend;
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -157,6 +157,17 @@
     return {};
 }
 
+[[nodiscard]] auto closing_text(const net::close_reason reason) noexcept -> std::string_view {
+    switch (reason) {
+    case net::close_reason::slow_reader:
+        return "the caller does not take its response";
+    case net::close_reason::queue_full:
+        return "too many bytes wait for the caller";
+    default:
+        return "the caller left";
+    }
+}
+
 auto log_rejection(daemon& self, const std::string_view attempt_id, const std::string_view detail,
                    const std::int64_t version) -> void {
     self.m_core.m_events.write("request.rejected",
@@ -215,9 +226,10 @@
     ++self.m_recent_requests;
     item->m_responder = std::move(responder);
     self.m_exchanges.emplace(item->m_id, item);
-    item->m_responder->on_close([&self, item] {
-        cancel_attempt(self, item, "the caller left");
-        close_exchange(self, item, 0U, "the caller left");
+    item->m_responder->on_close([&self, item](const net::close_reason reason) {
+        const auto text = internal::closing_text(reason);
+        cancel_attempt(self, item, text);
+        close_exchange(self, item, 0U, text);
     });
     dispatch::record_request(self.m_services[item->m_service->m_name].m_retry_budget, item->m_arrived_at);
     if (routing::count_crashes(self.m_quarantine, item->m_content_digest, item->m_arrived_at) >=
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -96,7 +96,8 @@
         return;
     }
     self.m_core.m_events.write("gateway.stopped",
-                               {{"requests_cut", static_cast<std::int64_t>(self.m_exchanges.size())}});
+                               {{"requests_cut", static_cast<std::int64_t>(self.m_exchanges.size())},
+                                {"connections", static_cast<std::int64_t>(self.m_caller_server.connections())}});
     self.m_core.m_loop.after(flush_delay, [&self] { self.m_core.m_loop.stop(); });
     self.m_leaving_since = time_point::max();
 }
@@ -112,6 +113,8 @@
 
 auto on_stop_signal(daemon& self, const int count) -> void {
     if (count > 1) {
+        self.m_core.m_events.write("gateway.cut", {{"signals", static_cast<std::int64_t>(count)},
+                                                   {"requests", static_cast<std::int64_t>(self.m_exchanges.size())}});
         self.m_core.m_loop.stop();
         return;
     }
@@ -157,6 +160,9 @@
     handlers.m_on_server = [&self](const std::string& id) {
         refresh_backend(self, id);
     };
+    self.m_caller_server.on_connection_closed([&self](const net::close_reason reason) {
+        self.m_core.m_counters.add("caller_connections_closed_total", 1.0, net::to_string(reason));
+    });
     handlers.m_on_frame = [&self](const std::string_view peer, const wire::fleet::Frame& frame) {
         on_frame(self, peer, frame);
     };
--- a/src/net/responder.cpp
+++ b/src/net/responder.cpp
@@ -19,7 +19,7 @@
             return;
         }
         if (m_started) {
-            m_session->close(false);
+            m_session->close(close_reason::response_ended);
         } else {
             m_session->respond({internal_error_status, {}, {}});
         }
@@ -28,7 +28,7 @@
     auto respond(http_response response) -> void override {
         const auto ended = end();
         if (ended && m_started) {
-            ended->close(false);
+            ended->close(close_reason::response_ended);
         } else if (ended) {
             ended->respond(std::move(response));
         }
@@ -58,11 +58,11 @@
 
     auto abort() -> void override {
         if (const auto ended = end()) {
-            ended->close(false);
+            ended->close(close_reason::response_ended);
         }
     }
 
-    auto on_close(std::function<void()> handler) -> void override {
+    auto on_close(std::function<void(close_reason)> handler) -> void override {
         if (m_session) {
             m_session->on_close(std::move(handler));
         }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -66,6 +66,24 @@
 
 } // namespace internal
 
+auto to_string(const close_reason value) noexcept -> std::string_view {
+    switch (value) {
+    case close_reason::client_left:
+        return "client_left";
+    case close_reason::slow_reader:
+        return "slow_reader";
+    case close_reason::queue_full:
+        return "queue_full";
+    case close_reason::idle:
+        return "idle";
+    case close_reason::drained:
+        return "drained";
+    case close_reason::response_ended:
+        return "response_ended";
+    }
+    return {};
+}
+
 struct http_server::state : internal::server_state {
     using server_state::server_state;
 };
@@ -77,14 +95,19 @@
     boost::system::error_code ignored{};
     m_state->m_acceptor.close(ignored);
     m_state->m_sweep.cancel();
+    m_state->m_on_connection_closed = nullptr;
     const auto sessions = std::move(m_state->m_sessions);
     m_state->m_sessions.clear();
     for (const auto& each : sessions) {
-        each->close(false);
+        each->close(close_reason::response_ended);
     }
     m_state->m_handler = nullptr;
 }
 
+auto http_server::on_connection_closed(std::function<void(close_reason)> handler) -> void {
+    m_state->m_on_connection_closed = std::move(handler);
+}
+
 auto http_server::listen(const endpoint& where) -> code {
     boost::system::error_code failure{};
     const auto address = boost::asio::ip::make_address(where.m_address, failure);
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -23,6 +23,7 @@
     asio::io_context& m_context;
     http_limits m_limits{};
     http_handler m_handler{};
+    std::function<void(close_reason)> m_on_connection_closed{};
     tcp_acceptor m_acceptor;
     asio::steady_timer m_sweep;
     std::unordered_set<std::shared_ptr<session>> m_sessions{};
@@ -49,8 +50,9 @@
     /*! @brief Refuses the connection and ends it. @param refusal What is sent. */
     auto refuse(http_response refusal) -> void;
 
-    /*! @brief Ends the connection at once. @param tell Whether the handler of `on_close` is called. */
-    auto close(bool tell) -> void;
+    /*! @brief Ends the connection at once, and calls the handler of `on_close` unless the response itself ended it.
+     * @param reason The reason. */
+    auto close(close_reason reason) -> void;
 
     /*! @brief Ends the connection if it is idle, else after the request in progress. */
     auto drain() -> void;
@@ -70,8 +72,8 @@
     /*! @brief Queues the last chunk. */
     auto finish_chunks() -> void;
 
-    /*! @brief Sets what is called if the client goes away. @param handler The handler. */
-    auto on_close(std::function<void()> handler) -> void;
+    /*! @brief Sets what is called if the connection closes first. @param handler The handler. */
+    auto on_close(std::function<void(close_reason)> handler) -> void;
 
     /*! @brief Returns the bytes not yet taken by the socket. @return The count. */
     [[nodiscard]] auto pending() const noexcept -> std::size_t { return m_queue.size() + m_flight.size(); }
@@ -104,7 +106,8 @@
     std::size_t m_read_bytes{first_read_bytes};
     out_buffer m_queue{};
     out_buffer m_flight{};
-    std::function<void()> m_on_close{};
+    std::function<void(close_reason)> m_on_close{};
+    close_reason m_close_reason{close_reason::client_left};
     time_point m_deadline{time_point::max()};
     time_point m_write_deadline{time_point::max()};
     phase m_phase{phase::idle};
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -69,17 +69,21 @@
     end_after(std::move(refusal));
 }
 
-auto session::close(const bool tell) -> void {
+auto session::close(const close_reason reason) -> void {
     if (m_phase == phase::closed) {
         return;
     }
     m_phase = phase::closed;
+    m_close_reason = reason;
     boost::system::error_code ignored{};
     m_socket.close(ignored);
     auto handler = std::move(m_on_close);
     m_on_close = nullptr;
-    if (tell && handler) {
-        asio::post(m_owner->m_context, std::move(handler));
+    if (reason != close_reason::response_ended && handler) {
+        asio::post(m_owner->m_context, [handler = std::move(handler), reason] { handler(reason); });
+    }
+    if (m_owner->m_on_connection_closed) {
+        m_owner->m_on_connection_closed(reason);
     }
     m_owner->m_sessions.erase(shared_from_this());
 }
@@ -88,19 +92,21 @@
     m_keep = false;
     boost::system::error_code ignored{};
     if (m_phase == phase::idle && m_input.size() == 0U && pending() == 0U && m_socket.available(ignored) == 0U) {
-        close(false);
+        close(close_reason::drained);
     }
 }
 
 auto session::check(const time_point now) -> void {
     if (now >= m_write_deadline) {
-        close(true);
+        close(close_reason::slow_reader);
     } else if (now < m_deadline) {
         return;
     } else if (m_phase == phase::receiving) {
         end_after(problem(code::slow_sender, outcome::not_run, {}, duration::zero()));
-    } else if (m_phase == phase::ending || (m_phase == phase::idle && pending() == 0U)) {
-        close(false);
+    } else if (m_phase == phase::ending) {
+        close(close_reason::response_ended);
+    } else if (m_phase == phase::idle && pending() == 0U) {
+        close(close_reason::idle);
     }
 }
 
@@ -138,7 +144,7 @@
     } else if (half_closed && (m_phase == phase::answering || pending() > 0U)) {
         m_phase = m_phase == phase::idle ? phase::ending : m_phase;
     } else {
-        close(true);
+        close(m_phase == phase::ending ? close_reason::response_ended : close_reason::client_left);
     }
 }
 
@@ -270,7 +276,7 @@
         return;
     }
     if (pending() + part.size() > m_owner->m_limits.m_send_queue_bytes) {
-        close(true);
+        close(close_reason::queue_full);
         return;
     }
     const asio::const_buffer bytes{part.data(), part.size()};
@@ -292,11 +298,11 @@
     end_response();
 }
 
-auto session::on_close(std::function<void()> handler) -> void {
+auto session::on_close(std::function<void(close_reason)> handler) -> void {
     if (m_phase == phase::answering) {
         m_on_close = std::move(handler);
     } else if (m_phase == phase::closed && handler) {
-        asio::post(m_owner->m_context, std::move(handler));
+        asio::post(m_owner->m_context, [handler = std::move(handler), reason = m_close_reason] { handler(reason); });
     }
 }
 
@@ -343,7 +349,7 @@
         return;
     }
     if (failure) {
-        close(true);
+        close(close_reason::client_left);
         return;
     }
     m_flight.consume(count);
@@ -357,7 +363,7 @@
         boost::system::error_code ignored{};
         m_socket.shutdown(tcp_socket::shutdown_send, ignored);
         if (m_input_ended) {
-            close(false);
+            close(close_reason::response_ended);
         }
     } else if (m_phase == phase::idle) {
         m_deadline = steady_now() + m_owner->m_limits.m_idle_time;
--- a/test/net/framing.cpp
+++ b/test/net/framing.cpp
@@ -69,7 +69,7 @@
     limits.m_half_close = false;
     http_server server{owner, limits, [&](const http_request&, const std::shared_ptr<responder>& answer) {
                            kept = answer;
-                           answer->on_close([&left] { left = true; });
+                           answer->on_close([&left](close_reason) { left = true; });
                        }};
     ensure_listening(server);
     raw_connection peer{owner, server.port()};
--- a/test/net/http.cpp
+++ b/test/net/http.cpp
@@ -135,7 +135,7 @@
     auto closed = false;
     std::vector<std::shared_ptr<responder>> waiting{};
     http_server server{owner, {}, [&](const http_request&, std::shared_ptr<responder> answer) {
-                           answer->on_close([&] { closed = true; });
+                           answer->on_close([&](close_reason) { closed = true; });
                            waiting.push_back(std::move(answer));
                        }};
     REQUIRE(server.listen(local(0U)) == code::ok);
--- a/test/net/limits.cpp
+++ b/test/net/limits.cpp
@@ -165,7 +165,8 @@
     auto closed = false;
     http_server server{owner, limits, [&](const http_request&, std::shared_ptr<responder> made) {
                            answer = std::move(made);
-                           answer->on_close([&] { closed = true; });
+                           answer->on_close(
+                               [&](const close_reason reason) { closed = reason == close_reason::queue_full; });
                            answer->start({});
                        }};
     ensure_listening(server);
