Keep a silent attempt until another server has delivered

What callers saw: a stream ended without its rest, and requests got 502, though the server that held them was healthy and went on after a pause of 1 to 2 s.

Cause: silence counted as a failure. After 1.1 s between events, or target + 0.5 s (plain service: 180 ms) before the response, the gateway cancelled the only attempt and scheduled the request again. If the next server refused, could not be reached or was silent too, nothing was left: a started stream was cut, a request that may have run got 502. The class of fault: giving up what is in hand before its replacement is known to exist.

Change: a silent attempt is hedged instead. The second attempt runs beside it; the first of both that delivers an event or a whole answer is kept, the other is cancelled then. An attempt that fails while the other one runs ends alone. A hedge that was refused does not count as an attempt. The decision is dispatch::needs_hedge; routes, attempts and retry budget bound it as before.

Why it works: at each moment at least one attempt is in progress unless one has failed by itself (broken connection, refusal, error) or the deadline has passed.

--- a/include/rhubarbwharf/dispatch/fwd.hpp
+++ b/include/rhubarbwharf/dispatch/fwd.hpp
@@ -12,6 +12,7 @@
 struct request_requirements;
 struct placement_options;
 struct choice;
+struct pending_response;
 struct waiting_request;
 struct wait_queue;
 struct refusal;
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -4,22 +4,17 @@
 
 #include <fleet.pb.h>
 #include <gateway/daemon.hpp>
+#include <rhubarbwharf/dispatch/hedge.hpp>
 
 namespace rhubarbwharf::gateway {
 
 namespace internal {
 
-/*! @brief Longest pause between events before a resumable stream is resumed on another backend server. */
-constexpr duration event_gap_timeout = std::chrono::milliseconds{1'100};
-/*! @brief Time beyond the route's latency target after which a request without a response is sent to another backend
- * server. */
-constexpr duration late_response_timeout = std::chrono::milliseconds{500};
-/*! @brief Time after which a request without a response is sent to another backend server if its service has no engine.
- */
-constexpr duration plain_response_timeout = std::chrono::milliseconds{180};
-
 namespace {
 
+/*! @brief Backend servers to which one request is sent at most, those that refuse it included. */
+constexpr std::size_t max_tried_servers = 6U;
+
 [[nodiscard]] auto to_ms(const duration time) noexcept -> std::int64_t {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
@@ -36,8 +31,7 @@
     const auto resumable =
         !item.m_stream_started || (item.m_route->m_resumable && !item.m_events.last_event_id().empty());
     // A backend server that could not be reached does not count as an attempt.
-    const auto attempts = item.m_tried_servers.size() - (failure.m_sent ? 0U : 1U);
-    constexpr std::size_t max_tried_servers = 6U;
+    const auto attempts = item.m_tried_servers.size() - item.m_unrun_hedges - (failure.m_sent ? 0U : 1U);
     return safe && resumable && attempts < item.m_route->m_max_attempts &&
            item.m_tried_servers.size() < max_tried_servers;
 }
@@ -57,54 +51,62 @@
     end_with_response(self, item, failure_response(502U, failure.m_reason), failure.m_reason);
 }
 
-/*! @brief Reschedules a request that waits at a runner whose version may no longer start requests. */
-auto reschedule_outdated(daemon& self, const std::shared_ptr<exchange>& item, const time_point now) -> void {
-    const auto& service = *item->m_service;
-    const auto awaits_response = !item->m_stream_started && !item->m_attempt->m_head;
-    if (!awaits_response || !service.m_engine || item->m_route->m_idempotency != fleet::idempotency::idempotent) {
-        return;
+/*! @brief Checks whether an attempt waits at a runner whose version may no longer start requests. */
+[[nodiscard]] auto is_outdated(const daemon& self, const exchange& item, const attempt& current, const time_point now)
+    -> bool {
+    const auto& service = *item.m_service;
+    if (item.m_stream_started || current.m_head || !service.m_engine ||
+        item.m_route->m_idempotency != fleet::idempotency::idempotent) {
+        return false;
     }
-    const auto min_version =
-        node::min_allowed_version(self.m_core, item->m_model, now, node::version_withdrawal_margin);
+    const auto min_version = node::min_allowed_version(self.m_core, item.m_model, now, node::version_withdrawal_margin);
     const auto held_version =
-        fleet::complete_version(item->m_attempt->m_backend->m_models, item->m_model, service.m_engine->m_layer_count);
-    if (held_version == 0U || held_version >= min_version) {
-        return;
-    }
-    item->m_may_have_run = true;
-    cancel_attempt(self, item, "the version may no longer begin a request");
-    schedule(self, item);
+        fleet::complete_version(current.m_backend->m_models, item.m_model, service.m_engine->m_layer_count);
+    return held_version != 0U && held_version < min_version;
 }
 
-/*! @brief Reschedules a request whose attempt has sent no data within its timeout. */
-auto reschedule_silent(daemon& self, const std::shared_ptr<exchange>& item, const time_point now) -> void {
-    const auto& current = *item->m_attempt;
-    const auto idempotent = item->m_route->m_idempotency == fleet::idempotency::idempotent;
-    if (!idempotent || item->m_tried_servers.size() >= item->m_route->m_max_attempts) {
-        return;
+/*! @brief Withdraws the outdated attempts of a request, and reschedules it if none is left. */
+auto reschedule_outdated(daemon& self, const std::shared_ptr<exchange>& item, const time_point now) -> void {
+    for (const auto& each : {item->m_hedge, item->m_attempt}) {
+        if (each && is_outdated(self, *item, *each, now)) {
+            item->m_may_have_run = true;
+            cancel_attempt(self, item, each, "the version may no longer begin a request");
+        }
     }
-    const auto silence = silence_of(*item, current, now);
-    const auto first_byte_timeout = item->m_route->m_first_byte_target + late_response_timeout;
-    const auto timeout = item->m_stream_started
-                             ? event_gap_timeout
-                             : (item->m_service->m_engine ? first_byte_timeout : plain_response_timeout);
-    const auto awaits_data = item->m_stream_started ? current.m_is_stream : !current.m_head;
-    if (silence < timeout || (!awaits_data && !item->m_stream_started)) {
+    if (!item->m_attempt) {
+        schedule(self, item);
+    }
+}
+
+/*! @brief Sends a request whose backend server is silent to a second one as well. */
+auto hedge_silent(daemon& self, const std::shared_ptr<exchange>& item, const time_point now) -> void {
+    const auto current = item->m_attempt;
+    const auto& route = *item->m_route;
+    dispatch::pending_response state{};
+    state.m_idempotent = route.m_idempotency == fleet::idempotency::idempotent;
+    state.m_stream_started = item->m_stream_started;
+    state.m_head_received = current->m_head.has_value();
+    state.m_hedged = item->m_hedge != nullptr;
+    state.m_has_engine = item->m_service->m_engine.has_value();
+    state.m_first_byte_target = route.m_first_byte_target;
+    state.m_silence = std::min(silence_of(*item, *current, now), now - item->m_silence_checked_at);
+    state.m_attempts = item->m_tried_servers.size() - item->m_unrun_hedges;
+    state.m_max_attempts = route.m_max_attempts;
+    if (item->m_tried_servers.size() >= max_tried_servers || !dispatch::needs_hedge(state)) {
         return;
     }
-    auto& backend = *item->m_attempt->m_backend;
-    if (!has_alternative_backend(self, *item, now) ||
-        !dispatch::try_acquire_retry(self.m_services[item->m_service->m_name].m_retry_budget, now)) {
-        item->m_last_event_at = now;
+    item->m_silence_checked_at = now;
+    if (!hedge(self, item)) {
         return;
     }
+    auto& backend = *current->m_backend;
+    self.m_core.m_events.write("request.hedged", {{"id", item->m_attempt_id},
+                                                  {"silent", backend.m_id},
+                                                  {"silent_ms", to_ms(silence_of(*item, *current, now))},
+                                                  {"server", item->m_hedge->m_backend->m_id}});
     if (dispatch::record_failure(backend.m_health, service_failure_rate(self, backend), now)) {
         self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
     }
-    item->m_may_have_run = true;
-    cancel_attempt(self, item, "no answer for too long");
-    item->m_events.drop_partial_event();
-    schedule(self, item);
 }
 
 } // namespace
@@ -130,27 +132,61 @@
     return response;
 }
 
-auto cancel_attempt(daemon& self, const std::shared_ptr<exchange>& item, const std::string_view reason) -> void {
-    const auto current = std::exchange(item->m_attempt, nullptr);
-    if (!current) {
-        return;
-    }
-    auto& backend = *current->m_backend;
+namespace {
+
+/*! @brief Removes an attempt from the load of its backend server. */
+auto release_load(const attempt& ended) -> void {
+    auto& backend = *ended.m_backend;
     backend.m_own_requests -= std::min(backend.m_own_requests, 1U);
-    backend.m_unread_prompt_tokens = std::max(0.0, backend.m_unread_prompt_tokens - current->m_unread_tokens);
+    backend.m_unread_prompt_tokens = std::max(0.0, backend.m_unread_prompt_tokens - ended.m_unread_tokens);
     dispatch::release_probe(backend.m_health);
-    current->m_call->cancel();
-    self.m_core.m_events.write("attempt.ended",
-                               {{"id", item->m_attempt_id},
-                                {"server", backend.m_id},
-                                {"reason", reason},
-                                {"silent_ms", internal::to_ms(internal::silence_of(*item, *current, steady_now()))}});
 }
 
-auto retry_or_end(daemon& self, const std::shared_ptr<exchange>& item, const attempt_failure& failure) -> void {
-    cancel_attempt(self, item, failure.m_reason);
+[[nodiscard]] auto version_of(const fleet::shared_configuration& configuration) noexcept -> std::int64_t {
+    return configuration ? static_cast<std::int64_t>(configuration->m_version) : 0;
+}
+
+} // namespace
+
+auto cancel_attempt(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt> ended,
+                    const std::string_view reason) -> void {
+    if (ended == item->m_hedge) {
+        item->m_hedge = nullptr;
+    } else if (ended == item->m_attempt) {
+        item->m_attempt = std::exchange(item->m_hedge, nullptr);
+        item->m_events.continue_with(item->m_attempt ? std::move(item->m_attempt->m_events) : event_stream{});
+    }
+    release_load(*ended);
+    ended->m_call->cancel();
+    const auto silence = internal::silence_of(*item, *ended, steady_now());
+    self.m_core.m_events.write("attempt.ended", {{"id", item->m_attempt_id},
+                                                 {"server", ended->m_backend->m_id},
+                                                 {"reason", reason},
+                                                 {"silent_ms", internal::to_ms(silence)}});
+}
+
+auto cancel_attempts(daemon& self, const std::shared_ptr<exchange>& item, const std::string_view reason) -> void {
+    while (item->m_attempt) {
+        cancel_attempt(self, item, item->m_attempt, reason);
+    }
+}
+
+auto keep_attempt(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& kept) -> void {
+    if (item->m_hedge) {
+        cancel_attempt(self, item, kept == item->m_hedge ? item->m_attempt : item->m_hedge,
+                       "another server delivered first");
+    }
+}
+
+auto retry_or_end(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& failed,
+                  const attempt_failure& failure) -> void {
+    const auto was_hedged = item->m_hedge != nullptr;
+    cancel_attempt(self, item, failed, failure.m_reason);
     item->m_may_have_run = item->m_may_have_run || !failure.m_not_run;
-    item->m_events.drop_partial_event();
+    if (was_hedged) {
+        item->m_unrun_hedges += failure.m_not_run ? 1U : 0U;
+        return;
+    }
     const auto now = steady_now();
     const auto in_time = now + std::chrono::milliseconds{20} < item->m_deadline;
     auto& budget = self.m_services[item->m_service->m_name].m_retry_budget;
@@ -182,14 +218,6 @@
     close_exchange(self, item, sent_status, reason);
 }
 
-namespace {
-
-[[nodiscard]] auto version_of(const fleet::shared_configuration& configuration) noexcept -> std::int64_t {
-    return configuration ? static_cast<std::int64_t>(configuration->m_version) : 0;
-}
-
-} // namespace
-
 auto close_exchange(daemon& self, const std::shared_ptr<exchange>& item, const std::uint16_t status,
                     const std::string_view reason) -> void {
     if (std::exchange(item->m_ended, true)) {
@@ -197,8 +225,9 @@
     }
     const std::string service{item->m_service->m_name};
     const auto now = steady_now();
-    const auto server =
+    const auto last_server =
         item->m_tried_servers.empty() ? std::string_view{} : std::string_view{item->m_tried_servers.back()};
+    const auto server = item->m_attempt ? std::string_view{item->m_attempt->m_backend->m_id} : last_server;
     self.m_core.m_events.write("request.ended", {{"id", item->m_attempt_id},
                                                  {"status", static_cast<std::int64_t>(status)},
                                                  {"reason", reason},
@@ -216,13 +245,10 @@
         self.m_core.m_counters.add("requests_cut_total", 1.0, reason);
     }
     self.m_core.m_counters.observe("request_seconds", now - item->m_arrived_at);
-    if (const auto current = std::exchange(item->m_attempt, nullptr)) {
-        auto& backend = *current->m_backend;
-        backend.m_own_requests -= std::min(backend.m_own_requests, 1U);
-        backend.m_unread_prompt_tokens = std::max(0.0, backend.m_unread_prompt_tokens - current->m_unread_tokens);
-        dispatch::release_probe(backend.m_health);
-        if (status == 0U) {
-            current->m_call->cancel();
+    for (const auto& each : {std::exchange(item->m_hedge, nullptr), std::exchange(item->m_attempt, nullptr)}) {
+        if (each) {
+            release_load(*each);
+            each->m_call->cancel();
         }
     }
     dispatch::erase(self.m_services[service].m_queue, item->m_id);
@@ -243,7 +269,7 @@
         }
         if (now >= item->m_deadline) {
             const auto may_have_run = item->m_attempt != nullptr || item->m_may_have_run;
-            cancel_attempt(self, item, "the deadline passed");
+            cancel_attempts(self, item, "the deadline passed");
             end_with_response(self, item,
                               may_have_run ? failure_response(504U, "the deadline passed")
                                            : refusal_response(503U, "the deadline passed", {}),
@@ -252,7 +278,7 @@
             internal::reschedule_outdated(self, item, now);
         }
         if (!item->m_ended && item->m_attempt) {
-            internal::reschedule_silent(self, item, now);
+            internal::hedge_silent(self, item, now);
         }
     }
     for (const auto& [name, state] : self.m_services) {
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -41,6 +41,8 @@
     /*! @brief Body received so far, if the response is buffered instead of streamed. */
     std::string m_body{};
     bool m_is_stream{false};
+    /*! @brief Events received so far if this is a hedge; those of the other attempt go to the exchange's. */
+    event_stream m_events{};
 };
 
 /*! @brief A caller's request, from its arrival to the end of its response. */
@@ -73,6 +75,10 @@
     std::vector<std::string> m_tried_servers{};
     /*! @brief Attempt in progress; null while the request is queued. */
     std::shared_ptr<attempt> m_attempt{};
+    /*! @brief Second attempt, made because `m_attempt` is silent; the first of both that delivers is kept. */
+    std::shared_ptr<attempt> m_hedge{};
+    /*! @brief Hedges that were refused or could not be sent, so that they have not run the request. */
+    std::size_t m_unrun_hedges{};
     /*! @brief Whether an earlier attempt may have run the request. */
     bool m_may_have_run{false};
     bool m_ended{false};
@@ -80,8 +86,10 @@
     event_stream m_events{};
     /*! @brief Whether part of a stream has been forwarded to the caller. */
     bool m_stream_started{false};
-    /*! @brief When the last event was forwarded; also set when an attempt is sent or its response timeout restarts. */
+    /*! @brief When the last event was forwarded, or the first attempt was sent. */
     time_point m_last_event_at{};
+    /*! @brief Time from which silence counts anew, as no second backend server could be asked before. */
+    time_point m_silence_checked_at{};
     /*! @brief Time between sending the last attempt and the first byte of its response. */
     duration m_first_byte_latency{};
     /*! @brief Longest pause between two events so far. */
@@ -143,21 +151,32 @@
 /*! @brief Sends a request to a backend server, queues it, or refuses it. */
 auto schedule(daemon& self, const std::shared_ptr<exchange>& item) -> void;
 
-/*! @brief Checks whether a backend server that has not been tried yet has capacity for a request. */
-[[nodiscard]] auto has_alternative_backend(daemon& self, const exchange& item, time_point now) -> bool;
-
 /*! @brief Sends queued requests of a service as far as its backend servers have capacity.
  * @param name Name of the service. */
 auto dispatch_queued(daemon& self, std::string_view name) -> void;
 
-/*! @brief Starts an attempt on a backend server.
+/*! @brief Starts an attempt on a backend server; it is a hedge if another one is in progress.
  * @param prediction Prediction that the choice is based on, for the log. */
 auto dispatch_to(daemon& self, const std::shared_ptr<exchange>& item,
                  const std::shared_ptr<dispatch::server_load>& backend, const dispatch::choice& prediction) -> void;
 
-/*! @brief Cancels the attempt in progress, if any, and removes it from the load of its backend server.
+/*! @brief Sends a request to a second backend server beside the attempt in progress.
+ * @return False if no backend server that has not been tried has capacity. */
+[[nodiscard]] auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> bool;
+
+/*! @brief Cancels one attempt of an exchange and removes it from the load of its backend server. If another one is in
+ * progress, that one becomes `m_attempt`.
+ * @param ended The attempt, by value as it is removed from the exchange.
  * @param reason Reason, for the log. */
-auto cancel_attempt(daemon& self, const std::shared_ptr<exchange>& item, std::string_view reason) -> void;
+auto cancel_attempt(daemon& self, const std::shared_ptr<exchange>& item, std::shared_ptr<attempt> ended,
+                    std::string_view reason) -> void;
+
+/*! @brief Cancels all attempts of an exchange.
+ * @param reason Reason, for the log. */
+auto cancel_attempts(daemon& self, const std::shared_ptr<exchange>& item, std::string_view reason) -> void;
+
+/*! @brief Cancels the other attempt of an exchange, if any, as this one has delivered. */
+auto keep_attempt(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& kept) -> void;
 
 /*! @brief Outcome of an attempt without a response that can be forwarded. */
 struct attempt_failure {
@@ -168,9 +187,10 @@
     std::string_view m_reason{};
 };
 
-/*! @brief Retries a request on another backend server if the route, the retry budget and the deadline allow it;
- * otherwise ends it with a failure. */
-auto retry_or_end(daemon& self, const std::shared_ptr<exchange>& item, const attempt_failure& failure) -> void;
+/*! @brief Ends a failed attempt. Unless another one is in progress, retries the request on another backend server if
+ * the route, the retry budget and the deadline allow it; otherwise ends it with a failure. */
+auto retry_or_end(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& failed,
+                  const attempt_failure& failure) -> void;
 
 /*! @brief Ends an exchange with a buffered response; aborts the response if a stream has already started.
  * @param reason Reason, for the log. */
@@ -197,8 +217,7 @@
  * @param detail Explanation for the caller. */
 [[nodiscard]] auto failure_response(std::uint16_t status, std::string_view detail) -> net::http_response;
 
-/*! @brief Enforces deadlines, response timeouts and the maximum pause between events, then dispatches queued requests.
- */
+/*! @brief Enforces deadlines, hedges requests whose backend servers are silent, then dispatches queued requests. */
 auto check_timeouts(daemon& self, time_point now) -> void;
 
 /*! @brief Updates the load entry of one backend server from its registration; removes it if it is not registered. */
--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <gateway/event_stream.hpp>
 
@@ -58,4 +59,11 @@
     return out;
 }
 
+auto event_stream::continue_with(event_stream other) -> void {
+    m_buffer = std::move(other.m_buffer);
+    if (!other.m_last_event_id.empty()) {
+        m_last_event_id = std::move(other.m_last_event_id);
+    }
+}
+
 } // namespace rhubarbwharf::gateway
--- a/src/gateway/event_stream.hpp
+++ b/src/gateway/event_stream.hpp
@@ -23,6 +23,10 @@
     /*! @brief Discards an incomplete event, as when the stream is resumed on another backend server. */
     auto drop_partial_event() noexcept -> void { m_buffer.clear(); }
 
+    /*! @brief Continues with another response to the same request: its buffer replaces this one's, and its last id too
+     * if it has one. */
+    auto continue_with(event_stream other) -> void;
+
     /*! @brief Returns the last id among the events taken; empty if none had an id. */
     [[nodiscard]] auto last_event_id() const noexcept -> const std::string& { return m_last_event_id; }
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -58,35 +58,29 @@
     self.m_core.m_counters.observe("backend_first_byte_seconds", item.m_first_byte_latency);
 }
 
-auto on_head(exchange& item, attempt& current, const net::http_response& head) -> void {
+auto on_head(const exchange& item, attempt& current, const net::http_response& head) -> void {
     current.m_head = head;
     clear_unread_tokens(current);
     const auto encoded = has_header(head, "Content-Encoding");
     current.m_is_stream = item.m_route->m_streaming && is_success(head.m_status) && !encoded &&
                           has_header(head, adapter::field::signature);
-    if (current.m_is_stream && !item.m_stream_started) {
-        item.m_weights_version = parse_number(net::find(head.m_headers, adapter::field::version));
-    }
 }
 
 [[nodiscard]] auto response_head(const net::http_response& head) -> net::http_response {
     return {head.m_status, head.m_headers, {}};
 }
 
-auto on_body_part(daemon& self, exchange& item, attempt& current, const std::string_view part) -> void {
-    if (!current.m_is_stream) {
-        current.m_body.append(
-            part.substr(0U, max_buffered_bytes - std::min(current.m_body.size(), max_buffered_bytes)));
-        return;
-    }
-    item.m_events.append(part);
-    const auto events = item.m_events.take_complete_events();
-    if (events.empty()) {
-        return;
-    }
+/*! @brief Starts the stream to the caller with the head of the attempt that is kept. */
+auto start_stream(exchange& item, const attempt& current) -> void {
+    item.m_stream_started = true;
+    item.m_weights_version = parse_number(net::find(current.m_head->m_headers, adapter::field::version));
+    item.m_responder->start(response_head(*current.m_head));
+}
+
+/*! @brief Forwards complete events to the caller. */
+auto forward_events(daemon& self, exchange& item, const attempt& current, const std::string_view events) -> void {
     if (!item.m_stream_started) {
-        item.m_stream_started = true;
-        item.m_responder->start(response_head(*current.m_head));
+        start_stream(item, current);
     }
     const auto now = steady_now();
     if (item.m_event_bytes > 0U) {
@@ -99,10 +93,27 @@
     item.m_responder->write(events);
 }
 
+auto on_body_part(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& current,
+                  const std::string_view part) -> void {
+    if (!current->m_is_stream) {
+        current->m_body.append(
+            part.substr(0U, max_buffered_bytes - std::min(current->m_body.size(), max_buffered_bytes)));
+        return;
+    }
+    auto& received = current == item->m_hedge ? current->m_events : item->m_events;
+    received.append(part);
+    const auto events = received.take_complete_events();
+    if (events.empty()) {
+        return;
+    }
+    keep_attempt(self, item, current);
+    forward_events(self, *item, *current, events);
+}
+
 /*! @brief Ends a stream that has been received completely. */
 auto finish_stream(daemon& self, const std::shared_ptr<exchange>& item) -> void {
     if (!item->m_stream_started) {
-        item->m_responder->start(response_head(*item->m_attempt->m_head));
+        start_stream(*item, *item->m_attempt);
     }
     dispatch::record_success(item->m_attempt->m_backend->m_health);
     routing::clear_crashes(self.m_quarantine, item->m_content_digest);
@@ -123,29 +134,36 @@
 }
 
 /*! @brief Forwards a buffered response that has been received completely, or retries the request. */
-auto handle_complete_response(daemon& self, const std::shared_ptr<exchange>& item) -> void {
-    auto& current = *item->m_attempt;
+auto handle_complete_response(daemon& self, const std::shared_ptr<exchange>& item,
+                              const std::shared_ptr<attempt>& ended) -> void {
+    auto& current = *ended;
     const auto status = current.m_head->m_status;
     auto& health = current.m_backend->m_health;
     if (is_not_executed(*current.m_head)) {
         dispatch::release_probe(health);
         apply_refusal(*current.m_backend, status);
-        retry_or_end(self, item, {true, true, status == status_misdirected ? "misdirected" : "the server is full"});
+        retry_or_end(self, item, ended,
+                     {true, true, status == status_misdirected ? "misdirected" : "the server is full"});
         return;
     }
     const auto signed_by_server = has_header(*current.m_head, adapter::field::signature);
     const auto encoded = has_header(*current.m_head, "Content-Encoding");
     if (!signed_by_server || encoded || implies_not_run(status) || current.m_body.size() >= max_buffered_bytes) {
         dispatch::record_failure(health, service_failure_rate(self, *current.m_backend), steady_now());
-        retry_or_end(self, item, {false, true, "the answer is not the server's own"});
+        retry_or_end(self, item, ended, {false, true, "the answer is not the server's own"});
         return;
     }
     if (status >= status_server_error) {
         dispatch::record_failure(health, service_failure_rate(self, *current.m_backend), steady_now());
+        if (item->m_hedge) {
+            item->m_may_have_run = true;
+            cancel_attempt(self, item, ended, "server error");
+            return;
+        }
         const auto idempotent = item->m_route->m_idempotency == fleet::idempotency::idempotent;
         if (idempotent && item->m_tried_servers.size() < item->m_route->m_max_attempts) {
             if (dispatch::try_acquire_retry(self.m_services[item->m_service->m_name].m_retry_budget, steady_now())) {
-                cancel_attempt(self, item, "server error");
+                cancel_attempt(self, item, ended, "server error");
                 item->m_may_have_run = true;
                 schedule(self, item);
                 return;
@@ -156,13 +174,15 @@
         routing::clear_crashes(self.m_quarantine, item->m_content_digest);
         record_first_byte(self, *item, current);
     }
+    keep_attempt(self, item, ended);
     net::http_response response{status, current.m_head->m_headers, std::move(current.m_body)};
     end_with_response(self, item, std::move(response), "answered");
 }
 
 /*! @brief Handles a call that ended before the response was complete. */
-auto on_incomplete_response(daemon& self, const std::shared_ptr<exchange>& item, const net::call_end& end) -> void {
-    auto& backend = *item->m_attempt->m_backend;
+auto on_incomplete_response(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& ended,
+                            const net::call_end& end) -> void {
+    auto& backend = *ended->m_backend;
     const auto now = steady_now();
     const auto sent = end.m_sent == net::sent::some;
     if (!sent) {
@@ -174,19 +194,21 @@
     if (sent && end.m_code != code::timed_out) {
         attribute_crash(self, *item);
     }
-    retry_or_end(self, item,
+    retry_or_end(self, item, ended,
                  {!sent, sent, end.m_code == code::timed_out ? "no answer in time" : "the connection broke"});
 }
 
-auto on_call_end(daemon& self, const std::shared_ptr<exchange>& item, const net::call_end& end) -> void {
-    const auto& current = *item->m_attempt;
-    const auto is_complete = end.m_code == code::ok && current.m_head;
-    if (!is_complete || (current.m_is_stream && item->m_events.has_partial_event())) {
-        on_incomplete_response(self, item, end);
-    } else if (current.m_is_stream) {
+auto on_call_end(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& ended,
+                 const net::call_end& end) -> void {
+    const auto& received = ended == item->m_hedge ? ended->m_events : item->m_events;
+    const auto is_complete = end.m_code == code::ok && ended->m_head;
+    if (!is_complete || (ended->m_is_stream && received.has_partial_event())) {
+        on_incomplete_response(self, item, ended, end);
+    } else if (ended->m_is_stream) {
+        keep_attempt(self, item, ended);
         finish_stream(self, item);
     } else {
-        handle_complete_response(self, item);
+        handle_complete_response(self, item, ended);
     }
 }
 
@@ -195,7 +217,7 @@
 auto make_call_handlers(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& current)
     -> net::call_handlers {
     const auto is_current = [item, current] {
-        return !item->m_ended && item->m_attempt == current;
+        return !item->m_ended && (item->m_attempt == current || item->m_hedge == current);
     };
     net::call_handlers out{};
     out.m_on_head = [item, current, is_current](const net::http_response& head) {
@@ -205,12 +227,12 @@
     };
     out.m_on_part = [&self, item, current, is_current](const std::string_view part) {
         if (is_current()) {
-            on_body_part(self, *item, *current, part);
+            on_body_part(self, item, current, part);
         }
     };
-    out.m_on_end = [&self, item, is_current](const net::call_end& end) {
+    out.m_on_end = [&self, item, current, is_current](const net::call_end& end) {
         if (is_current()) {
-            on_call_end(self, item, end);
+            on_call_end(self, item, current, end);
         }
     };
     return out;
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -228,7 +228,7 @@
     self.m_exchanges.emplace(item->m_id, item);
     item->m_responder->on_close([&self, item](const net::close_reason reason) {
         const auto text = internal::closing_text(reason);
-        cancel_attempt(self, item, text);
+        cancel_attempts(self, item, text);
         close_exchange(self, item, 0U, text);
     });
     dispatch::record_request(self.m_services[item->m_service->m_name].m_retry_budget, item->m_arrived_at);
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -179,9 +179,13 @@
     ++backend->m_own_requests;
     backend->m_unread_prompt_tokens += current->m_unread_tokens;
     dispatch::record_attempt(backend->m_health, now);
-    item->m_attempt = current;
+    if (item->m_attempt) {
+        item->m_hedge = current;
+    } else {
+        item->m_attempt = current;
+    }
+    item->m_last_event_at = item->m_tried_servers.empty() ? now : item->m_last_event_at;
     item->m_tried_servers.push_back(backend->m_id);
-    item->m_last_event_at = now;
     dispatch::record_sent(self.m_services[item->m_service->m_name].m_queue, now);
 
     const auto requirements = internal::requirements_of(self, *item, now);
@@ -212,8 +216,15 @@
         internal::make_call_handlers(self, item, current));
 }
 
-auto has_alternative_backend(daemon& self, const exchange& item, const time_point now) -> bool {
-    return internal::choose_backend(self, item, now).has_value();
+auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> bool {
+    const auto now = steady_now();
+    auto& state = self.m_services[item->m_service->m_name];
+    const auto chosen = internal::choose_backend(self, *item, now);
+    if (!chosen || !dispatch::try_acquire_retry(state.m_retry_budget, now)) {
+        return false;
+    }
+    dispatch_to(self, item, state.m_backends[chosen->m_index], *chosen);
+    return true;
 }
 
 auto schedule(daemon& self, const std::shared_ptr<exchange>& item) -> void {
--- a/test/gateway/event_stream.cpp
+++ b/test/gateway/event_stream.cpp
@@ -18,6 +18,24 @@
     CHECK(stream.last_event_id() == "2");
 }
 
+TEST_CASE("a stream that continues with another response keeps its last id until that response has one") {
+    event_stream stream{};
+    stream.append("id: 1\ndata: a\n\nid: 2\nda");
+    CHECK(stream.take_complete_events() == "id: 1\ndata: a\n\n");
+    event_stream other{};
+    other.append("id: 2\ndata: ");
+    stream.continue_with(other);
+    CHECK(stream.last_event_id() == "1");
+    stream.append("b\n\n");
+    CHECK(stream.take_complete_events() == "id: 2\ndata: b\n\n");
+    CHECK(stream.last_event_id() == "2");
+    event_stream ahead{};
+    ahead.append("id: 3\ndata: c\n\n");
+    CHECK(ahead.take_complete_events() == "id: 3\ndata: c\n\n");
+    stream.continue_with(ahead);
+    CHECK(stream.last_event_id() == "3");
+}
+
 TEST_CASE("the returned events do not depend on how the bytes are split") {
     CHECK(rc::check([] {
         std::string text{};
