Answer what is unanswered when the grace period ends

What callers saw: beside a planned stop, connections closed without an answer to requests that had been read.

Cause: at the end of the grace period the gateway stopped its loop with exchanges in its table; their connections closed with the process.

Change: the gateway ends each exchange as at its deadline: 503 if it cannot have run, else 504; a started stream is cut, which the log counts. The ending at a deadline and at a stop is one function.

--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -51,6 +51,16 @@
     end_with_response(self, item, failure_response(502U, failure.m_reason), failure.m_reason);
 }
 
+/*! @brief Returns the exchanges in progress, so that some of them may end while all are visited. */
+[[nodiscard]] auto list_exchanges(const daemon& self) -> std::vector<std::shared_ptr<exchange>> {
+    std::vector<std::shared_ptr<exchange>> out{};
+    out.reserve(self.m_exchanges.size());
+    for (const auto& [id, item] : self.m_exchanges) {
+        out.push_back(item);
+    }
+    return out;
+}
+
 /*! @brief Checks whether an attempt waits at a runner whose version may no longer start requests. */
 [[nodiscard]] auto is_outdated(const daemon& self, const exchange& item, const attempt& current, const time_point now)
     -> bool {
@@ -257,23 +267,28 @@
     dispatch_queued(self, service);
 }
 
-auto check_timeouts(daemon& self, const time_point now) -> void {
-    std::vector<std::shared_ptr<exchange>> exchanges{};
-    exchanges.reserve(self.m_exchanges.size());
-    for (const auto& [id, item] : self.m_exchanges) {
-        exchanges.push_back(item);
+auto end_unanswered(daemon& self, const std::shared_ptr<exchange>& item, const std::string_view reason) -> void {
+    const auto may_have_run = item->m_attempt != nullptr || item->m_may_have_run;
+    cancel_attempts(self, item, reason);
+    end_with_response(self, item, may_have_run ? failure_response(504U, reason) : refusal_response(503U, reason, {}),
+                      reason);
+}
+
+auto end_all_unanswered(daemon& self, const std::string_view reason) -> void {
+    for (const auto& item : internal::list_exchanges(self)) {
+        if (!item->m_ended) {
+            end_unanswered(self, item, reason);
+        }
     }
-    for (const auto& item : exchanges) {
+}
+
+auto check_timeouts(daemon& self, const time_point now) -> void {
+    for (const auto& item : internal::list_exchanges(self)) {
         if (item->m_ended) {
             continue;
         }
         if (now >= item->m_deadline) {
-            const auto may_have_run = item->m_attempt != nullptr || item->m_may_have_run;
-            cancel_attempts(self, item, "the deadline passed");
-            end_with_response(self, item,
-                              may_have_run ? failure_response(504U, "the deadline passed")
-                                           : refusal_response(503U, "the deadline passed", {}),
-                              "the deadline passed");
+            end_unanswered(self, item, "the deadline passed");
         } else if (item->m_attempt) {
             internal::reschedule_outdated(self, item, now);
         }
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -197,6 +197,14 @@
 auto end_with_response(daemon& self, const std::shared_ptr<exchange>& item, net::http_response response,
                        std::string_view reason) -> void;
 
+/*! @brief Ends an exchange that has no response in time: with 503 if it cannot have run, else with 504, or by cutting
+ * its stream.
+ * @param reason Reason, for the caller and the log. */
+auto end_unanswered(daemon& self, const std::shared_ptr<exchange>& item, std::string_view reason) -> void;
+
+/*! @brief Ends all exchanges as `end_unanswered` does. */
+auto end_all_unanswered(daemon& self, std::string_view reason) -> void;
+
 /*! @brief Removes an exchange whose response has ended or whose caller has disconnected.
  * @param status Status of the response; 0 if it was cut.
  * @param reason Reason, for the log. */
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -98,6 +98,7 @@
     self.m_core.m_events.write("gateway.stopped",
                                {{"requests_cut", static_cast<std::int64_t>(self.m_exchanges.size())},
                                 {"connections", static_cast<std::int64_t>(self.m_caller_server.connections())}});
+    end_all_unanswered(self, "the gateway stops");
     self.m_core.m_loop.after(flush_delay, [&self] { self.m_core.m_loop.stop(); });
     self.m_leaving_since = time_point::max();
 }
--- a/test/soak/cases.cpp
+++ b/test/soak/cases.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <csignal>
+#include <fstream>
+#include <sstream>
 
 #include <doctest/doctest.h>
 
@@ -47,6 +49,20 @@
         });
     }
 
+    /*! @brief Restarts the first gateway with another grace period, and waits until requests succeed again. */
+    auto restart_gateway_with_grace(const std::chrono::milliseconds grace) -> void {
+        const auto& path = m_fleet.daemons()[0].m_settings_path;
+        std::ostringstream text{};
+        text << std::ifstream{path}.rdbuf();
+        auto settings = text.str();
+        const std::string bounds = "\"bounds\": {";
+        settings.insert(settings.find(bounds) + bounds.size(), "\"grace_ms\": " + std::to_string(grace.count()) + ", ");
+        std::ofstream{path} << settings;
+        m_fleet.start_daemon(0U);
+        REQUIRE(
+            process::wait_until([this] { return send_request("a6", standin_site::model_path, "a").m_status == 200U; }));
+    }
+
     /*! @brief Waits until every runner has loaded a version of the weights. @return False on timeout. */
     [[nodiscard]] auto wait_until_version_everywhere(const std::uint64_t version) -> bool {
         return process::wait_until([&] {
@@ -191,6 +207,26 @@
     CHECK(fixture.m_fleet.daemons()[0].m_process->wait() == 0);
 }
 
+TEST_CASE("a gateway answers what is unanswered at the end of its grace period") {
+    site_fixture fixture{1U};
+    fixture.restart_gateway_with_grace(std::chrono::milliseconds{4'000});
+    standin_site::server_faults faults{};
+    faults.m_pause_event = 1U;
+    faults.m_pause = std::chrono::seconds{6};
+    fixture.set_server_faults(faults);
+    auto& gateway = *fixture.m_fleet.daemons()[0].m_process;
+    gateway.send_signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds{1'500});
+    auto call = fixture.start_request("b1", standin_site::ledger_path, "b");
+    auto stream = fixture.start_request("b2", standin_site::model_path, "b");
+    for (auto* each : {&call, &stream}) {
+        const auto result = each->get();
+        CHECK(result.m_end.m_code == code::ok);
+        CHECK(result.m_response.m_status == 504U);
+    }
+    CHECK(gateway.wait() == 0);
+}
+
 TEST_CASE("a version that is being fetched is loaded while the origin does not serve the next one") {
     site_fixture fixture{1U};
     constexpr std::uint64_t first = 2U;
