Complete requests when a gateway gets further stop signals

What callers saw: a planned stop whose signal came twice cut every stream and left every request without an answer.

Cause: a second SIGTERM stopped the event loop at once. The platform ends a process that must go at once with SIGKILL, so a further stop signal is a repeat of the first.

Evidence: the new case (SIGTERM, SIGHUP, SIGTERM, 100 ms apart, while a stream's server pauses) failed before: the stream was cut.

Change: further stop signals are logged (gateway.leaving with their number) and change nothing.

--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -114,9 +114,8 @@
 
 auto on_stop_signal(daemon& self, const int count) -> void {
     if (count > 1) {
-        self.m_core.m_events.write("gateway.cut", {{"signals", static_cast<std::int64_t>(count)},
-                                                   {"requests", static_cast<std::int64_t>(self.m_exchanges.size())}});
-        self.m_core.m_loop.stop();
+        self.m_core.m_events.write("gateway.leaving", {{"requests", static_cast<std::int64_t>(self.m_exchanges.size())},
+                                                       {"signals", static_cast<std::int64_t>(count)}});
         return;
     }
     self.m_leaving_since = steady_now();
--- a/test/soak/cases.cpp
+++ b/test/soak/cases.cpp
@@ -207,6 +207,23 @@
     CHECK(fixture.m_fleet.daemons()[0].m_process->wait() == 0);
 }
 
+TEST_CASE("a gateway that gets further stop signals completes its running streams") {
+    site_fixture fixture{1U};
+    auto faults = pause_before_event(4U);
+    fixture.set_server_faults(faults);
+    auto running = fixture.start_request("b1", standin_site::model_path, "b");
+    REQUIRE(process::wait_until([&] { return fixture.count_executions("b1") >= 1U; }));
+    auto& gateway = *fixture.m_fleet.daemons()[0].m_process;
+    for (const auto signal_number : {SIGTERM, SIGHUP, SIGTERM}) {
+        gateway.send_signal(signal_number);
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    }
+    const auto result = running.get();
+    CHECK(result.m_end.m_code == code::ok);
+    CHECK(result.m_response.m_body == complete_stream());
+    CHECK(gateway.wait() == 0);
+}
+
 TEST_CASE("a gateway answers what is unanswered at the end of its grace period") {
     site_fixture fixture{1U};
     fixture.restart_gateway_with_grace(std::chrono::milliseconds{4'000});
