Give a service its retry budget when its configuration arrives

What callers saw: in the first 300 ms of a gateway, and of a service that a new configuration adds, a request that its server refused was refused to the caller, though another server was free.

Cause: the budgets are divided on the heartbeat only; until then a budget has no slack, so that no retry is allowed.

Change: the budgets are divided as well when a configuration is applied.

--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -37,13 +37,6 @@
     return out;
 }
 
-auto apply_configuration(daemon& self) -> void {
-    const auto& configuration = *self.m_core.m_configuration;
-    auto limits = configuration.m_limits;
-    limits.m_half_close = false;
-    self.m_caller_server.set_limits(limits);
-}
-
 /*! @brief Updates the smoothed number of requests per second, which quotas are based on. */
 auto measure_demand(daemon& self) -> void {
     constexpr double sample_weight = 0.25;
@@ -71,6 +64,14 @@
     }
 }
 
+auto apply_configuration(daemon& self) -> void {
+    const auto& configuration = *self.m_core.m_configuration;
+    auto limits = configuration.m_limits;
+    limits.m_half_close = false;
+    self.m_caller_server.set_limits(limits);
+    divide_retry_budget(self);
+}
+
 auto update_readiness(daemon& self, const time_point now) -> void {
     auto& core = self.m_core;
     const auto is_initialised =
