Follow what servers say of themselves: Server-Leaving and Retry-After

A response with Server-Leaving marks that incarnation as leaving, for good, from its head on: no choice, queue, retry, resume or hedge sends a request there, also if the store still calls it ready or lists it anew. Pulses tell the peers, a loader's report tells the gateways, and a loader sends its leaving runner no load order. A 503 with Retry-After keeps this gateway's requests away from its server until then; it is no failure of the server. Where pauses alone keep a request from being sent, it is refused at once with the end of the first pause, spread, within what its caller honours. Values are read strictly; malformed ones are logged and ignored, and ten minutes are the most.

New fields of Pulse (leaving_servers) and Load (leaving); a process without them ignores them.

--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -104,6 +104,32 @@
     m_paused_until = std::max<time_point>(m_paused_until, steady_now() + length);
 }
 
+auto server::announce_leaving() -> void {
+    m_leaving_since = steady_now();
+}
+
+auto server::respond(const responder_ptr& responder, net::http_response response) const -> void {
+    add_server_headers(response);
+    responder->respond(std::move(response));
+}
+
+auto server::add_server_headers(net::http_response& response) const -> void {
+    if (m_leaving_since != time_point{}) {
+        response.m_headers.push_back({std::string{adapter::field::leaving}, "1"});
+    }
+}
+
+auto server::refuse(const responder_ptr& responder) -> void {
+    auto response = internal::not_executed_response(internal::unavailable);
+    if (m_faults.m_retry_after > duration::zero()) {
+        const auto seconds = std::chrono::duration<double>{m_faults.m_retry_after}.count();
+        response.m_headers.push_back({std::string{adapter::field::retry_after}, std::to_string(seconds)});
+        m_pause_requested_at = steady_now();
+        m_pause_requested_until = m_pause_requested_at + m_faults.m_retry_after;
+    }
+    respond(responder, std::move(response));
+}
+
 auto server::run_after(const duration delay, std::function<void()> task) -> void {
     m_loop.after(delay, [this, alive = m_alive, task = std::move(task)] {
         const auto now = steady_now();
@@ -154,7 +180,7 @@
         body["waiting"] = 0;
         body["running"] = m_running_requests;
         body["pace"] = 1.0;
-        responder->respond(json_response(internal::ok, body));
+        respond(responder, json_response(internal::ok, body));
     } else if (target.starts_with("/api/order")) {
         on_load_order(request, responder);
     } else if (target.starts_with("/api/stage-")) {
@@ -168,7 +194,7 @@
 auto server::on_load_order(const net::http_request& request, const responder_ptr& responder) -> void {
     const auto order = boost::json::parse(request.m_body).as_object();
     if (order.at("expected").to_number<std::uint64_t>() != m_accepted_orders || m_loading) {
-        responder->respond({internal::conflict, {}, {}});
+        respond(responder, {internal::conflict, {}, {}});
         return;
     }
     const auto version = order.at("version").to_number<std::uint64_t>();
@@ -180,7 +206,7 @@
     }
     ++m_accepted_orders;
     m_loading = true;
-    responder->respond({internal::accepted, {}, {}});
+    respond(responder, {internal::accepted, {}, {}});
     m_loop.after(internal::load_duration, [this, alive = m_alive, version] {
         if (*alive) {
             m_loading = false;
@@ -197,17 +223,17 @@
         for (const auto& [piece, bytes] : m_staged_pieces) {
             held.push_back(static_cast<std::int64_t>(piece));
         }
-        responder->respond(json_response(internal::ok, {{"held", held}}));
+        respond(responder, json_response(internal::ok, {{"held", held}}));
         return;
     }
     const auto piece = static_cast<std::size_t>(std::strtoull(text.c_str(), nullptr, 10));
     if (request.m_method == "PUT") {
         m_staged_pieces[piece] = request.m_body;
-        responder->respond({internal::ok, {}, {}});
+        respond(responder, {internal::ok, {}, {}});
     } else if (const auto found = m_staged_pieces.find(piece); found != m_staged_pieces.end()) {
-        responder->respond({internal::ok, {}, found->second});
+        respond(responder, {internal::ok, {}, found->second});
     } else {
-        responder->respond({internal::not_found, {}, {}});
+        respond(responder, {internal::not_found, {}, {}});
     }
 }
 
@@ -247,21 +273,28 @@
     }
     ++m_request_count;
     ++m_observations.m_arrivals[m_options.m_id];
+    const auto now = steady_now();
+    constexpr duration pause_notice = std::chrono::milliseconds{500};
+    if (now > m_pause_requested_at + pause_notice && now < m_pause_requested_until) {
+        ++m_observations.m_arrivals_in_pause;
+    }
+    m_observations.m_last_arrival_when_leaving =
+        m_leaving_since == time_point{} ? m_observations.m_last_arrival_when_leaving : now;
     const auto is_nth_request = [this](const unsigned n) {
         return n != 0U && m_request_count % n == 0U;
     };
     if (internal::header_value(request, adapter::field::expect_server) != m_options.m_id) {
-        responder->respond(internal::not_executed_response(internal::misdirected));
+        respond(responder, internal::not_executed_response(internal::misdirected));
         return;
     }
     const auto expected_version = internal::header_value(request, adapter::field::expect_version);
     const auto is_loaded = m_options.m_model.empty() || m_options.m_version != 0U;
     if (!is_loaded || (!expected_version.empty() && expected_version != std::to_string(m_options.m_version))) {
-        responder->respond(internal::not_executed_response(internal::misdirected));
+        respond(responder, internal::not_executed_response(internal::misdirected));
         return;
     }
     if (is_nth_request(m_faults.m_refuse_every) || m_running_requests >= m_options.m_slot_count * 4U || m_loading) {
-        responder->respond(internal::not_executed_response(internal::unavailable));
+        refuse(responder);
         return;
     }
     if (m_faults.m_unresponsive) {
@@ -287,7 +320,7 @@
     run_after(delay_before(1U), [this, alive = m_alive, attempt, responder] {
         if (*alive) {
             --m_running_requests;
-            responder->respond({internal::ok,
+            respond(responder, {internal::ok,
                                 {{std::string{adapter::field::attempt}, attempt},
                                  {std::string{adapter::field::signature}, "seal-" + attempt}},
                                 plain_server_body(attempt)});
@@ -336,6 +369,7 @@
         return;
     }
     if (!std::exchange(output->m_started, true)) {
+        add_server_headers(output->m_head);
         output->m_responder->start(output->m_head);
     }
     const auto text = event_text(output->m_request_body, output->m_next_event);
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -25,6 +25,10 @@
     std::map<std::string, unsigned> m_executions{};
     /*! @brief Requests received, by server id. */
     std::map<std::string, unsigned> m_arrivals{};
+    /*! @brief Requests that reached a server later than 0.5 s after it had asked for a pause and before its end. */
+    unsigned m_arrivals_in_pause{};
+    /*! @brief When a request last reached a server that had announced leaving; the epoch if none did. */
+    time_point m_last_arrival_when_leaving{};
     /*! @brief Time since which every daemon can reach the store; `time_point::max()` while one of them can't. */
     time_point m_store_reachable_since{};
     /*! @brief API keys of the organisations; none of them may be forwarded to a server. */
@@ -46,6 +50,8 @@
      */
     unsigned m_pause_event{};
     duration m_pause{};
+    /*! @brief Time for which a refusal asks its sender for a pause; zero omits the header. */
+    duration m_retry_after{};
 };
 
 /*! @brief Properties of one server. */
@@ -85,6 +91,9 @@
     /*! @brief Announces that the server is draining; it continues to serve requests. */
     auto drain() -> void;
 
+    /*! @brief Says in each response that the server is leaving, while its entry in the store stays as it is. */
+    auto announce_leaving() -> void;
+
     /*! @brief Removes the entry of the server from the store, as the platform does for an unresponsive server. */
     auto unregister() -> void;
 
@@ -120,6 +129,9 @@
     auto send_event(const std::shared_ptr<stream>& output) -> void;
     /*! @brief Runs a task after a delay, and not before a pause of the server has ended. */
     auto run_after(duration delay, std::function<void()> task) -> void;
+    auto respond(const responder_ptr& responder, net::http_response response) const -> void;
+    auto add_server_headers(net::http_response& response) const -> void;
+    auto refuse(const responder_ptr& responder) -> void;
     auto check_request(const net::http_request& request) -> void;
     auto publish_entry() -> void;
     [[nodiscard]] auto make_entry() const -> boost::json::object;
@@ -140,6 +152,10 @@
     bool m_draining{false};
     time_point m_draining_since{};
     time_point m_paused_until{};
+    /*! @brief When leaving was announced; the epoch if it was not. */
+    time_point m_leaving_since{};
+    time_point m_pause_requested_at{};
+    time_point m_pause_requested_until{};
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
 };
 
--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -28,6 +28,10 @@
     std::string m_data_centre{};
     unsigned m_slots{1};
     bool m_draining{false};
+    /*! @brief Whether it, or a peer, has said that it is leaving. */
+    bool m_leaving{false};
+    /*! @brief Until when it wants no request from this gateway. */
+    time_point m_paused_until{};
     /*! @brief Whether it was removed from the server list; the row is kept until the requests of this gateway there
      * have ended. */
     bool m_removed{false};
@@ -137,6 +141,15 @@
 [[nodiscard]] auto predict_first_byte_ms(const server_load& row, const fleet::engine_profile* engine,
                                          double prompt) noexcept -> double;
 
+/**
+ * @brief Returns the time until a request can be sent, if a pause that a backend server has asked for is all that keeps
+ * it from being sent.
+ * @return The time until the first suitable backend server is available, tried ones included; nothing if one that has
+ * not been tried is available now, or if none has asked for a pause.
+ */
+[[nodiscard]] auto time_until_resumed(std::span<const std::shared_ptr<server_load>> rows,
+                                      const request_requirements& required, time_point now) -> std::optional<duration>;
+
 /*! @brief Tells whether any backend server holds the model in a version that the request accepts, even if it cannot run
  * the request now. */
 [[nodiscard]] auto is_version_held(std::span<const std::shared_ptr<server_load>> rows,
--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -65,6 +65,16 @@
     bool m_has_exact_write_time{false};
 };
 
+/*! @brief Incarnation of a backend server that has said it is leaving. */
+struct leaving_server {
+    /*! @brief Start of the incarnation, Unix ms. */
+    std::uint64_t m_started_ms{};
+    net::endpoint m_address{};
+};
+
+/*! @brief Backend servers that have said they are leaving, by id; of each the newest such incarnation. */
+using leaving_table = std::map<std::string, leaving_server, std::less<>>;
+
 /*! @brief Backend servers by id. Entries and removals are merged by revision, in any order. */
 struct server_table {
     std::map<std::string, backend_server, std::less<>> m_rows{};
@@ -90,6 +100,13 @@
 auto merge_listing(server_table& table, std::vector<backend_server> rows, std::uint64_t revision)
     -> std::vector<std::string>;
 
+/*! @brief Records that an incarnation is leaving. @return Whether this was not known. */
+auto merge_leaving(leaving_table& table, std::string_view id, leaving_server value) -> bool;
+
+/*! @brief Tells whether an incarnation, or a later one of the same id, is leaving. Only a new incarnation clears it. */
+[[nodiscard]] auto is_leaving(const leaving_table& table, std::string_view id, std::uint64_t started_ms) noexcept
+    -> bool;
+
 /*! @brief Computes an order-independent digest of ids and revisions, by which tables of two processes are compared. */
 [[nodiscard]] auto fingerprint(const server_table& table) noexcept -> std::uint64_t;
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -21,6 +21,11 @@
     return version != 0U && version >= required.m_min_version && version_matches;
 }
 
+/*! @brief Checks whether a backend server takes new requests and holds what a request requires. */
+[[nodiscard]] auto is_suitable(const server_load& row, const request_requirements& required) noexcept -> bool {
+    return !row.m_draining && !row.m_leaving && !row.m_removed && !row.m_loading && satisfies_version(row, required);
+}
+
 } // namespace
 
 auto estimate_load(const server_load& row) noexcept -> double {
@@ -58,8 +63,25 @@
 
 auto is_eligible(const server_load& row, const request_requirements& required, const time_point now) noexcept -> bool {
     const auto already_tried = std::ranges::find(required.m_tried_servers, row.m_id) != required.m_tried_servers.end();
-    return !row.m_draining && !row.m_removed && !row.m_loading && !already_tried && is_usable(row.m_health, now) &&
-           satisfies_version(row, required);
+    return is_suitable(row, required) && !already_tried && now >= row.m_paused_until && is_usable(row.m_health, now);
+}
+
+auto time_until_resumed(const std::span<const std::shared_ptr<server_load>> rows, const request_requirements& required,
+                        const time_point now) -> std::optional<duration> {
+    std::optional<time_point> first{};
+    auto any_paused = false;
+    for (const auto& row : rows) {
+        if (!is_suitable(*row, required)) {
+            continue;
+        }
+        if (is_eligible(*row, required, now)) {
+            return std::nullopt;
+        }
+        any_paused = any_paused || row->m_paused_until > now;
+        const auto available = std::max(row->m_paused_until, row->m_health.m_ejected_until);
+        first = available > now ? std::min(first.value_or(available), available) : first;
+    }
+    return any_paused && first ? std::optional{*first - now} : std::nullopt;
 }
 
 auto has_capacity(const server_load& row, const placement_options& options) noexcept -> bool {
--- a/src/fleet/server.cpp
+++ b/src/fleet/server.cpp
@@ -9,6 +9,8 @@
 
 /*! @brief Maximum number of remembered removals; the ones with the lowest revision are evicted first. */
 constexpr std::size_t max_remembered_removals = 1024U;
+/*! @brief Maximum number of remembered leaving servers; the ones that started first are evicted first. */
+constexpr std::size_t max_remembered_leaving = 1024U;
 
 } // namespace
 
@@ -62,6 +64,23 @@
     return dropped;
 }
 
+auto merge_leaving(leaving_table& table, const std::string_view id, leaving_server value) -> bool {
+    if (is_leaving(table, id, value.m_started_ms)) {
+        return false;
+    }
+    table.insert_or_assign(std::string{id}, std::move(value));
+    if (table.size() > max_remembered_leaving) {
+        table.erase(std::ranges::min_element(table, {}, [](const auto& each) { return each.second.m_started_ms; }));
+    }
+    return true;
+}
+
+auto is_leaving(const leaving_table& table, const std::string_view id, const std::uint64_t started_ms) noexcept
+    -> bool {
+    const auto found = table.find(id);
+    return found != table.end() && found->second.m_started_ms >= started_ms;
+}
+
 auto fingerprint(const server_table& table) noexcept -> std::uint64_t {
     constexpr std::uint64_t offset = 14'695'981'039'346'656'037ULL;
     constexpr std::uint64_t prime = 1'099'511'628'211ULL;
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -4,6 +4,8 @@
 #include <fleet.pb.h>
 #include <gateway/daemon.hpp>
 #include <node/wire.hpp>
+#include <platform/decode.hpp>
+#include <platform/names.hpp>
 #include <rhubarbwharf/dispatch/quota.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -52,6 +54,9 @@
         std::max(0.0, std::min(backend.m_other_requests, static_cast<double>(update.waiting())));
     backend.m_models = node::from_wire(update.models());
     backend.m_loading = update.busy() || !update.alive();
+    if (update.leaving()) {
+        node::mark_server_leaving(self.m_core, backend.m_id, {backend.m_started_ms, backend.m_address}, peer);
+    }
     backend.m_slowdown = update.pace();
     backend.m_last_reported = steady_now();
     dispatch_queued(self, backend.m_service);
@@ -84,12 +89,17 @@
         added->m_service = entry.m_service;
         added->m_address = entry.m_address;
         added->m_data_centre = entry.m_data_centre;
+        if (const auto pause = self.m_pauses.find(id);
+            pause != self.m_pauses.end() && pause->second.m_started_ms == entry.m_started_ms) {
+            added->m_paused_until = pause->second.m_until;
+        }
         self.m_backends.emplace(id, added);
         internal::add_to_service(self, added);
     }
     auto& backend = *self.m_backends.at(id);
     backend.m_slots = entry.m_slots;
     backend.m_draining = entry.m_draining;
+    backend.m_leaving = fleet::is_leaving(self.m_core.m_leaving_servers, id, entry.m_started_ms);
     constexpr duration max_report_age = std::chrono::seconds{1};
     if (steady_now() - backend.m_last_reported > max_report_age) {
         backend.m_models = entry.m_models;
@@ -97,6 +107,31 @@
     dispatch_queued(self, backend.m_service);
 }
 
+auto on_server_headers(daemon& self, dispatch::server_load& backend, const net::http_response& head) -> void {
+    if (adapter::says_leaving(head.m_headers)) {
+        node::mark_server_leaving(self.m_core, backend.m_id, {backend.m_started_ms, backend.m_address}, "server");
+    }
+    constexpr std::uint16_t status_unavailable = 503U;
+    const auto text = net::find(head.m_headers, adapter::field::retry_after);
+    if (head.m_status != status_unavailable || text.empty()) {
+        return;
+    }
+    const auto pause = adapter::decode_retry_after(text);
+    if (!pause) {
+        self.m_core.m_events.write("server.pause_malformed",
+                                   {{"server", backend.m_id}, {"value", text.substr(0U, 40U)}});
+        return;
+    }
+    const auto now = steady_now();
+    backend.m_paused_until = std::max(backend.m_paused_until, now + *pause);
+    std::erase_if(self.m_pauses, [now](const auto& each) { return each.second.m_until <= now; });
+    self.m_pauses.insert_or_assign(backend.m_id, server_pause{backend.m_started_ms, backend.m_paused_until});
+    self.m_core.m_events.write("server.paused",
+                               {{"server", backend.m_id},
+                                {"pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*pause).count()}});
+    self.m_core.m_counters.add("server_pauses_total");
+}
+
 auto assign_quotas(daemon& self) -> void {
     const auto now = steady_now();
     std::vector<dispatch::quota_gateway> gateways{};
@@ -111,7 +146,7 @@
         std::vector<dispatch::server_load*> backends{};
         std::vector<dispatch::quota_server> servers{};
         for (const auto& backend : state.m_backends) {
-            if (!backend->m_draining && !backend->m_loading) {
+            if (!backend->m_draining && !backend->m_leaving && !backend->m_loading) {
                 backends.push_back(backend.get());
                 servers.push_back({backend->m_id, backend->m_data_centre, static_cast<double>(backend->m_slots)});
             }
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -45,7 +45,9 @@
     }
     if (failure.m_not_run && !item->m_may_have_run) {
         constexpr duration retry_after = std::chrono::milliseconds{120};
-        end_with_response(self, item, refusal_response(503U, failure.m_reason, retry_after), failure.m_reason);
+        const auto pause = retry_after_pause(self, *item);
+        end_with_response(self, item, refusal_response(503U, failure.m_reason, pause.value_or(retry_after)),
+                          failure.m_reason);
         return;
     }
     end_with_response(self, item, failure_response(502U, failure.m_reason), failure.m_reason);
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -107,6 +107,13 @@
     std::vector<std::shared_ptr<dispatch::server_load>> m_backends{};
 };
 
+/*! @brief Pause that an incarnation of a backend server has asked for. */
+struct server_pause {
+    /*! @brief Start of the incarnation, Unix ms. */
+    std::uint64_t m_started_ms{};
+    time_point m_until{};
+};
+
 /*! @brief Longest timeout that the callers of a route have sent recently. */
 struct caller_timeout {
     duration m_longest{};
@@ -130,6 +137,8 @@
     std::map<std::string, service_state, std::less<>> m_services{};
     /*! @brief Backend servers by id. */
     std::map<std::string, std::shared_ptr<dispatch::server_load>, std::less<>> m_backends{};
+    /*! @brief Pauses by id of the backend server; kept while its entry is missing from the server list. */
+    std::map<std::string, server_pause, std::less<>> m_pauses{};
     std::unordered_map<request_id, std::shared_ptr<exchange>> m_exchanges{};
     routing::quarantine m_quarantine{};
     /*! @brief By name of the route. */
@@ -160,6 +169,9 @@
 auto dispatch_to(daemon& self, const std::shared_ptr<exchange>& item,
                  const std::shared_ptr<dispatch::server_load>& backend, const dispatch::choice& prediction) -> void;
 
+/*! @brief Returns the `Retry-After` of a request if only pauses keep it from being sent, jitter included. */
+[[nodiscard]] auto retry_after_pause(daemon& self, const exchange& item) -> std::optional<duration>;
+
 /*! @brief Sends a request to a second backend server beside the attempt in progress.
  * @return False if no backend server that has not been tried has capacity. */
 [[nodiscard]] auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> bool;
@@ -231,6 +243,9 @@
 /*! @brief Updates the load entry of one backend server from its registration; removes it if it is not registered. */
 auto refresh_backend(daemon& self, const std::string& id) -> void;
 
+/*! @brief Applies what the headers of a response say of its backend server: that it is leaving, or wants a pause. */
+auto on_server_headers(daemon& self, dispatch::server_load& backend, const net::http_response& head) -> void;
+
 /*! @brief Recalculates this gateway's quota at each backend server from gateways, backend servers and demand. */
 auto assign_quotas(daemon& self) -> void;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -149,7 +149,9 @@
     const auto signed_by_server = has_header(*current.m_head, adapter::field::signature);
     const auto encoded = has_header(*current.m_head, "Content-Encoding");
     if (!signed_by_server || encoded || implies_not_run(status) || current.m_body.size() >= max_buffered_bytes) {
-        dispatch::record_failure(health, service_failure_rate(self, *current.m_backend), steady_now());
+        if (current.m_backend->m_paused_until <= steady_now()) {
+            dispatch::record_failure(health, service_failure_rate(self, *current.m_backend), steady_now());
+        }
         retry_or_end(self, item, ended, {false, true, "the answer is not the server's own"});
         return;
     }
@@ -220,8 +222,9 @@
         return !item->m_ended && (item->m_attempt == current || item->m_hedge == current);
     };
     net::call_handlers out{};
-    out.m_on_head = [item, current, is_current](const net::http_response& head) {
+    out.m_on_head = [&self, item, current, is_current](const net::http_response& head) {
         if (is_current()) {
+            on_server_headers(self, *current->m_backend, head);
             on_head(*item, *current, head);
         }
     };
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -106,11 +106,19 @@
     return out;
 }
 
+/*! @brief Returns the longest `Retry-After` that the caller honours. */
+[[nodiscard]] auto max_honoured_retry_after(const exchange& item, const time_point now) -> duration {
+    return std::max<duration>(duration{1}, (item.m_deadline - now) / retry_after_divisor);
+}
+
+[[nodiscard]] auto retry_after_jitter(daemon& self) -> duration {
+    return std::chrono::milliseconds{self.m_core.m_random() % 400U};
+}
+
 [[nodiscard]] auto retry_after_for(daemon& self, const exchange& item, const duration expected, const time_point now)
     -> duration {
-    const auto jitter = std::chrono::milliseconds{self.m_core.m_random() % 400U};
-    const auto max_honoured = std::max<duration>(duration{1}, (item.m_deadline - now) / retry_after_divisor);
-    return std::min<duration>(std::clamp<duration>(expected + jitter, min_retry_after, max_retry_after), max_honoured);
+    const auto wanted = std::clamp<duration>(expected + retry_after_jitter(self), min_retry_after, max_retry_after);
+    return std::min(wanted, max_honoured_retry_after(item, now));
 }
 
 [[nodiscard]] auto to_ms(const duration time) noexcept -> std::int64_t {
@@ -143,10 +151,11 @@
     return out;
 }
 
-auto refuse(daemon& self, const std::shared_ptr<exchange>& item, const duration expected, const std::string_view reason)
-    -> void {
+/*! @brief Refuses a request. @param expected Time until a place is expected. @param retry_after Time after which the
+ * caller is told to return. */
+auto refuse(daemon& self, const std::shared_ptr<exchange>& item, const duration expected, const duration retry_after,
+            const std::string_view reason) -> void {
     const auto now = steady_now();
-    const auto retry_after = retry_after_for(self, *item, expected, now);
     const auto& state = self.m_services[item->m_service->m_name];
     self.m_core.m_events.write("request.refused",
                                {{"id", item->m_attempt_id},
@@ -161,6 +170,20 @@
     end_with_response(self, item, refusal_response(503U, reason, retry_after), reason);
 }
 
+auto refuse(daemon& self, const std::shared_ptr<exchange>& item, const duration expected, const std::string_view reason)
+    -> void {
+    refuse(self, item, expected, retry_after_for(self, *item, expected, steady_now()), reason);
+}
+
+/*! @brief Refuses a request that only pauses keep from being sent. @return Whether this is so. */
+[[nodiscard]] auto refuse_if_paused(daemon& self, const std::shared_ptr<exchange>& item) -> bool {
+    const auto retry_after = retry_after_pause(self, *item);
+    if (retry_after) {
+        refuse(self, item, *retry_after, *retry_after, "every backend server has asked for a pause");
+    }
+    return retry_after.has_value();
+}
+
 } // namespace
 
 /*! @brief Creates the handlers that forward the response of an attempt to the caller; defined in relay.cpp. */
@@ -216,6 +239,16 @@
         internal::make_call_handlers(self, item, current));
 }
 
+auto retry_after_pause(daemon& self, const exchange& item) -> std::optional<duration> {
+    const auto now = steady_now();
+    const auto& backends = self.m_services[item.m_service->m_name].m_backends;
+    const auto resumed = dispatch::time_until_resumed(backends, internal::requirements_of(self, item, now), now);
+    if (!resumed) {
+        return std::nullopt;
+    }
+    return std::min(*resumed + internal::retry_after_jitter(self), internal::max_honoured_retry_after(item, now));
+}
+
 auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> bool {
     const auto now = steady_now();
     auto& state = self.m_services[item->m_service->m_name];
@@ -237,6 +270,9 @@
             return;
         }
     }
+    if (internal::refuse_if_paused(self, item)) {
+        return;
+    }
     const auto entry = internal::queue_entry(*item);
     if (entry.m_send_deadline <= now) {
         internal::refuse(self, item, std::chrono::milliseconds{100}, "the time left is too short");
@@ -284,7 +320,7 @@
         if (chosen) {
             dispatch::erase(state.m_queue, each.m_request);
             dispatch_to(self, queued, state.m_backends[chosen->m_index], *chosen);
-        } else if (++misses >= max_misses) {
+        } else if (!internal::refuse_if_paused(self, queued) && ++misses >= max_misses) {
             return;
         }
     }
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -103,6 +103,8 @@
     bool m_report_received{false};
     bool m_report_requested{false};
     bool m_runner_alive{false};
+    /*! @brief Until when the runner wants no call. */
+    time_point m_runner_paused_until{};
     time_point m_last_reported{};
     /*! @brief When the own member entry was last sent to the gateways. */
     time_point m_last_announced{};
@@ -110,6 +112,9 @@
     std::string m_last_reported_load{};
 };
 
+/*! @brief Tells whether the runner's present incarnation is leaving, by its own word or a gateway's. */
+[[nodiscard]] auto is_runner_leaving(const daemon& self) noexcept -> bool;
+
 /*! @brief Requests the load report of the runner, unless a request is in progress. */
 auto poll_runner(daemon& self) -> void;
 
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -5,6 +5,7 @@
 #include <loader/daemon.hpp>
 #include <node/wire.hpp>
 #include <platform/encode.hpp>
+#include <platform/names.hpp>
 #include <rhubarbwharf/loader/run.hpp>
 
 namespace rhubarbwharf::loader {
@@ -30,6 +31,11 @@
 auto on_report(daemon& self, const net::http_response& response) -> void {
     constexpr std::uint16_t ok = 200U;
     self.m_report_requested = false;
+    constexpr std::uint16_t unavailable = 503U;
+    if (response.m_status == unavailable) {
+        const auto pause = adapter::decode_retry_after(net::find(response.m_headers, adapter::field::retry_after));
+        self.m_runner_paused_until = steady_now() + pause.value_or(duration::zero());
+    }
     const auto report = response.m_status == ok ? adapter::decode_load_report(response.m_body) : std::nullopt;
     const auto was_alive = std::exchange(self.m_runner_alive, report.has_value());
     if (was_alive != self.m_runner_alive || (report && report->m_started_ms != self.m_report.m_started_ms)) {
@@ -57,6 +63,10 @@
     self.m_report = *report;
     self.m_report.m_order_in_progress = report->m_order_in_progress || just_ordered;
     self.m_report_received = true;
+    if (adapter::says_leaving(response.m_headers)) {
+        node::mark_server_leaving(self.m_core, self.m_core.m_self.m_instance, {report->m_started_ms, self.m_runner},
+                                  "runner");
+    }
     report_to_gateways(self, false);
     advance_models(self);
 }
@@ -147,6 +157,12 @@
     return out;
 }
 
+auto is_runner_leaving(const daemon& self) noexcept -> bool {
+    return std::ranges::any_of(self.m_core.m_leaving_servers, [&self](const auto& each) {
+        return each.second.m_address == self.m_runner && each.second.m_started_ms == self.m_report.m_started_ms;
+    });
+}
+
 auto layer_count(const daemon& self) -> unsigned {
     const auto* const service = self.m_core.m_configuration
                                     ? fleet::find_service(*self.m_core.m_configuration, self.m_core.m_self.m_service)
@@ -160,7 +176,7 @@
 }
 
 auto poll_runner(daemon& self) -> void {
-    if (std::exchange(self.m_report_requested, true)) {
+    if (steady_now() < self.m_runner_paused_until || std::exchange(self.m_report_requested, true)) {
         return;
     }
     self.m_core.m_http.fetch(
@@ -182,6 +198,7 @@
     node::to_wire(self.m_report.m_models, *load.mutable_models());
     load.set_pace(self.m_report.m_slowdown);
     load.set_alive(self.m_runner_alive);
+    load.set_leaving(is_runner_leaving(self));
     const auto now = steady_now();
     auto text = load.SerializeAsString();
     if (!force && text == self.m_last_reported_load &&
@@ -257,7 +274,7 @@
         if (model.m_phase == load_phase::idle && !std::exchange(model.m_staged_adopted, true)) {
             adopt_staged_pieces(self, model);
         }
-        if (model.m_phase != load_phase::fetching) {
+        if (model.m_phase != load_phase::fetching || is_runner_leaving(self)) {
             continue;
         }
         if (model.m_manifest && !model.m_staged_scanned && !std::exchange(model.m_staged_scan_requested, true)) {
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -149,6 +149,10 @@
                                    if (current == nullptr || current->m_phase != load_phase::verifying) {
                                        return;
                                    }
+                                   if (is_runner_leaving(self)) {
+                                       current->m_phase = load_phase::fetching;
+                                       return;
+                                   }
                                    if (corrupt.empty() && valid.size() == current->m_pieces.size()) {
                                        internal::order_load(self, *current);
                                        return;
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -369,6 +369,18 @@
     self.m_boot_clock_offset_known = true;
 }
 
+auto mark_server_leaving(core& self, const std::string_view id, const fleet::leaving_server& server,
+                         const std::string_view source) -> void {
+    if (!fleet::merge_leaving(self.m_leaving_servers, id, server)) {
+        return;
+    }
+    self.m_events.write(
+        "server.leaving",
+        {{"server", id}, {"started", static_cast<std::int64_t>(server.m_started_ms)}, {"source", source}});
+    self.m_counters.add("servers_leaving_total");
+    self.m_handlers.m_on_server(std::string{id});
+}
+
 auto handle_server_removal(core& self, const std::string& id, const std::uint64_t revision) -> void {
     if (!self.m_servers.m_rows.contains(id)) {
         fleet::merge_removal(self.m_servers, id, revision);
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -64,6 +64,7 @@
      * next to that of a newer one. */
     std::vector<fleet::weights_target> m_weights_targets{};
     fleet::server_table m_servers{};
+    fleet::leaving_table m_leaving_servers{};
     fleet::member_table m_members{};
     /*! @brief When the store last sent the operators' keys; bounds the age of keys found by the next listing. */
     time_point m_last_operator_update{duration{1}};
@@ -189,6 +190,11 @@
  * steady clock does not count. */
 auto adjust_for_suspension(core& self) -> void;
 
+/*! @brief Records that an incarnation of a backend server is leaving; the next pulse tells the peers.
+ * @param source Who says so, for the log. */
+auto mark_server_leaving(core& self, std::string_view id, const fleet::leaving_server& server, std::string_view source)
+    -> void;
+
 /*! @brief Removes a backend server. If the store has just become reachable again, the removal is delayed, as the entry
  * may be written again. @param revision Store revision of the removal. */
 auto handle_server_removal(core& self, const std::string& id, std::uint64_t revision) -> void;
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -70,6 +70,18 @@
     return self.m_follows_servers && is_local && is_stable && fingerprint != fleet::fingerprint(self.m_servers);
 }
 
+auto add_leaving_servers(const core& self, wire::fleet::Pulse& out) -> void {
+    for (const auto& [id, server] : self.m_leaving_servers) {
+        const auto row = self.m_servers.m_rows.find(id);
+        if (row != self.m_servers.m_rows.end() && row->second.m_started_ms == server.m_started_ms) {
+            auto* const added = out.add_leaving_servers();
+            added->set_id(id);
+            added->set_started(server.m_started_ms);
+            added->set_address(net::to_string(server.m_address));
+        }
+    }
+}
+
 auto on_pulse(core& self, const std::string_view from, const wire::fleet::Pulse& message) -> void {
     update_member(self, from_wire(message.self()), false);
     const auto now = steady_now();
@@ -79,6 +91,9 @@
     row.m_leaving = message.leaving();
     row.m_reaches_store = message.reaches_store();
     row.m_demand_per_s = message.demand();
+    for (const auto& each : message.leaving_servers()) {
+        mark_server_leaving(self, each.id(), from_wire(each), from);
+    }
     const auto loaders_differ = !self.m_follows_servers && message.loaders() != loaders_digest(self);
     const peer_status status{message.configuration(), message.weights(), servers_differ(self, row, message.servers()),
                              loaders_differ};
@@ -140,6 +155,7 @@
     message.set_servers(fleet::fingerprint(self.m_servers));
     message.set_reaches_store(self.m_store_reachable);
     message.set_loaders(internal::loaders_digest(self));
+    internal::add_leaving_servers(self, message);
     send_to_gateways(self, frame);
     const auto bytes = frame.SerializeAsString();
     for (const auto& [name, row] : self.m_members) {
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -79,6 +79,10 @@
     out.set_revision(value.m_revision);
 }
 
+auto from_wire(const wire::fleet::LeavingServer& value) -> fleet::leaving_server {
+    return {value.started(), internal::endpoint_or_empty(value.address())};
+}
+
 auto from_wire(const wire::fleet::Server& value) -> fleet::backend_server {
     fleet::backend_server out{};
     out.m_id = value.id();
--- a/src/node/wire.hpp
+++ b/src/node/wire.hpp
@@ -16,6 +16,7 @@
 auto to_wire(const fleet::backend_server& value, wire::fleet::Server& out) -> void;
 
 /*! @brief Converts a message to a backend server; an address that is missing or malformed has port 0. */
+[[nodiscard]] auto from_wire(const wire::fleet::LeavingServer& value) -> fleet::leaving_server;
 [[nodiscard]] auto from_wire(const wire::fleet::Server& value) -> fleet::backend_server;
 
 /*! @brief Appends a list of held models to repeated messages. */
--- a/test/adapter/decode.cpp
+++ b/test/adapter/decode.cpp
@@ -86,6 +86,25 @@
     CHECK(decode_weights_target(R"({"model":"m","version":4})")->m_version == 4U);
 }
 
+TEST_CASE("a requested pause is read strictly and is bounded") {
+    CHECK(decode_retry_after("2") == duration{std::chrono::seconds{2}});
+    CHECK(decode_retry_after("0.25") == duration{std::chrono::milliseconds{250}});
+    CHECK(decode_retry_after("0") == duration::zero());
+    CHECK(decode_retry_after("1000000000000") == max_requested_pause);
+    for (const auto* const text :
+         {"", "-1", "+1", " 1", "1 ", "1s", "1e3", "nan", "inf", "0x1", "1,5", "Fri, 04 Dec 2026 09:00:00 GMT"}) {
+        CAPTURE(text);
+        CHECK_FALSE(decode_retry_after(text));
+    }
+}
+
+TEST_CASE("only the value 1 of its header says that a server is leaving") {
+    CHECK(says_leaving({{"server-leaving", "1"}}));
+    CHECK_FALSE(says_leaving({{"Server-Leaving", "0"}}));
+    CHECK_FALSE(says_leaving({{"Server-Leaving", ""}}));
+    CHECK_FALSE(says_leaving({}));
+}
+
 TEST_CASE("gateway addresses are encoded as one flat list") {
     const std::vector<net::endpoint> rows{{"10.0.0.1", 80U}, {"10.0.0.2", 81U}};
     CHECK(encode_addresses(rows, std::chrono::seconds{2}).m_body ==
--- a/test/dispatch/decisions.cpp
+++ b/test/dispatch/decisions.cpp
@@ -77,6 +77,41 @@
     CHECK(pick(rows, required).empty());
 }
 
+TEST_CASE("a leaving backend server is not chosen, and one that wants a pause not before its end") {
+    auto rows = std::vector{make_runner("leaving", 1U), make_runner("paused", 1U)};
+    rows[0].m_leaving = true;
+    rows[1].m_paused_until = now + second;
+    CHECK(pick(rows, {}).empty());
+    rows[1].m_paused_until = now;
+    CHECK(pick(rows, {}) == "paused");
+}
+
+TEST_CASE("a request is told the end of the first pause only if pauses alone keep it from being sent") {
+    auto row = make_runner("a", 1U);
+    row.m_paused_until = now + second;
+    auto other = make_runner("b", 1U);
+    other.m_paused_until = now + 2 * second;
+    const auto wait = [](const std::vector<server_load>& rows, const request_requirements& required) {
+        std::vector<std::shared_ptr<server_load>> shared{};
+        std::ranges::transform(rows, std::back_inserter(shared),
+                               [](const auto& each) { return std::make_shared<server_load>(each); });
+        return time_until_resumed(shared, required, now);
+    };
+    CHECK(wait({row, other}, {}) == second);
+    const std::vector<std::string> tried{"a"};
+    request_requirements retried{};
+    retried.m_tried_servers = tried;
+    CHECK(wait({row, other}, retried) == second);
+    CHECK_FALSE(wait({row, make_runner("c", 1U)}, {}));
+    auto ejected = make_runner("d", 1U);
+    ejected.m_health.m_ejected_until = now + tenth_of_second;
+    CHECK(wait({row, ejected}, {}) == tenth_of_second);
+    CHECK_FALSE(wait({ejected}, {}));
+    row.m_leaving = true;
+    CHECK(wait({row, other}, {}) == 2 * second);
+    CHECK_FALSE(wait({row}, {}));
+}
+
 TEST_CASE("a version counts as held if a runner has all its layers, even while that runner loads weights") {
     std::vector<std::shared_ptr<server_load>> rows{std::make_shared<server_load>(make_runner("a", 1U)),
                                                    std::make_shared<server_load>(make_runner("b", 1U))};
--- a/test/fleet/server.cpp
+++ b/test/fleet/server.cpp
@@ -71,6 +71,19 @@
     }));
 }
 
+TEST_CASE("a server stays leaving until a new incarnation of it starts") {
+    leaving_table table{};
+    CHECK(merge_leaving(table, "a", {10U, {}}));
+    CHECK_FALSE(merge_leaving(table, "a", {10U, {}}));
+    CHECK_FALSE(merge_leaving(table, "a", {9U, {}}));
+    CHECK(is_leaving(table, "a", 10U));
+    CHECK(is_leaving(table, "a", 9U));
+    CHECK_FALSE(is_leaving(table, "a", 11U));
+    CHECK_FALSE(is_leaving(table, "b", 10U));
+    CHECK(merge_leaving(table, "a", {11U, {}}));
+    CHECK(is_leaving(table, "a", 11U));
+}
+
 TEST_CASE("a model is held only with all its layers") {
     std::vector<held_model> models{{"m", 3U, std::nullopt}, {"part", 2U, 8U}};
     CHECK(complete_version(models, "m", 16U) == 3U);
--- a/test/soak/cases.cpp
+++ b/test/soak/cases.cpp
@@ -1,96 +1,14 @@
 #include <algorithm>
 #include <csignal>
-#include <fstream>
-#include <sstream>
 
 #include <doctest/doctest.h>
 
-#include <platform/names.hpp>
-#include <soak/fleet.hpp>
+#include <soak/site_fixture.hpp>
 
 namespace rhubarbwharf::soak {
 
 namespace {
 
-/*! @brief Stand-in site with real daemons and one HTTP client; waits on construction until requests succeed. */
-class site_fixture {
-public:
-    explicit site_fixture(const std::size_t gateways) : m_fleet{m_site, gateways} {
-        REQUIRE(process::wait_until(
-            [this] { return send_request("a1", standin_site::lookup_path, "a").m_status == 200U; }));
-        REQUIRE(
-            process::wait_until([this] { return send_request("a2", standin_site::model_path, "a").m_status == 200U; }));
-    }
-
-    auto start_request(const std::string& attempt, const std::string_view path, const std::string& key)
-        -> std::future<process::call_result> {
-        net::http_request request{};
-        request.m_method = "POST";
-        request.m_target = std::string{path} + "x";
-        request.m_host = standin_site::host_name;
-        request.m_body = "content";
-        request.m_headers = {{std::string{adapter::field::attempt}, attempt},
-                             {"Authorization", "Bearer key-of-" + key},
-                             {std::string{adapter::field::model}, std::string{standin_site::model_name}},
-                             {std::string{adapter::field::deadline}, "3000"}};
-        return m_client.start(m_fleet.daemons()[0].m_caller_address, std::move(request));
-    }
-
-    [[nodiscard]] auto send_request(const std::string& attempt, const std::string_view path, const std::string& key)
-        -> net::http_response {
-        return start_request(attempt, path, key).get().m_response;
-    }
-
-    auto set_server_faults(const standin_site::server_faults& faults) -> void {
-        m_site.run_in_loop([&](standin_site::site& site) {
-            for (auto& each : site.servers()) {
-                each->set_faults(faults);
-            }
-        });
-    }
-
-    /*! @brief Restarts the first gateway with another grace period, and waits until requests succeed again. */
-    auto restart_gateway_with_grace(const std::chrono::milliseconds grace) -> void {
-        const auto& path = m_fleet.daemons()[0].m_settings_path;
-        std::ostringstream text{};
-        text << std::ifstream{path}.rdbuf();
-        auto settings = text.str();
-        const std::string bounds = "\"bounds\": {";
-        settings.insert(settings.find(bounds) + bounds.size(), "\"grace_ms\": " + std::to_string(grace.count()) + ", ");
-        std::ofstream{path} << settings;
-        m_fleet.start_daemon(0U);
-        REQUIRE(
-            process::wait_until([this] { return send_request("a6", standin_site::model_path, "a").m_status == 200U; }));
-    }
-
-    /*! @brief Waits until every runner has loaded a version of the weights. @return False on timeout. */
-    [[nodiscard]] auto wait_until_version_everywhere(const std::uint64_t version) -> bool {
-        return process::wait_until([&] {
-            auto all = true;
-            m_site.run_in_loop([&](standin_site::site& site) {
-                for (std::size_t index = 0U; index < site.options().m_runner_count; ++index) {
-                    all = all && site.servers()[index]->version() == version;
-                }
-            });
-            return all;
-        });
-    }
-
-    [[nodiscard]] auto count_executions(const std::string& attempt) -> unsigned {
-        unsigned out{};
-        m_site.run_in_loop([&](standin_site::site& site) {
-            const auto found = site.observations().m_executions.find(attempt);
-            out = found == site.observations().m_executions.end() ? 0U : found->second;
-            CHECK(site.observations().m_violations.m_lines == std::vector<std::string>{});
-        });
-        return out;
-    }
-
-    standin_site::site m_site{standin_site::site_options{}};
-    fleet m_fleet;
-    process::threaded_http_client m_client{};
-};
-
 [[nodiscard]] auto complete_stream() -> std::string {
     std::string out{};
     for (unsigned index = 1U; index <= standin_site::events_per_stream; ++index) {
