Do not end a stream on a hedge's resumption without events

What callers saw: a stream whose server paused ended as complete after three of twelve events, when the second server ended its resumption without an event.

Cause: the end of the hedge was taken for the end of the stream, and the silent attempt, which had events left, was cancelled.

Change: such an end only counts if the first attempt breaks as well.

--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -199,6 +199,12 @@
         item->m_unrun_hedges += failure.m_not_run ? 1U : 0U;
         return;
     }
+    if (item->m_stream_started && item->m_resumed_to_end) {
+        constexpr std::uint16_t status_ok = 200U;
+        item->m_responder->finish();
+        close_exchange(self, item, status_ok, "answered");
+        return;
+    }
     const auto now = steady_now();
     const auto in_time = now + std::chrono::milliseconds{20} < item->m_deadline;
     auto& budget = self.m_services[item->m_service->m_name].m_retry_budget;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -211,6 +211,9 @@
     const auto is_complete = end.m_code == code::ok && ended->m_head;
     if (!is_complete || (ended->m_is_stream && received.has_partial_event())) {
         on_incomplete_response(self, item, ended, end);
+    } else if (ended == item->m_hedge && item->m_stream_started && ended->m_is_stream) {
+        item->m_resumed_to_end = true;
+        cancel_attempt(self, item, ended, "the resumed stream has no further event");
     } else if (ended->m_is_stream) {
         keep_attempt(self, item, ended);
         finish_stream(self, item);
