Withdraw a hedge of a stream that waits at an outdated version

A hedge, or a resumption, that its runner has not begun could begin on a version that no request may begin on any more, since only requests without a started stream were checked. Found by review; the rule counts runs, so it holds for resumptions too. Not reproduced: no test holds a hedge in a runner's queue over the change of a version.

--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -67,7 +67,7 @@
 [[nodiscard]] auto is_outdated(const daemon& self, const exchange& item, const attempt& current, const time_point now)
     -> bool {
     const auto& service = *item.m_service;
-    if (item.m_stream_started || current.m_head || !service.m_engine ||
+    if (current.m_head || !service.m_engine ||
         item.m_route->m_idempotency != fleet::idempotency::idempotent) {
         return false;
     }
