Count silence as a failure only if another server answers first

What callers saw: after a pause that their servers came back from, further requests were refused for 0.7 s, as both servers of the service were ejected.

Cause: each hedge recorded a failure of the silent server when it was sent, so that three of them ejected it, though its responses still came first.

Change: the failure is recorded when the hedge wins.

--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -111,14 +111,10 @@
     if (!hedge(self, item)) {
         return;
     }
-    auto& backend = *current->m_backend;
     self.m_core.m_events.write("request.hedged", {{"id", item->m_attempt_id},
-                                                  {"silent", backend.m_id},
+                                                  {"silent", current->m_backend->m_id},
                                                   {"silent_ms", to_ms(silence_of(*item, *current, now))},
                                                   {"server", item->m_hedge->m_backend->m_id}});
-    if (dispatch::record_failure(backend.m_health, service_failure_rate(self, backend), now)) {
-        self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
-    }
 }
 
 } // namespace
@@ -184,10 +180,16 @@
 }
 
 auto keep_attempt(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& kept) -> void {
-    if (item->m_hedge) {
-        cancel_attempt(self, item, kept == item->m_hedge ? item->m_attempt : item->m_hedge,
-                       "another server delivered first");
+    if (!item->m_hedge) {
+        return;
+    }
+    const auto loser = kept == item->m_hedge ? item->m_attempt : item->m_hedge;
+    auto& backend = *loser->m_backend;
+    if (loser == item->m_attempt &&
+        dispatch::record_failure(backend.m_health, service_failure_rate(self, backend), steady_now())) {
+        self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
     }
+    cancel_attempt(self, item, loser, "another server delivered first");
 }
 
 auto retry_or_end(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& failed,
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -189,7 +189,8 @@
  * @param reason Reason, for the log. */
 auto cancel_attempts(daemon& self, const std::shared_ptr<exchange>& item, std::string_view reason) -> void;
 
-/*! @brief Cancels the other attempt of an exchange, if any, as this one has delivered. */
+/*! @brief Cancels the other attempt of an exchange, if any, as this one has delivered. If that is the hedge, the server
+ * that was silent until then has failed. */
 auto keep_attempt(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& kept) -> void;
 
 /*! @brief Outcome of an attempt without a response that can be forwarded. */
