Count each server that got a request as an attempt

Now only servers that got no byte do not count, all of them, not just the last one. A stream whose last event has no id, or a request with under 20 ms left, is not hedged, as for retries. A caller's Last-Event-Id is replaced whatever its case. Found by review; tests: test/dispatch/hedge.cpp.

--- a/include/rhubarbwharf/dispatch/hedge.hpp
+++ b/include/rhubarbwharf/dispatch/hedge.hpp
@@ -16,12 +16,17 @@
  * engine. */
 inline constexpr duration plain_response_timeout = std::chrono::milliseconds{180};
 
+/*! @brief Time left below which no further attempt is made. */
+inline constexpr duration min_attempt_time = std::chrono::milliseconds{20};
+
 /*! @brief State of a request whose attempt is in progress. */
 struct pending_response {
     /*! @brief Whether the request may run more than once. */
     bool m_idempotent{false};
     /*! @brief Whether part of a stream has been forwarded to the caller. */
     bool m_stream_started{false};
+    /*! @brief Whether a started stream can be resumed, as its last event had an id. */
+    bool m_resumable{false};
     /*! @brief Whether the head of the response has been received. */
     bool m_head_received{false};
     /*! @brief Whether a hedge is in progress already. */
@@ -32,6 +37,8 @@
     duration m_first_byte_target{};
     /*! @brief Time since the backend server last sent something. */
     duration m_silence{};
+    /*! @brief Time until the deadline of the request. */
+    duration m_time_left{};
     /*! @brief Backend servers that may have run the request. */
     std::size_t m_attempts{};
     /*! @brief Backend servers that may run it, by the route. */
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -39,6 +39,9 @@
     std::string m_value{};
 };
 
+/*! @brief Compares two header names without regard to case. */
+[[nodiscard]] auto is_same_name(std::string_view left, std::string_view right) noexcept -> bool;
+
 /**
  * @brief Finds a header field.
  * @param headers The fields.
--- a/src/dispatch/hedge.cpp
+++ b/src/dispatch/hedge.cpp
@@ -14,9 +14,9 @@
 } // namespace
 
 auto needs_hedge(const pending_response& state) noexcept -> bool {
-    const auto awaits_data = state.m_stream_started || !state.m_head_received;
+    const auto awaits_data = state.m_stream_started ? state.m_resumable : !state.m_head_received;
     return state.m_idempotent && !state.m_hedged && awaits_data && state.m_attempts < state.m_max_attempts &&
-           state.m_silence >= silence_timeout(state);
+           state.m_silence >= silence_timeout(state) && state.m_time_left > min_attempt_time;
 }
 
 } // namespace rhubarbwharf::dispatch
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -30,9 +30,7 @@
     const auto safe = idempotent || (failure.m_not_run && !item.m_may_have_run);
     const auto resumable =
         !item.m_stream_started || (item.m_route->m_resumable && !item.m_events.last_event_id().empty());
-    // A backend server that could not be reached does not count as an attempt.
-    const auto attempts = item.m_tried_servers.size() - item.m_unrun_hedges - (failure.m_sent ? 0U : 1U);
-    return safe && resumable && attempts < item.m_route->m_max_attempts &&
+    return safe && resumable && item.m_tried_servers.size() - item.m_unsent_attempts < item.m_route->m_max_attempts &&
            item.m_tried_servers.size() < max_tried_servers;
 }
 
@@ -101,8 +99,10 @@
     state.m_hedged = item->m_hedge != nullptr;
     state.m_has_engine = item->m_service->m_engine.has_value();
     state.m_first_byte_target = route.m_first_byte_target;
+    state.m_resumable = !item->m_events.last_event_id().empty();
+    state.m_time_left = item->m_deadline - now;
     state.m_silence = std::min(silence_of(*item, *current, now), now - item->m_silence_checked_at);
-    state.m_attempts = item->m_tried_servers.size() - item->m_unrun_hedges;
+    state.m_attempts = item->m_tried_servers.size() - item->m_unsent_attempts;
     state.m_max_attempts = route.m_max_attempts;
     if (item->m_tried_servers.size() >= max_tried_servers || !dispatch::needs_hedge(state)) {
         return;
@@ -197,8 +197,8 @@
     const auto was_hedged = item->m_hedge != nullptr;
     cancel_attempt(self, item, failed, failure.m_reason);
     item->m_may_have_run = item->m_may_have_run || !failure.m_not_run;
+    item->m_unsent_attempts += failure.m_sent ? 0U : 1U;
     if (was_hedged) {
-        item->m_unrun_hedges += failure.m_not_run ? 1U : 0U;
         return;
     }
     if (item->m_stream_started && item->m_resumed_to_end) {
@@ -208,7 +208,7 @@
         return;
     }
     const auto now = steady_now();
-    const auto in_time = now + std::chrono::milliseconds{20} < item->m_deadline;
+    const auto in_time = now + dispatch::min_attempt_time < item->m_deadline;
     auto& budget = self.m_services[item->m_service->m_name].m_retry_budget;
     const auto retries = internal::may_retry(*item, failure) && in_time;
     if (retries && (!failure.m_sent || dispatch::try_acquire_retry(budget, now))) {
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -77,8 +77,8 @@
     std::shared_ptr<attempt> m_attempt{};
     /*! @brief Second attempt, made because `m_attempt` is silent; the first of both that delivers is kept. */
     std::shared_ptr<attempt> m_hedge{};
-    /*! @brief Hedges that were refused or could not be sent, so that they have not run the request. */
-    std::size_t m_unrun_hedges{};
+    /*! @brief Tried backend servers that got no byte of the request, so that they do not count as attempts. */
+    std::size_t m_unsent_attempts{};
     /*! @brief Whether an earlier attempt may have run the request. */
     bool m_may_have_run{false};
     bool m_ended{false};
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -144,8 +144,9 @@
         add(adapter::field::priority, std::to_string(std::min(item.m_priority, 9U)));
     }
     if (item.m_stream_started) {
-        std::erase_if(out.m_headers,
-                      [](const net::header& field) { return field.m_name == adapter::field::last_event; });
+        std::erase_if(out.m_headers, [](const net::header& field) {
+            return net::is_same_name(field.m_name, adapter::field::last_event);
+        });
         add(adapter::field::last_event, item.m_events.last_event_id());
     }
     return out;
--- a/src/net/problem.cpp
+++ b/src/net/problem.cpp
@@ -39,9 +39,13 @@
 
 } // namespace internal
 
+auto is_same_name(const std::string_view left, const std::string_view right) noexcept -> bool {
+    return std::ranges::equal(left, right, internal::same_letter);
+}
+
 auto find(const std::vector<header>& headers, const std::string_view name) noexcept -> std::string_view {
     const auto found = std::ranges::find_if(
-        headers, [name](const header& field) { return std::ranges::equal(field.m_name, name, internal::same_letter); });
+        headers, [name](const header& field) { return is_same_name(field.m_name, name); });
     return found == headers.end() ? std::string_view{} : std::string_view{found->m_value};
 }
 
--- a/test/dispatch/hedge.cpp
+++ b/test/dispatch/hedge.cpp
@@ -12,6 +12,8 @@
     out.m_idempotent = true;
     out.m_stream_started = true;
     out.m_head_received = true;
+    out.m_resumable = true;
+    out.m_time_left = std::chrono::seconds{1};
     out.m_has_engine = true;
     out.m_first_byte_target = std::chrono::milliseconds{400};
     out.m_silence = silence;
@@ -52,6 +54,15 @@
     CHECK_FALSE(needs_hedge(state));
 }
 
+TEST_CASE("a stream that cannot be resumed, or a request without time left, is not hedged") {
+    auto state = silent_stream(event_gap_timeout);
+    state.m_resumable = false;
+    CHECK_FALSE(needs_hedge(state));
+    state = silent_stream(event_gap_timeout);
+    state.m_time_left = min_attempt_time;
+    CHECK_FALSE(needs_hedge(state));
+}
+
 TEST_CASE("a response whose head has been received is awaited") {
     auto state = silent_stream(event_gap_timeout);
     state.m_stream_started = false;
