Pass a server's error on when every other attempt fails

A request whose hedge or retry was sent after a server had answered 5xx got a 502 or 504 of the gateway when the other attempt failed too; the server's own answer was lost. It is kept, and sent instead. Found by review; no test yet.

--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -48,7 +48,7 @@
                           failure.m_reason);
         return;
     }
-    end_with_response(self, item, failure_response(502U, failure.m_reason), failure.m_reason);
+    end_with_response(self, item, give_up_response(*item, 502U, failure.m_reason), failure.m_reason);
 }
 
 /*! @brief Returns the exchanges in progress, so that some of them may end while all are visited. */
@@ -140,6 +140,11 @@
     return response;
 }
 
+auto give_up_response(const exchange& item, const std::uint16_t status, const std::string_view reason)
+    -> net::http_response {
+    return item.m_server_error ? *item.m_server_error : failure_response(status, reason);
+}
+
 namespace {
 
 /*! @brief Removes an attempt from the load of its backend server. */
@@ -231,7 +236,7 @@
     }
     // An earlier attempt may have run, so the response must not state that the request did not run.
     if (item->m_may_have_run && status == 503U) {
-        response = failure_response(502U, reason);
+        response = give_up_response(*item, 502U, reason);
     }
     const auto sent_status = response.m_status;
     item->m_responder->respond(std::move(response));
@@ -280,7 +285,7 @@
 auto end_unanswered(daemon& self, const std::shared_ptr<exchange>& item, const std::string_view reason) -> void {
     const auto may_have_run = item->m_attempt != nullptr || item->m_may_have_run;
     cancel_attempts(self, item, reason);
-    end_with_response(self, item, may_have_run ? failure_response(504U, reason) : refusal_response(503U, reason, {}),
+    end_with_response(self, item, may_have_run ? give_up_response(*item, 504U, reason) : refusal_response(503U, reason, {}),
                       reason);
 }
 
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -81,6 +81,8 @@
     std::size_t m_unsent_attempts{};
     /*! @brief Whether an earlier attempt may have run the request. */
     bool m_may_have_run{false};
+    /*! @brief Error response that a backend server gave to an attempt after which others were tried. */
+    std::optional<net::http_response> m_server_error{};
     bool m_ended{false};
 
     event_stream m_events{};
@@ -240,6 +242,12 @@
  * @param detail Explanation for the caller. */
 [[nodiscard]] auto failure_response(std::uint16_t status, std::string_view detail) -> net::http_response;
 
+/*! @brief Creates the response to a request that may have run and is given up: a backend server's error response if there
+ * is one, else one of the gateway.
+ * @param status 502 or 504, for the latter. */
+[[nodiscard]] auto give_up_response(const exchange& item, std::uint16_t status, std::string_view reason)
+    -> net::http_response;
+
 /*! @brief Enforces deadlines, hedges requests whose backend servers are silent, then dispatches queued requests. */
 auto check_timeouts(daemon& self, time_point now) -> void;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -163,6 +163,7 @@
     if (status >= status_server_error) {
         dispatch::record_failure(health, service_failure_rate(self, *current.m_backend), steady_now());
         if (item->m_hedge) {
+            item->m_server_error = net::http_response{status, current.m_head->m_headers, std::move(current.m_body)};
             item->m_may_have_run = true;
             cancel_attempt(self, item, ended, "server error");
             return;
@@ -170,6 +171,7 @@
         const auto idempotent = item->m_route->m_idempotency == fleet::idempotency::idempotent;
         if (idempotent && item->m_tried_servers.size() < item->m_route->m_max_attempts) {
             if (dispatch::try_acquire_retry(self.m_services[item->m_service->m_name].m_retry_budget, steady_now())) {
+                item->m_server_error = net::http_response{status, current.m_head->m_headers, std::move(current.m_body)};
                 cancel_attempt(self, item, ended, "server error");
                 item->m_may_have_run = true;
                 schedule(self, item);
