End queued requests first when the grace period ends

Ending a request frees its place, and a queued one could be sent there while all were being ended: it got 504 although it need not have run. Found by review; no test yet.

--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -290,7 +290,10 @@
 }
 
 auto end_all_unanswered(daemon& self, const std::string_view reason) -> void {
-    for (const auto& item : internal::list_exchanges(self)) {
+    auto exchanges = internal::list_exchanges(self);
+    // Queued requests end first, so that none of them is sent to a server that becomes free.
+    std::ranges::partition(exchanges, [](const auto& item) { return item->m_attempt == nullptr; });
+    for (const auto& item : exchanges) {
         if (!item->m_ended) {
             end_unanswered(self, item, reason);
         }
