--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -65,8 +65,7 @@
 [[nodiscard]] auto is_outdated(const daemon& self, const exchange& item, const attempt& current, const time_point now)
     -> bool {
     const auto& service = *item.m_service;
-    if (current.m_head || !service.m_engine ||
-        item.m_route->m_idempotency != fleet::idempotency::idempotent) {
+    if (current.m_head || !service.m_engine || item.m_route->m_idempotency != fleet::idempotency::idempotent) {
         return false;
     }
     const auto min_version = node::min_allowed_version(self.m_core, item.m_model, now, node::version_withdrawal_margin);
@@ -285,8 +284,8 @@
 auto end_unanswered(daemon& self, const std::shared_ptr<exchange>& item, const std::string_view reason) -> void {
     const auto may_have_run = item->m_attempt != nullptr || item->m_may_have_run;
     cancel_attempts(self, item, reason);
-    end_with_response(self, item, may_have_run ? give_up_response(*item, 504U, reason) : refusal_response(503U, reason, {}),
-                      reason);
+    end_with_response(
+        self, item, may_have_run ? give_up_response(*item, 504U, reason) : refusal_response(503U, reason, {}), reason);
 }
 
 auto end_all_unanswered(daemon& self, const std::string_view reason) -> void {
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -242,8 +242,8 @@
  * @param detail Explanation for the caller. */
 [[nodiscard]] auto failure_response(std::uint16_t status, std::string_view detail) -> net::http_response;
 
-/*! @brief Creates the response to a request that may have run and is given up: a backend server's error response if there
- * is one, else one of the gateway.
+/*! @brief Creates the response to a request that may have run and is given up: a backend server's error response if
+ * there is one, else one of the gateway.
  * @param status 502 or 504, for the latter. */
 [[nodiscard]] auto give_up_response(const exchange& item, std::uint16_t status, std::string_view reason)
     -> net::http_response;
--- a/src/net/problem.cpp
+++ b/src/net/problem.cpp
@@ -44,8 +44,8 @@
 }
 
 auto find(const std::vector<header>& headers, const std::string_view name) noexcept -> std::string_view {
-    const auto found = std::ranges::find_if(
-        headers, [name](const header& field) { return is_same_name(field.m_name, name); });
+    const auto found =
+        std::ranges::find_if(headers, [name](const header& field) { return is_same_name(field.m_name, name); });
     return found == headers.end() ? std::string_view{} : std::string_view{found->m_value};
 }
 
