Bound bytes that a caller does not take apart from its idle time

What callers saw: a response was cut in the middle when its caller paused for longer than the idle timeout of the configuration, so a configuration with a shorter one cut responses in progress.

Cause: one time, http_limits::m_idle_time, bounded idle connections and each write of a response (session::flush).

Evidence: 'a caller that pauses for longer than the idle time still gets its whole response' failed before: closed after 3,919,872 of 25,165,824 bytes, with an idle time of 200 ms.

Change: http_limits::m_write_time, 60 s, bounds the writes; no configuration moves it. It is the former default.

Why it works: an idle connection has nothing to write, so neither time can end what the other one is for.

--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -76,6 +76,8 @@
     duration m_request_time{std::chrono::seconds{10}};
     /*! @brief Time that an idle connection is kept. */
     duration m_idle_time{std::chrono::seconds{60}};
+    /*! @brief Longest time in which a client takes no byte of a response. */
+    duration m_write_time{std::chrono::seconds{60}};
     /*! @brief Whether a client that has ended its sending side still gets its response; else it counts as gone. */
     bool m_half_close{true};
     /*! @brief Bytes that may wait for a slow reader before its connection is cut. */
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -335,7 +335,7 @@
         return;
     }
     m_writing = true;
-    m_write_deadline = steady_now() + m_owner->m_limits.m_idle_time;
+    m_write_deadline = steady_now() + m_owner->m_limits.m_write_time;
     m_socket.async_write_some(
         m_flight.data(), [self = shared_from_this()](const boost::system::error_code failure, const std::size_t count) {
             self->on_written(failure, count);
--- /dev/null
+++ b/test/net/endings.cpp
@@ -0,0 +1,78 @@
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <thread>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "net/raw.hpp"
+
+using namespace rhubarbwharf;
+using namespace rhubarbwharf::net;
+
+namespace {
+
+constexpr auto short_time = std::chrono::milliseconds{200};
+constexpr auto long_time = std::chrono::minutes{10};
+/*! @brief Longer than `short_time` and the interval at which a server looks for expired connections. */
+constexpr auto past_short_time = std::chrono::milliseconds{700};
+/*! @brief More than the kernel holds between both ends of a connection. */
+constexpr std::size_t large_body_bytes = std::size_t{24} * 1024U * 1024U;
+
+const std::string whole_request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/*! @brief Server that gives each request the same body, and keeps the reason of the last close. */
+struct fixed_server {
+    fixed_server(const http_limits& limits, std::string body)
+        : m_body{std::move(body)}, m_server{m_loop, limits,
+                                            [this](const http_request&, const std::shared_ptr<responder>& answer) {
+                                                ++m_requests;
+                                                answer->respond({200U, {}, m_body});
+                                            }} {
+        m_server.on_connection_closed([this](const close_reason reason) { m_closed = reason; });
+        ensure_listening(m_server);
+    }
+
+    /*! @brief Runs the loop for a time. */
+    auto run_for(const duration time) -> void {
+        const auto end = steady_now() + time;
+        REQUIRE(run_until(m_loop, [end] { return steady_now() >= end; }));
+    }
+
+    loop m_loop{};
+    std::string m_body{};
+    std::size_t m_requests{};
+    std::optional<close_reason> m_closed{};
+    http_server m_server;
+};
+
+[[nodiscard]] auto limits_with_idle_time(const duration idle_time) -> http_limits {
+    http_limits limits{};
+    limits.m_idle_time = idle_time;
+    return limits;
+}
+
+} // namespace
+
+TEST_CASE("a caller that pauses for longer than the idle time still gets its whole response") {
+    fixed_server tried{limits_with_idle_time(short_time), std::string(large_body_bytes, 'x')};
+    raw_connection peer{tried.m_loop, tried.m_server.port()};
+    peer.send(whole_request);
+    REQUIRE(run_until(tried.m_loop, [&] { return tried.m_requests == 1U; }));
+    tried.run_for(past_short_time);
+    CHECK_FALSE(tried.m_closed.has_value());
+    peer.read();
+    REQUIRE(run_until(tried.m_loop, [&] { return peer.m_ended; }));
+    CHECK(peer.m_text.size() > large_body_bytes);
+}
+
+TEST_CASE("a connection whose bytes are not taken in time is closed") {
+    auto limits = limits_with_idle_time(long_time);
+    limits.m_write_time = short_time;
+    fixed_server tried{limits, std::string(large_body_bytes, 'x')};
+    raw_connection peer{tried.m_loop, tried.m_server.port()};
+    peer.send(whole_request);
+    REQUIRE(run_until(tried.m_loop, [&] { return tried.m_closed.has_value(); }));
+    CHECK(tried.m_closed == close_reason::slow_reader);
+}
