End drained connections once their response is taken

What callers saw: nothing by itself; but a stopping gateway could not wait for its callers to take their responses, so it ended while bytes were pending.

Cause: session::drain on an idle connection with pending bytes only forbade to keep it. Its response did not announce the close, and after the last byte the connection stayed open as idle until its idle timeout.

Evidence: 'a drained server ends a connection once its response has been taken' failed before: still open after 60 s, with an idle time of 10 min.

--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -54,7 +54,7 @@
      * @param reason The reason. */
     auto close(close_reason reason) -> void;
 
-    /*! @brief Ends the connection if it is idle, else after the request in progress. */
+    /*! @brief Ends the connection if it is idle, else after the request in progress or its last response. */
     auto drain() -> void;
 
     /*! @brief Acts on a deadline that has passed. @param now The time. */
@@ -97,6 +97,10 @@
     auto flush() -> void;
     auto on_written(boost::system::error_code failure, std::size_t count) -> void;
     auto on_flushed() -> void;
+    /*! @brief Ends the sending side; the connection closes once its client has done so too, or after a time. */
+    auto end_output() -> void;
+    /*! @brief Tells whether bytes have arrived that were not read yet. */
+    [[nodiscard]] auto has_unread_input() const -> bool;
 
     tcp_socket m_socket;
     std::shared_ptr<server_state> m_owner;
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -90,8 +90,7 @@
 
 auto session::drain() -> void {
     m_keep = false;
-    boost::system::error_code ignored{};
-    if (m_phase == phase::idle && m_input.size() == 0U && pending() == 0U && m_socket.available(ignored) == 0U) {
+    if (m_phase == phase::idle && m_input.size() == 0U && pending() == 0U && !has_unread_input()) {
         close(close_reason::drained);
     }
 }
@@ -358,19 +357,31 @@
 
 auto session::on_flushed() -> void {
     if (m_phase == phase::ending && !m_output_ended) {
-        m_output_ended = true;
-        m_deadline = steady_now() + ending_time;
-        boost::system::error_code ignored{};
-        m_socket.shutdown(tcp_socket::shutdown_send, ignored);
-        if (m_input_ended) {
-            close(close_reason::response_ended);
-        }
+        end_output();
     } else if (m_phase == phase::idle) {
         m_deadline = steady_now() + m_owner->m_limits.m_idle_time;
         if (m_input.size() > 0U) {
             advance();
+        } else if (!m_keep && !has_unread_input()) {
+            m_phase = phase::ending;
+            end_output();
         }
     }
 }
 
+auto session::end_output() -> void {
+    m_output_ended = true;
+    m_deadline = steady_now() + ending_time;
+    boost::system::error_code ignored{};
+    m_socket.shutdown(tcp_socket::shutdown_send, ignored);
+    if (m_input_ended) {
+        close(close_reason::response_ended);
+    }
+}
+
+auto session::has_unread_input() const -> bool {
+    boost::system::error_code ignored{};
+    return m_socket.available(ignored) > 0U;
+}
+
 } // namespace rhubarbwharf::net::internal
--- a/test/net/endings.cpp
+++ b/test/net/endings.cpp
@@ -76,3 +76,29 @@
     REQUIRE(run_until(tried.m_loop, [&] { return tried.m_closed.has_value(); }));
     CHECK(tried.m_closed == close_reason::slow_reader);
 }
+
+TEST_CASE("a drained server ends a connection once its response has been taken") {
+    fixed_server tried{limits_with_idle_time(long_time), std::string(large_body_bytes, 'x')};
+    raw_connection peer{tried.m_loop, tried.m_server.port()};
+    peer.send(whole_request);
+    REQUIRE(run_until(tried.m_loop, [&] { return tried.m_requests == 1U; }));
+    tried.m_server.drain();
+    CHECK(tried.m_server.connections() == 1U);
+    peer.read();
+    CHECK(run_until(tried.m_loop, [&] { return peer.m_ended; }));
+    CHECK(peer.m_text.size() > large_body_bytes);
+    CHECK(run_until(tried.m_loop, [&] { return tried.m_server.connections() == 0U; }));
+}
+
+TEST_CASE("a drained server answers a request that was sent before the response was taken") {
+    fixed_server tried{limits_with_idle_time(long_time), std::string(large_body_bytes, 'x')};
+    raw_connection peer{tried.m_loop, tried.m_server.port()};
+    peer.send(whole_request);
+    REQUIRE(run_until(tried.m_loop, [&] { return tried.m_requests == 1U; }));
+    tried.m_server.drain();
+    peer.send(whole_request);
+    peer.read();
+    CHECK(run_until(tried.m_loop, [&] { return peer.m_ended; }));
+    CHECK(tried.m_requests == 2U);
+    CHECK(peer.m_text.size() > 2U * large_body_bytes);
+}
