Read what has arrived before an idle connection is closed

What callers saw: a closed connection instead of a response to a request that had arrived in time, after a gateway had been busy, or paused, across the end of the idle time.

Cause: session::check looked at its own state only. A wake-up of the loop takes 128 events; the timer of the check is among them, requests beyond them are not.

Change: an idle connection with unread bytes is not closed, as drain() did already.

--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -104,7 +104,7 @@
         end_after(problem(code::slow_sender, outcome::not_run, {}, duration::zero()));
     } else if (m_phase == phase::ending) {
         close(close_reason::response_ended);
-    } else if (m_phase == phase::idle && pending() == 0U) {
+    } else if (m_phase == phase::idle && pending() == 0U && !has_unread_input()) {
         close(close_reason::idle);
     }
 }
--- a/test/net/endings.cpp
+++ b/test/net/endings.cpp
@@ -102,3 +102,25 @@
     CHECK(tried.m_requests == 2U);
     CHECK(peer.m_text.size() > 2U * large_body_bytes);
 }
+
+TEST_CASE("requests that have arrived when the idle time ends are answered") {
+    constexpr std::size_t count = 300U;
+    fixed_server tried{limits_with_idle_time(short_time), "whole"};
+    std::vector<std::unique_ptr<raw_connection>> peers{};
+    for (std::size_t index = 0U; index < count; ++index) {
+        peers.push_back(std::make_unique<raw_connection>(tried.m_loop, tried.m_server.port()));
+        peers.back()->read();
+    }
+    REQUIRE(run_until(tried.m_loop, [&] { return tried.m_server.connections() == count; }));
+    // The time ends while the loop is busy, and the requests arrive before the loop goes on.
+    tried.m_loop.post([&] {
+        std::this_thread::sleep_for(past_short_time);
+        for (const auto& each : peers) {
+            each->send(whole_request);
+        }
+    });
+    REQUIRE(run_until(tried.m_loop,
+                      [&] { return std::ranges::all_of(peers, [](const auto& each) { return each->m_ended; }); }));
+    CHECK(tried.m_requests == count);
+    CHECK(std::ranges::all_of(peers, [](const auto& each) { return each->has("whole"); }));
+}
