Apply a longer idle time to connections that are idle already

What callers saw: after a configuration that lengthens the idle timeout, a kept connection was closed by the older, shorter one, while callers reuse connections for up to four fifths of the limit in force.

Cause: the deadline of an idle connection was computed once, from the limits in force when it became idle.

Change: a connection that is idle keeps the longer of the limits in force when it became idle and now. A shorter limit did not end it sooner before either; a case now holds that.

--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -176,7 +176,9 @@
     /*! @brief Ends each connection after its next response, and goes on taking new ones. */
     auto retire() -> void;
 
-    /*! @brief Sets the limits of what arrives from now on. @param limits The limits. */
+    /*! @brief Sets the limits of what arrives from now on. A connection that is idle keeps the longer of both idle
+     * times.
+     * @param limits The limits. */
     auto set_limits(const http_limits& limits) -> void;
 
     /*! @brief Returns the count of open connections. @return The count. */
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -88,6 +88,9 @@
     auto on_input_end(boost::system::error_code failure) -> void;
     auto advance() -> void;
     auto parse() -> bool;
+    auto begin_idle() -> void;
+    /*! @brief Tells whether the idle time is over by the limits in force and nothing is left to read or write. */
+    [[nodiscard]] auto is_idle_time_over(time_point now) const -> bool;
     auto begin_request() -> void;
     auto dispatch() -> void;
     auto reject(boost::system::error_code failure) -> void;
@@ -114,6 +117,7 @@
     close_reason m_close_reason{close_reason::client_left};
     time_point m_deadline{time_point::max()};
     time_point m_write_deadline{time_point::max()};
+    time_point m_idle_since{};
     phase m_phase{phase::idle};
     bool m_reading{};
     bool m_writing{};
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -61,7 +61,7 @@
 }
 
 auto session::start() -> void {
-    m_deadline = steady_now() + m_owner->m_limits.m_idle_time;
+    begin_idle();
     read();
 }
 
@@ -104,11 +104,20 @@
         end_after(problem(code::slow_sender, outcome::not_run, {}, duration::zero()));
     } else if (m_phase == phase::ending) {
         close(close_reason::response_ended);
-    } else if (m_phase == phase::idle && pending() == 0U && !has_unread_input()) {
+    } else if (m_phase == phase::idle && is_idle_time_over(now)) {
         close(close_reason::idle);
     }
 }
 
+auto session::begin_idle() -> void {
+    m_idle_since = steady_now();
+    m_deadline = m_idle_since + m_owner->m_limits.m_idle_time;
+}
+
+auto session::is_idle_time_over(const time_point now) const -> bool {
+    return now >= m_idle_since + m_owner->m_limits.m_idle_time && pending() == 0U && !has_unread_input();
+}
+
 auto session::read() -> void {
     if (m_reading || m_input_ended || m_phase == phase::closed) {
         return;
@@ -308,7 +317,11 @@
 auto session::end_response() -> void {
     m_on_close = nullptr;
     m_phase = m_keep ? phase::idle : phase::ending;
-    m_deadline = m_keep ? steady_now() + m_owner->m_limits.m_idle_time : time_point::max();
+    if (m_keep) {
+        begin_idle();
+    } else {
+        m_deadline = time_point::max();
+    }
     flush();
     advance();
 }
@@ -359,7 +372,7 @@
     if (m_phase == phase::ending && !m_output_ended) {
         end_output();
     } else if (m_phase == phase::idle) {
-        m_deadline = steady_now() + m_owner->m_limits.m_idle_time;
+        begin_idle();
         if (m_input.size() > 0U) {
             advance();
         } else if (!m_keep && !has_unread_input()) {
--- a/test/net/endings.cpp
+++ b/test/net/endings.cpp
@@ -124,3 +124,30 @@
     CHECK(tried.m_requests == count);
     CHECK(std::ranges::all_of(peers, [](const auto& each) { return each->has("whole"); }));
 }
+
+TEST_CASE("a longer idle time holds for connections that are idle already") {
+    fixed_server tried{limits_with_idle_time(short_time), "whole"};
+    raw_connection peer{tried.m_loop, tried.m_server.port()};
+    peer.read();
+    peer.send(whole_request);
+    REQUIRE(run_until(tried.m_loop, [&] { return peer.has("whole"); }));
+    tried.m_server.set_limits(limits_with_idle_time(long_time));
+    tried.run_for(past_short_time);
+    CHECK_FALSE(peer.m_ended);
+    CHECK(tried.m_server.connections() == 1U);
+}
+
+TEST_CASE("a shorter idle time does not hold for connections that were idle before") {
+    fixed_server tried{limits_with_idle_time(long_time), "whole"};
+    raw_connection idle{tried.m_loop, tried.m_server.port()};
+    idle.read();
+    idle.send(whole_request);
+    REQUIRE(run_until(tried.m_loop, [&] { return idle.has("whole"); }));
+    tried.m_server.set_limits(limits_with_idle_time(short_time));
+    tried.run_for(past_short_time);
+    CHECK_FALSE(idle.m_ended);
+    raw_connection later{tried.m_loop, tried.m_server.port()};
+    later.read();
+    CHECK(run_until(tried.m_loop, [&] { return later.m_ended; }));
+    CHECK(tried.m_closed == close_reason::idle);
+}
