Never close a connection whose request has been read

Cause: a read that finds bytes at once ends before its handler runs. Between both, session::drain saw an idle connection without input and without unread bytes, and closed it; the check of the idle time did the same. A new connection reads in this way whenever its request arrives together with it.

Change: an idle connection is ended by cancelling its read. If the read has ended with bytes, they are handled; if it was cancelled, unread bytes are read first; only then the connection closes. Drain, idle time and the end after the last response use the same function.

Why it works: the end of the read is the one place where it is known whether bytes were taken from the socket.

--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -89,8 +89,12 @@
     auto advance() -> void;
     auto parse() -> bool;
     auto begin_idle() -> void;
-    /*! @brief Tells whether the idle time is over by the limits in force and nothing is left to read or write. */
+    /*! @brief Tells whether the idle time is over by the limits in force and nothing is left to write. */
     [[nodiscard]] auto is_idle_time_over(time_point now) const -> bool;
+    /*! @brief Ends an idle connection, unless its read gives a request first.
+     * @param reason The reason; with `response_ended` the client gets time to take its last response. */
+    auto end_unused(close_reason reason) -> void;
+    auto on_read_cancelled(close_reason reason) -> void;
     auto begin_request() -> void;
     auto dispatch() -> void;
     auto reject(boost::system::error_code failure) -> void;
@@ -115,6 +119,8 @@
     out_buffer m_flight{};
     std::function<void(close_reason)> m_on_close{};
     close_reason m_close_reason{close_reason::client_left};
+    /*! @brief Why the connection ends once its read is cancelled. */
+    std::optional<close_reason> m_unused{};
     time_point m_deadline{time_point::max()};
     time_point m_write_deadline{time_point::max()};
     time_point m_idle_since{};
@@ -124,6 +130,7 @@
     bool m_advancing{};
     bool m_input_ended{};
     bool m_keep{true};
+    bool m_drained{};
     bool m_continue_sent{};
     bool m_is_head{};
     bool m_is_chunked{true};
--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -90,8 +90,9 @@
 
 auto session::drain() -> void {
     m_keep = false;
-    if (m_phase == phase::idle && m_input.size() == 0U && pending() == 0U && !has_unread_input()) {
-        close(close_reason::drained);
+    m_drained = true;
+    if (m_phase == phase::idle && m_input.size() == 0U && pending() == 0U) {
+        end_unused(close_reason::drained);
     }
 }
 
@@ -105,7 +106,25 @@
     } else if (m_phase == phase::ending) {
         close(close_reason::response_ended);
     } else if (m_phase == phase::idle && is_idle_time_over(now)) {
-        close(close_reason::idle);
+        end_unused(close_reason::idle);
+    }
+}
+
+auto session::end_unused(const close_reason reason) -> void {
+    m_unused = reason;
+    boost::system::error_code ignored{};
+    m_socket.cancel(ignored);
+}
+
+auto session::on_read_cancelled(const close_reason reason) -> void {
+    if (has_unread_input()) {
+        read();
+    } else if (reason == close_reason::response_ended) {
+        m_phase = phase::ending;
+        end_output();
+        read();
+    } else {
+        close(reason);
     }
 }
 
@@ -115,7 +134,7 @@
 }
 
 auto session::is_idle_time_over(const time_point now) const -> bool {
-    return now >= m_idle_since + m_owner->m_limits.m_idle_time && pending() == 0U && !has_unread_input();
+    return now >= m_idle_since + m_owner->m_limits.m_idle_time && pending() == 0U;
 }
 
 auto session::read() -> void {
@@ -133,6 +152,11 @@
     if (m_phase == phase::closed) {
         return;
     }
+    const auto unused = std::exchange(m_unused, std::nullopt);
+    if (unused && failure == asio::error::operation_aborted) {
+        on_read_cancelled(*unused);
+        return;
+    }
     if (failure) {
         on_input_end(failure);
         return;
@@ -375,9 +399,8 @@
         begin_idle();
         if (m_input.size() > 0U) {
             advance();
-        } else if (!m_keep && !has_unread_input()) {
-            m_phase = phase::ending;
-            end_output();
+        } else if (m_drained) {
+            end_unused(close_reason::response_ended);
         }
     }
 }
--- a/test/net/endings.cpp
+++ b/test/net/endings.cpp
@@ -151,3 +151,15 @@
     CHECK(run_until(tried.m_loop, [&] { return later.m_ended; }));
     CHECK(tried.m_closed == close_reason::idle);
 }
+
+TEST_CASE("a request that was read before the server began to drain is answered") {
+    fixed_server tried{{}, "whole"};
+    raw_connection peer{tried.m_loop, tried.m_server.port()};
+    peer.read();
+    peer.send(whole_request);
+    // The loop takes the connection, reads the request, drains and only then handles what was read.
+    tried.m_loop.after(duration::zero(), [&] { tried.m_server.drain(); });
+    REQUIRE(run_until(tried.m_loop, [&] { return peer.m_ended; }));
+    CHECK(tried.m_requests == 1U);
+    CHECK(peer.has("whole"));
+}
--- a/test/soak/cases.cpp
+++ b/test/soak/cases.cpp
@@ -1,8 +1,13 @@
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <sstream>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 #include <platform/names.hpp>
@@ -91,6 +96,33 @@
     process::threaded_http_client m_client{};
 };
 
+/*! @brief Caller whose connection holds few bytes, so that a response waits in the gateway until the caller reads. */
+class slow_caller {
+public:
+    explicit slow_caller(const net::endpoint& gateway) {
+        constexpr int max_segment_bytes = 536;
+        constexpr int receive_buffer_bytes = 4'096;
+        m_socket.open(boost::asio::ip::tcp::v4());
+        setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &max_segment_bytes, sizeof(int));
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size{receive_buffer_bytes});
+        m_socket.connect({boost::asio::ip::make_address(gateway.m_address), gateway.m_port});
+    }
+
+    auto send(const std::string& text) -> void { boost::asio::write(m_socket, boost::asio::buffer(text)); }
+
+    /*! @brief Reads until the gateway ends the connection. */
+    [[nodiscard]] auto read_all() -> std::string {
+        std::string out{};
+        boost::system::error_code ended{};
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(out), ended);
+        return out;
+    }
+
+private:
+    boost::asio::io_context m_context{};
+    boost::asio::ip::tcp::socket m_socket{m_context};
+};
+
 [[nodiscard]] auto complete_stream() -> std::string {
     std::string out{};
     for (unsigned index = 1U; index <= standin_site::events_per_stream; ++index) {
@@ -224,6 +256,27 @@
     CHECK(gateway.wait() == 0);
 }
 
+TEST_CASE("a gateway that is told to stop waits for a caller that takes its response late") {
+    site_fixture fixture{1U};
+    constexpr std::size_t content_bytes = 60'000U;
+    auto& gateway = *fixture.m_fleet.daemons()[0].m_process;
+    slow_caller caller{fixture.m_fleet.daemons()[0].m_caller_address};
+    caller.send("POST " + std::string{standin_site::model_path} +
+                "x HTTP/1.1\r\nHost: " + std::string{standin_site::host_name} +
+                "\r\nAuthorization: Bearer key-of-b\r\n" + std::string{adapter::field::attempt} + ": b1\r\n" +
+                std::string{adapter::field::model} + ": " + std::string{standin_site::model_name} + "\r\n" +
+                std::string{adapter::field::deadline} + ": 3000\r\nContent-Length: " + std::to_string(content_bytes) +
+                "\r\n\r\n" + std::string(content_bytes, 'x'));
+    REQUIRE(process::wait_until(
+        [&] { return gateway.output().find("\"event\":\"request.ended\",\"id\":\"b1\"") != std::string::npos; }));
+    gateway.send_signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::seconds{5});
+    const auto response = caller.read_all();
+    CHECK(response.size() > standin_site::events_per_stream * content_bytes);
+    CHECK(response.ends_with("\r\n0\r\n\r\n"));
+    CHECK(gateway.wait() == 0);
+}
+
 TEST_CASE("a gateway answers what is unanswered at the end of its grace period") {
     site_fixture fixture{1U};
     fixture.restart_gateway_with_grace(std::chrono::milliseconds{4'000});
