Answer requests that were sent ahead of a close

What callers saw: requests sent one after the other on one connection, without waiting, got one answer and then a closed connection, beside a planned stop.

Cause: a retiring server decided at the arrival of a request that its response would be the last one, and dropped what had been read after it.

Change: the close is decided and announced when a response begins, and only if no further request has arrived. A request in progress when the server retires now announces the close with its response too.

--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -89,7 +89,6 @@
 }
 
 auto session::drain() -> void {
-    m_keep = false;
     m_drained = true;
     if (m_phase == phase::idle && m_input.size() == 0U && pending() == 0U) {
         end_unused(close_reason::drained);
@@ -239,7 +238,7 @@
     m_read_bytes = first_read_bytes;
     auto message = m_parser->release();
     m_parser.reset();
-    m_keep = m_keep && message.keep_alive() && !m_owner->m_draining;
+    m_keep = m_keep && message.keep_alive();
     m_is_head = message.method() == http::verb::head;
     m_is_chunked = message.version() >= http_1_1;
     http_request request{};
@@ -262,6 +261,7 @@
 }
 
 auto session::append_head(const http_response& head, const std::optional<std::size_t> length) -> void {
+    m_keep = m_keep && (!m_owner->m_draining || m_input.size() > 0U || has_unread_input());
     http::response<http::empty_body> message{};
     message.version(http_1_1);
     message.result(head.m_status);
--- a/test/net/endings.cpp
+++ b/test/net/endings.cpp
@@ -163,3 +163,23 @@
     CHECK(tried.m_requests == 1U);
     CHECK(peer.has("whole"));
 }
+
+TEST_CASE("requests that were sent ahead are answered by a server that retires meanwhile") {
+    loop owner{};
+    std::vector<std::string> targets{};
+    http_server server{owner, {}, [&](const http_request& request, const std::shared_ptr<responder>& answer) {
+                           targets.push_back(request.m_target);
+                           answer->respond({200U, {}, "answer to " + request.m_target});
+                       }};
+    ensure_listening(server);
+    raw_connection peer{owner, server.port()};
+    peer.read();
+    server.retire();
+    peer.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\n\r\n");
+    REQUIRE(run_until(owner, [&] { return peer.m_ended; }));
+    CHECK(targets == std::vector<std::string>{"/1", "/2", "/3"});
+    CHECK(peer.has("answer to /3"));
+    CHECK(peer.m_text.find("Connection: close") > peer.m_text.find("answer to /2"));
+    peer.m_socket.close();
+    CHECK(run_until(owner, [&] { return server.connections() == 0U; }));
+}
