Let a stopping gateway wait for its callers to take their responses

What callers saw: beside a planned stop, a response was cut in the middle if its caller took it slowly, although its backend server had delivered it whole.

Cause: the loop ended 150 ms after the last exchange had ended. An exchange ends when its response is queued, not when its caller has taken it.

Evidence: 'a gateway that is told to stop waits for a caller that takes its response late' failed before: 101,835 of 720,000 bytes, no end of the stream.

Change: the gateway stops once it has no exchange and no caller's connection, or at the end of the grace period as before.

A caller that keeps its own side open after the last response makes the stop up to 2 s longer (net's ending time).

--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -14,7 +14,8 @@
 /*! @brief Time after a stop signal during which new requests are still accepted, as callers cache directory responses.
  */
 constexpr duration drain_delay = std::chrono::milliseconds{2'800};
-/*! @brief Time before the end of the grace period at which the gateway stops even if responses are outstanding. */
+/*! @brief Time before the end of the grace period at which the gateway stops even if responses are outstanding or not
+ * yet taken by their callers. */
 constexpr duration grace_period_margin = std::chrono::milliseconds{600};
 /*! @brief Time between the decision to stop and the end of the event loop, in which pending output is sent. */
 constexpr duration flush_delay = std::chrono::milliseconds{150};
@@ -92,7 +93,8 @@
         self.m_caller_server.drain();
     }
     const auto grace = std::chrono::milliseconds{self.m_core.m_settings.m_bounds.m_grace_ms} - grace_period_margin;
-    if (!self.m_exchanges.empty() && now - self.m_leaving_since < grace) {
+    const auto is_drained = self.m_exchanges.empty() && self.m_caller_server.connections() == 0U;
+    if (!is_drained && now - self.m_leaving_since < grace) {
         return;
     }
     self.m_core.m_events.write("gateway.stopped",
