--- a/src/net/session.cpp
+++ b/src/net/session.cpp
@@ -61,7 +61,7 @@
 }
 
 auto session::start() -> void {
-    m_deadline = steady_now() + m_owner->m_limits.m_idle_time;
+    begin_idle();
     read();
 }
 
@@ -89,10 +89,9 @@
 }
 
 auto session::drain() -> void {
-    m_keep = false;
-    boost::system::error_code ignored{};
-    if (m_phase == phase::idle && m_input.size() == 0U && pending() == 0U && m_socket.available(ignored) == 0U) {
-        close(close_reason::drained);
+    m_drained = true;
+    if (m_phase == phase::idle && m_input.size() == 0U && pending() == 0U) {
+        end_unused(close_reason::drained);
     }
 }
 
@@ -105,11 +104,38 @@
         end_after(problem(code::slow_sender, outcome::not_run, {}, duration::zero()));
     } else if (m_phase == phase::ending) {
         close(close_reason::response_ended);
-    } else if (m_phase == phase::idle && pending() == 0U) {
-        close(close_reason::idle);
+    } else if (m_phase == phase::idle && is_idle_time_over(now)) {
+        end_unused(close_reason::idle);
+    }
+}
+
+auto session::end_unused(const close_reason reason) -> void {
+    m_unused = reason;
+    boost::system::error_code ignored{};
+    m_socket.cancel(ignored);
+}
+
+auto session::on_read_cancelled(const close_reason reason) -> void {
+    if (has_unread_input()) {
+        read();
+    } else if (reason == close_reason::response_ended) {
+        m_phase = phase::ending;
+        end_output();
+        read();
+    } else {
+        close(reason);
     }
 }
 
+auto session::begin_idle() -> void {
+    m_idle_since = steady_now();
+    m_deadline = m_idle_since + m_owner->m_limits.m_idle_time;
+}
+
+auto session::is_idle_time_over(const time_point now) const -> bool {
+    return now >= m_idle_since + m_owner->m_limits.m_idle_time && pending() == 0U;
+}
+
 auto session::read() -> void {
     if (m_reading || m_input_ended || m_phase == phase::closed) {
         return;
@@ -125,6 +151,11 @@
     if (m_phase == phase::closed) {
         return;
     }
+    const auto unused = std::exchange(m_unused, std::nullopt);
+    if (unused && failure == asio::error::operation_aborted) {
+        on_read_cancelled(*unused);
+        return;
+    }
     if (failure) {
         on_input_end(failure);
         return;
@@ -207,7 +238,7 @@
     m_read_bytes = first_read_bytes;
     auto message = m_parser->release();
     m_parser.reset();
-    m_keep = m_keep && message.keep_alive() && !m_owner->m_draining;
+    m_keep = m_keep && message.keep_alive();
     m_is_head = message.method() == http::verb::head;
     m_is_chunked = message.version() >= http_1_1;
     http_request request{};
@@ -230,6 +261,7 @@
 }
 
 auto session::append_head(const http_response& head, const std::optional<std::size_t> length) -> void {
+    m_keep = m_keep && (!m_owner->m_draining || m_input.size() > 0U || has_unread_input());
     http::response<http::empty_body> message{};
     message.version(http_1_1);
     message.result(head.m_status);
@@ -309,7 +341,11 @@
 auto session::end_response() -> void {
     m_on_close = nullptr;
     m_phase = m_keep ? phase::idle : phase::ending;
-    m_deadline = m_keep ? steady_now() + m_owner->m_limits.m_idle_time : time_point::max();
+    if (m_keep) {
+        begin_idle();
+    } else {
+        m_deadline = time_point::max();
+    }
     flush();
     advance();
 }
@@ -335,7 +371,7 @@
         return;
     }
     m_writing = true;
-    m_write_deadline = steady_now() + m_owner->m_limits.m_idle_time;
+    m_write_deadline = steady_now() + m_owner->m_limits.m_write_time;
     m_socket.async_write_some(
         m_flight.data(), [self = shared_from_this()](const boost::system::error_code failure, const std::size_t count) {
             self->on_written(failure, count);
@@ -358,19 +394,30 @@
 
 auto session::on_flushed() -> void {
     if (m_phase == phase::ending && !m_output_ended) {
-        m_output_ended = true;
-        m_deadline = steady_now() + ending_time;
-        boost::system::error_code ignored{};
-        m_socket.shutdown(tcp_socket::shutdown_send, ignored);
-        if (m_input_ended) {
-            close(close_reason::response_ended);
-        }
+        end_output();
     } else if (m_phase == phase::idle) {
-        m_deadline = steady_now() + m_owner->m_limits.m_idle_time;
+        begin_idle();
         if (m_input.size() > 0U) {
             advance();
+        } else if (m_drained) {
+            end_unused(close_reason::response_ended);
         }
     }
 }
 
+auto session::end_output() -> void {
+    m_output_ended = true;
+    m_deadline = steady_now() + ending_time;
+    boost::system::error_code ignored{};
+    m_socket.shutdown(tcp_socket::shutdown_send, ignored);
+    if (m_input_ended) {
+        close(close_reason::response_ended);
+    }
+}
+
+auto session::has_unread_input() const -> bool {
+    boost::system::error_code ignored{};
+    return m_socket.available(ignored) > 0U;
+}
+
 } // namespace rhubarbwharf::net::internal
