Let the soak pause servers, change configurations in series and find lost requests

The soak did not cover the incident LOST: no server was silent and healthy, the configuration changed once at a time with one idle timeout, each stop signal came once, and a request that was cut only raised a counter.

- Servers pause 0.8 to 2 s, one or several, in series and overlapping; up to five configurations in a second with other timeouts, routes and idle timeouts, and requests on routes that come and go; stop and reload signals in series; stops of two daemons that overlap.
Actions are scheduled, so that the faults overlap.
- Some requests use a list of gateways up to 2.5 s old; open connections are used until they close.
- Each server records how the stay of each request ended.
A request that ends more than 0.5 s after its deadline is LATE.
- A draining server judges requests by their arrival, not by the end of a pause.

--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -211,7 +211,7 @@
     }
 }
 
-auto server::check_request(const net::http_request& request) -> void {
+auto server::check_request(const net::http_request& request, const time_point arrived_at) -> void {
     const auto attempt = internal::header_value(request, adapter::field::attempt);
     for (const auto& each : request.m_headers) {
         if (m_observations.m_api_keys.contains(each.m_value) || each.m_name == "Authorization") {
@@ -227,17 +227,31 @@
     constexpr duration max_propagation_time = std::chrono::seconds{4};
     const auto draining_known_since = std::max(m_draining_since, m_observations.m_store_reachable_since);
     if (m_draining && draining_known_since != time_point::max() &&
-        steady_now() - draining_known_since > max_propagation_time) {
+        arrived_at - draining_known_since > max_propagation_time) {
         m_observations.m_violations.add(attempt +
                                         " reached a server more than 4 s after every daemon could know that it leaves");
     }
 }
 
 auto server::on_request(const net::http_request& request, const responder_ptr& responder) -> void {
+    const auto attempt = internal::header_value(request, adapter::field::attempt);
+    if (attempt.empty()) {
+        handle_request(request, responder, steady_now());
+        return;
+    }
+    auto stay = std::make_shared<arrival>();
+    stay->m_server = m_options.m_id;
+    stay->m_arrived_at = steady_now();
+    m_observations.m_stays[attempt].push_back(stay);
+    handle_request(request, record_stay(responder, stay, m_alive), stay->m_arrived_at);
+}
+
+auto server::handle_request(const net::http_request& request, const responder_ptr& responder,
+                            const time_point arrived_at) -> void {
     if (steady_now() < m_paused_until) {
-        run_after(duration::zero(), [this, alive = m_alive, request, responder] {
+        run_after(duration::zero(), [this, alive = m_alive, request, responder, arrived_at] {
             if (*alive) {
-                on_request(request, responder);
+                handle_request(request, responder, arrived_at);
             }
         });
         return;
@@ -268,7 +282,7 @@
         m_unanswered.push_back(responder);
         return;
     }
-    check_request(request);
+    check_request(request, arrived_at);
     ++m_observations.m_executions[internal::header_value(request, adapter::field::attempt)];
     if (is_nth_request(m_faults.m_lose_reply_every)) {
         responder->abort();
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "arrivals.hpp"
 #include "store.hpp"
 
 namespace rhubarbwharf::standin_site {
@@ -25,6 +26,8 @@
     std::map<std::string, unsigned> m_executions{};
     /*! @brief Requests received, by server id. */
     std::map<std::string, unsigned> m_arrivals{};
+    /*! @brief Stays of requests at servers, by attempt id. */
+    arrivals m_stays{};
     /*! @brief Time since which every daemon can reach the store; `time_point::max()` while one of them can't. */
     time_point m_store_reachable_since{};
     /*! @brief API keys of the organisations; none of them may be forwarded to a server. */
@@ -109,6 +112,9 @@
     struct stream;
 
     auto on_request(const net::http_request& request, const responder_ptr& responder) -> void;
+    /*! @brief Handles a request when no pause is in progress. */
+    auto handle_request(const net::http_request& request, const responder_ptr& responder, time_point arrived_at)
+        -> void;
     auto on_control(const net::http_request& request, const responder_ptr& responder) -> bool;
     auto on_load_order(const net::http_request& request, const responder_ptr& responder) -> void;
     auto on_stage(const net::http_request& request, const responder_ptr& responder) -> void;
@@ -120,7 +126,7 @@
     auto send_event(const std::shared_ptr<stream>& output) -> void;
     /*! @brief Runs a task after a delay, and not before a pause of the server has ended. */
     auto run_after(duration delay, std::function<void()> task) -> void;
-    auto check_request(const net::http_request& request) -> void;
+    auto check_request(const net::http_request& request, time_point arrived_at) -> void;
     auto publish_entry() -> void;
     [[nodiscard]] auto make_entry() const -> boost::json::object;
 
--- a/app/standin-site/site.cpp
+++ b/app/standin-site/site.cpp
@@ -56,7 +56,7 @@
     for (std::size_t index = 0U; index < m_options.m_runner_count + m_options.m_ledger_count; ++index) {
         m_servers.push_back(make_server(index, false));
     }
-    write_configuration(4'000U, 0U);
+    write_configuration({});
     m_thread = std::thread{[this] {
         m_loop.run();
     }};
@@ -100,14 +100,15 @@
     m_servers[index] = make_server(index, true);
 }
 
-auto site::write_configuration(const unsigned timeout_ms, const unsigned extra_routes) -> std::uint64_t {
+auto site::write_configuration(const configuration_options& options) -> std::uint64_t {
+    const auto timeout_ms = options.m_timeout_ms;
     ++m_configuration_version;
     boost::json::array routes{internal::make_route("model", model_path, "streaming", "llm", timeout_ms),
                               internal::make_route("ledger", ledger_path, "non_idempotent", "book", timeout_ms),
                               internal::make_route("lookup", lookup_path, "idempotent", "book", timeout_ms)};
-    for (unsigned index = 0U; index < extra_routes; ++index) {
+    for (unsigned index = 0U; index < options.m_extra_routes; ++index) {
         routes.push_back(
-            internal::make_route("extra", "/extra/" + std::to_string(index) + "/", "idempotent", "book", 500U));
+            internal::make_route("extra", "/extra/" + std::to_string(index) + "/", "idempotent", "book", timeout_ms));
     }
     const auto version_path = "/version/" + std::to_string(m_configuration_version) + "/";
     routes.push_back(internal::make_route("version", version_path, "idempotent", "book", timeout_ms));
@@ -127,7 +128,7 @@
     const boost::json::object limits{{"max-header-bytes", 16'384},
                                      {"max-body-bytes", 65'536},
                                      {"header-timeout-ms", 3'000},
-                                     {"idle-timeout-ms", 15'000}};
+                                     {"idle-timeout-ms", options.m_idle_timeout_ms}};
     m_store->put("op/config", boost::json::serialize(
                                   boost::json::object{{"version", m_configuration_version},
                                                       {"routes", routes},
--- a/app/standin-site/site.hpp
+++ b/app/standin-site/site.hpp
@@ -35,6 +35,16 @@
     duration m_piece_delay{};
 };
 
+/*! @brief Properties of one version of the configuration. */
+struct configuration_options {
+    /*! @brief Timeout of the routes in milliseconds. */
+    unsigned m_timeout_ms{4'000U};
+    /*! @brief Number of additional routes, with the paths `/extra/0/`, `/extra/1/` and so on. */
+    unsigned m_extra_routes{};
+    /*! @brief Time that gateways keep an idle connection of a caller, in milliseconds. */
+    unsigned m_idle_timeout_ms{15'000U};
+};
+
 /**
  * @brief Complete stand-in platform on its own thread: store, origin, runners and ledgers.
  *
@@ -52,13 +62,8 @@
     /*! @brief Runs a task on the thread of the site and blocks until it has finished. */
     auto run_in_loop(const std::function<void(site&)>& task) -> void;
 
-    /**
-     * @brief Writes the next version of the configuration to the store.
-     * @param timeout_ms Timeout of the routes in milliseconds.
-     * @param extra_routes Number of additional routes without traffic.
-     * @return The version of the configuration.
-     */
-    auto write_configuration(unsigned timeout_ms, unsigned extra_routes) -> std::uint64_t;
+    /*! @brief Writes the next version of the configuration to the store. @return The version. */
+    auto write_configuration(const configuration_options& options) -> std::uint64_t;
 
     /*! @brief Publishes the version of the weights that all runners are to serve. */
     auto set_weights_version(std::uint64_t version) -> void;
--- a/test/soak/clients.cpp
+++ b/test/soak/clients.cpp
@@ -6,10 +6,17 @@
 
 namespace rhubarbwharf::soak {
 
+constexpr duration one_ms = std::chrono::milliseconds{1};
 constexpr duration resolve_interval = std::chrono::milliseconds{500};
 constexpr duration min_pause = std::chrono::milliseconds{5};
 constexpr std::uint64_t pause_spread_ms = 40U;
-constexpr duration request_timeout = std::chrono::milliseconds{3'000};
+/*! @brief Deadline that each request states. */
+constexpr duration request_deadline = std::chrono::milliseconds{3'000};
+constexpr duration max_lateness = std::chrono::milliseconds{500};
+/*! @brief Time after which a client gives up. */
+constexpr duration request_timeout = std::chrono::milliseconds{4'500};
+/*! @brief Interval at which the older list of addresses is replaced by the current one. */
+constexpr duration older_list_interval = std::chrono::milliseconds{2'500};
 
 /*! @brief Properties of one request that determine the expected response. */
 struct clients::request_plan {
@@ -17,6 +24,11 @@
     std::string m_content{};
     bool m_is_stream{false};
     bool m_is_at_most_once{false};
+    /*! @brief Whether the route is missing in some configurations. */
+    bool m_is_extra{false};
+    std::string m_path{};
+    net::endpoint m_gateway{};
+    time_point m_sent_at{};
 };
 
 clients::clients(fleet& daemons, const std::uint64_t seed, const std::size_t count)
@@ -27,6 +39,7 @@
         }
     }
     m_loop.every(resolve_interval, [this] { resolve_addresses(); });
+    m_loop.every(older_list_interval, [this] { m_older_addresses = m_gateway_addresses; });
     for (std::size_t index = 0U; index < count; ++index) {
         m_loop.post([this] { send_next(); });
     }
@@ -82,25 +95,16 @@
         schedule_next();
         return;
     }
-    const auto kind = m_random() % 3U;
-    const std::string organisation{"abc"[m_random() % 3U]};
-    request_plan plan{};
-    plan.m_attempt = organisation + std::to_string(++m_last_attempt_number);
-    plan.m_content = "content-" + plan.m_attempt;
-    plan.m_is_stream = kind == 0U;
-    plan.m_is_at_most_once = kind == 1U;
+    auto plan = make_plan();
     net::http_request request{};
-    request.m_method = kind == 2U ? "GET" : "POST";
-    request.m_target = std::string{plan.m_is_stream         ? standin_site::model_path
-                                   : plan.m_is_at_most_once ? standin_site::ledger_path
-                                                            : standin_site::lookup_path} +
-                       "x";
+    request.m_method = plan.m_content.empty() ? "GET" : "POST";
+    request.m_target = plan.m_path + "x";
     request.m_host = standin_site::host_name;
-    request.m_body = kind == 2U ? std::string{} : plan.m_content;
+    request.m_body = plan.m_content;
     request.m_headers = {{std::string{adapter::field::attempt}, plan.m_attempt},
-                         {"Authorization", "Bearer key-of-" + organisation},
+                         {"Authorization", "Bearer key-of-" + plan.m_attempt.substr(0U, 1U)},
                          {std::string{adapter::field::organisation}, "forged"},
-                         {std::string{adapter::field::deadline}, "3000"}};
+                         {std::string{adapter::field::deadline}, std::to_string(request_deadline / one_ms)}};
     if (plan.m_is_stream) {
         request.m_headers.push_back({std::string{adapter::field::model}, std::string{standin_site::model_name}});
         request.m_headers.push_back({std::string{adapter::field::tokens}, "10,12"});
@@ -113,13 +117,49 @@
     limits.m_total_time = request_timeout;
     limits.m_connect_time = std::chrono::seconds{1};
     limits.m_idle_time = request_timeout;
-    m_http.fetch(m_gateway_addresses[m_random() % m_gateway_addresses.size()], std::move(request), limits,
+    plan.m_gateway = choose_gateway();
+    plan.m_sent_at = steady_now();
+    m_http.fetch(plan.m_gateway, std::move(request), limits,
                  [this, plan, schedule_next](const net::call_end& end, const net::http_response& response) {
+                     check_end(plan, end);
                      check_response(plan, end, response);
                      schedule_next();
                  });
 }
 
+auto clients::make_plan() -> request_plan {
+    constexpr std::uint64_t extra_paths = 8U;
+    request_plan out{};
+    const auto kind = m_random() % 4U;
+    out.m_attempt = std::string{"abc"[m_random() % 3U]} + std::to_string(++m_last_attempt_number);
+    out.m_is_stream = kind == 0U;
+    out.m_is_at_most_once = kind == 1U;
+    out.m_is_extra = kind == 3U;
+    out.m_content = out.m_is_stream || out.m_is_at_most_once ? "content-" + out.m_attempt : std::string{};
+    out.m_path = out.m_is_stream         ? standin_site::model_path
+                 : out.m_is_at_most_once ? standin_site::ledger_path
+                                         : standin_site::lookup_path;
+    if (out.m_is_extra) {
+        out.m_path = "/extra/" + std::to_string(m_random() % extra_paths) + "/";
+    }
+    return out;
+}
+
+auto clients::choose_gateway() -> net::endpoint {
+    const auto uses_older_list = m_random() % 3U == 0U && !m_older_addresses.empty();
+    const auto& addresses = uses_older_list ? m_older_addresses : m_gateway_addresses;
+    return addresses[m_random() % addresses.size()];
+}
+
+auto clients::check_end(const request_plan& plan, const net::call_end& end) -> void {
+    const auto now = steady_now();
+    const auto is_late = now - plan.m_sent_at > request_deadline + max_lateness;
+    if (end.m_sent == net::sent::some && (is_late || end.m_code != code::ok)) {
+        m_statistics.m_suspects.push_back(
+            {plan.m_attempt, plan.m_gateway, plan.m_sent_at, now, is_late, end.m_code == code::cut_stream});
+    }
+}
+
 auto clients::check_response(const request_plan& plan, const net::call_end& end, const net::http_response& response)
     -> void {
     if (end.m_code != code::ok) {
@@ -132,6 +172,10 @@
         m_statistics.m_refused_attempts.push_back(plan.m_attempt);
         return;
     }
+    if (response.m_status == 404U && plan.m_is_extra) {
+        ++m_statistics.m_refused;
+        return;
+    }
     if (response.m_status == 404U || response.m_status == 401U || response.m_status == 400U) {
         m_statistics.m_violations.add(plan.m_attempt + " was denied with status " + std::to_string(response.m_status));
     }
--- a/test/soak/clients.hpp
+++ b/test/soak/clients.hpp
@@ -12,6 +12,17 @@
 
 namespace rhubarbwharf::soak {
 
+/*! @brief Request that ended without a complete response, or too late. */
+struct suspect_request {
+    std::string m_attempt{};
+    net::endpoint m_gateway{};
+    time_point m_sent_at{};
+    time_point m_ended_at{};
+    bool m_is_late{false};
+    /*! @brief Whether the head of a response had arrived. */
+    bool m_had_head{false};
+};
+
 /*! @brief Requests of all clients by result, and violations that the clients detected. */
 struct client_statistics {
     std::size_t m_sent{};
@@ -24,13 +35,16 @@
     std::vector<std::string> m_refused_attempts{};
     /*! @brief Ids of the attempts that may run at most once. */
     std::vector<std::string> m_at_most_once_attempts{};
+    /*! @brief Requests of which bytes may have reached the gateway and that were cut or ended too late. */
+    std::vector<suspect_request> m_suspects{};
     standin_site::violations m_violations{};
 };
 
 /**
  * @brief Concurrent clients on one thread, which send requests of all kinds and check the responses.
  *
- * They obtain the gateway addresses from the gateways' directory.
+ * They obtain the gateway addresses from the gateways' directory; some requests use an older list of addresses, and
+ * open connections are used until they close.
  */
 class clients {
 public:
@@ -55,6 +69,10 @@
 
     auto resolve_addresses() -> void;
     auto send_next() -> void;
+    [[nodiscard]] auto make_plan() -> request_plan;
+    [[nodiscard]] auto choose_gateway() -> net::endpoint;
+    /*! @brief Records a request that was cut or is late. */
+    auto check_end(const request_plan& plan, const net::call_end& end) -> void;
     auto check_response(const request_plan& plan, const net::call_end& end, const net::http_response& response) -> void;
 
     fleet& m_fleet;
@@ -63,6 +81,7 @@
     net::http_client m_http{m_loop};
     std::vector<net::endpoint> m_directory_addresses{};
     std::vector<net::endpoint> m_gateway_addresses{};
+    std::vector<net::endpoint> m_older_addresses{};
     client_statistics m_statistics{};
     std::uint64_t m_last_attempt_number{};
     std::size_t m_active_clients{};
--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -1,5 +1,6 @@
 #include <soak/fleet.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 namespace rhubarbwharf::soak {
@@ -93,10 +94,29 @@
 
 auto fleet::start_daemon(const std::size_t index) -> void {
     auto& each = m_daemons[index];
+    disturbance start{steady_now()};
     each.m_process.reset();
     each.m_process = std::make_unique<process::child_process>(
         process::program_path("rhubarbwharfd"), std::vector<std::string>{"--config", each.m_settings_path},
         m_directory.path(each.m_name + ".log"));
+    start.m_to = steady_now();
+    for (auto& earlier : each.m_disturbances) {
+        earlier.m_to = std::min(earlier.m_to, start.m_to);
+    }
+    each.m_disturbances.push_back(start);
+}
+
+auto fleet::send_signal(const std::size_t index, const int signal_number) -> void {
+    auto& each = m_daemons[index];
+    if (signal_number == SIGKILL || signal_number == SIGSTOP) {
+        each.m_disturbances.push_back({steady_now()});
+    }
+    each.m_process->send_signal(signal_number);
+    if (signal_number == SIGCONT) {
+        for (auto& earlier : each.m_disturbances) {
+            earlier.m_to = std::min(earlier.m_to, steady_now());
+        }
+    }
 }
 
 auto fleet::set_store_link_fault(const std::size_t index, const link_fault fault) -> void {
--- a/test/soak/fleet.hpp
+++ b/test/soak/fleet.hpp
@@ -10,6 +10,12 @@
 
 namespace rhubarbwharf::soak {
 
+/*! @brief Time in which the soak had killed or frozen a daemon, or was starting it. */
+struct disturbance {
+    time_point m_from{};
+    time_point m_to{time_point::max()};
+};
+
 /*! @brief One daemon, with its own proxy to the store. */
 struct daemon {
     std::string m_name{};
@@ -19,6 +25,7 @@
     net::endpoint m_directory_address{};
     std::unique_ptr<proxy> m_store_proxy{};
     std::unique_ptr<process::child_process> m_process{};
+    std::vector<disturbance> m_disturbances{};
 
     [[nodiscard]] auto is_gateway() const noexcept -> bool { return m_caller_address.m_port != 0U; }
 };
@@ -37,6 +44,9 @@
     /*! @brief Restarts a daemon with its settings; kills it first if it runs. */
     auto start_daemon(std::size_t index) -> void;
 
+    /*! @brief Sends a signal to a daemon and records the disturbance that it causes. */
+    auto send_signal(std::size_t index, int signal_number) -> void;
+
     /*! @brief Sets the fault of the connections from a daemon to the store. */
     auto set_store_link_fault(std::size_t index, link_fault fault) -> void;
 
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -2,11 +2,12 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <set>
 
 #include <doctest/doctest.h>
 
-#include <soak/clients.hpp>
+#include <soak/losses.hpp>
 
 namespace rhubarbwharf::soak {
 
@@ -28,10 +29,16 @@
 
     auto execute(const std::chrono::seconds length) -> void {
         std::this_thread::sleep_for(std::chrono::seconds{3});
-        const auto end = std::chrono::steady_clock::now() + length;
-        while (std::chrono::steady_clock::now() < end) {
-            inject_random_fault();
-            std::this_thread::sleep_for(std::chrono::milliseconds{100 + m_random() % 500U});
+        const auto end = steady_now() + length;
+        auto next_fault_at = steady_now();
+        while (steady_now() < end) {
+            if (steady_now() >= next_fault_at) {
+                inject_random_fault();
+                start_some_exited_daemons();
+                next_fault_at = steady_now() + random_duration(100U, 500U);
+            }
+            run_due_actions();
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
         }
         clear_faults();
         check_invariants();
@@ -39,7 +46,7 @@
 
 private:
     auto inject_random_fault() -> void {
-        constexpr std::uint64_t kinds = 10U;
+        constexpr std::uint64_t kinds = 16U;
         switch (m_random() % kinds) {
         case 0U:
             return signal_random_daemon(SIGTERM);
@@ -58,16 +65,114 @@
         case 7U:
             return drain_or_restart_server();
         case 8U:
-            return run_in_site_loop([this](standin_site::site& site) {
-                m_configuration_version = site.write_configuration(3'000U + static_cast<unsigned>(m_random() % 1'000U),
-                                                                   static_cast<unsigned>(m_random() % 300U));
-            });
+            return change_configuration(1U);
+        case 9U:
+        case 10U:
+            return change_configuration(2U + m_random() % 4U);
+        case 11U:
+        case 12U:
+            return pause_servers();
+        case 13U:
+            return send_signal_series();
+        case 14U:
+            return stop_two_daemons();
         default:
             return run_in_site_loop(
                 [this](standin_site::site& site) { site.set_weights_version(++m_weights_version); });
         }
     }
 
+    [[nodiscard]] auto random_duration(const unsigned min_ms, const unsigned spread_ms) -> duration {
+        return std::chrono::milliseconds{min_ms + m_random() % spread_ms};
+    }
+
+    /*! @brief Schedules an action, so that the actions of several faults overlap. */
+    auto run_after(const duration delay, std::function<void()> action) -> void {
+        m_actions.emplace(steady_now() + delay, std::move(action));
+    }
+
+    auto run_due_actions() -> void {
+        while (!m_actions.empty() && m_actions.begin()->first <= steady_now()) {
+            m_actions.extract(m_actions.begin()).mapped()();
+        }
+    }
+
+    /*! @brief Writes some versions of the configuration within a second. */
+    auto change_configuration(const std::uint64_t count) -> void {
+        constexpr auto timeouts_ms = std::to_array<unsigned>({2'500U, 3'000U, 4'000U});
+        constexpr auto route_counts = std::to_array<unsigned>({0U, 4U, 8U, 300U});
+        constexpr auto idle_timeouts_ms = std::to_array<unsigned>({15'000U, 2'000U, 6'000U});
+        duration delay{};
+        for (std::uint64_t index = 0U; index < count; ++index) {
+            standin_site::configuration_options options{};
+            options.m_timeout_ms = timeouts_ms[m_random() % timeouts_ms.size()];
+            options.m_extra_routes = route_counts[m_random() % route_counts.size()];
+            options.m_idle_timeout_ms = idle_timeouts_ms[m_random() % idle_timeouts_ms.size()];
+            m_shortest_timeout =
+                std::min<duration>(m_shortest_timeout, std::chrono::milliseconds{options.m_timeout_ms});
+            run_after(delay, [this, options] {
+                run_in_site_loop(
+                    [&](standin_site::site& site) { m_configuration_version = site.write_configuration(options); });
+            });
+            delay += random_duration(20U, 180U);
+        }
+    }
+
+    /*! @brief Pauses servers one to three times; the pauses may overlap. */
+    auto pause_servers() -> void {
+        duration delay{};
+        for (auto rounds = 1U + m_random() % 3U; rounds > 0U; --rounds) {
+            const auto chosen = 1U + m_random() % ((1U << server_count) - 1U);
+            for (std::size_t index = 0U; index < server_count; ++index) {
+                if ((chosen >> index & 1U) != 0U) {
+                    const auto length = random_duration(800U, 1'201U);
+                    run_after(delay, [this, index, length] {
+                        run_in_site_loop([&](standin_site::site& site) { site.servers()[index]->pause(length); });
+                    });
+                }
+            }
+            delay += random_duration(100U, 2'000U);
+        }
+    }
+
+    /*! @brief Sends a series of stop and reload signals to one daemon, which may be draining already. */
+    auto send_signal_series() -> void {
+        static const std::vector<std::vector<int>> patterns{{SIGTERM, SIGTERM},
+                                                            {SIGTERM, SIGHUP},
+                                                            {SIGTERM, SIGTERM, SIGTERM},
+                                                            {SIGHUP, SIGHUP, SIGHUP},
+                                                            {SIGHUP, SIGTERM, SIGHUP, SIGTERM}};
+        const auto index = m_random() % m_fleet.daemons().size();
+        duration delay{};
+        for (const auto signal_number : patterns[m_random() % patterns.size()]) {
+            run_after(delay, [this, index, signal_number] { signal_daemon(index, signal_number); });
+            delay += random_duration(30U, 300U);
+        }
+    }
+
+    /*! @brief Stops two daemons, the second one while the first one drains. */
+    auto stop_two_daemons() -> void {
+        const auto count = m_fleet.daemons().size();
+        const auto first = m_random() % count;
+        const auto second = (first + 1U + m_random() % (count - 1U)) % count;
+        signal_daemon(first, SIGTERM);
+        run_after(random_duration(50U, 800U), [this, second] { signal_daemon(second, SIGTERM); });
+    }
+
+    auto signal_daemon(const std::size_t index, const int signal_number) -> void {
+        if (m_fleet.daemons()[index].m_process->is_running()) {
+            m_fleet.send_signal(index, signal_number);
+        }
+    }
+
+    auto start_some_exited_daemons() -> void {
+        for (std::size_t index = 0U; index < m_fleet.daemons().size(); ++index) {
+            if (!m_fleet.daemons()[index].m_process->is_running() && m_random() % 2U == 0U) {
+                m_fleet.start_daemon(index);
+            }
+        }
+    }
+
     auto run_in_site_loop(const std::function<void(standin_site::site&)>& task) -> void { m_site.run_in_loop(task); }
 
     auto signal_random_daemon(const int signal_number) -> void {
@@ -77,10 +182,9 @@
             m_fleet.start_daemon(index);
             return;
         }
-        daemons[index].m_process->send_signal(signal_number);
+        m_fleet.send_signal(index, signal_number);
         if (signal_number == SIGSTOP) {
-            std::this_thread::sleep_for(std::chrono::milliseconds{200 + m_random() % 1'500U});
-            daemons[index].m_process->send_signal(SIGCONT);
+            run_after(random_duration(200U, 1'500U), [this, index] { m_fleet.send_signal(index, SIGCONT); });
         }
     }
 
@@ -146,6 +250,7 @@
     }
 
     auto clear_faults() -> void {
+        m_actions.clear();
         run_in_site_loop([this](standin_site::site& site) {
             site.key_value_store().set_faults({});
             for (std::size_t index = 0U; index < server_count; ++index) {
@@ -154,13 +259,13 @@
                     site.restart_server(index);
                 }
             }
-            m_configuration_version = site.write_configuration(3'000U, 0U);
+            m_configuration_version = site.write_configuration({});
             site.set_weights_version(++m_weights_version);
         });
         auto& daemons = m_fleet.daemons();
         for (std::size_t index = 0U; index < daemons.size(); ++index) {
             m_fleet.set_store_link_fault(index, link_fault::none);
-            daemons[index].m_process->send_signal(SIGCONT);
+            m_fleet.send_signal(index, SIGCONT);
         }
         m_faulty_store_links.clear();
         m_store_faulty = false;
@@ -209,6 +314,9 @@
         for (const auto& line : statistics.m_violations.m_lines) {
             FAIL_CHECK(line);
         }
+        for (const auto& line : find_losses(statistics, m_fleet.daemons(), m_site, m_shortest_timeout)) {
+            FAIL_CHECK(line);
+        }
         CHECK(statistics.m_answered > statistics.m_sent / 4U);
         std::cout << "{\"seed\":" << m_seed << ",\"sent\":" << statistics.m_sent
                   << ",\"answered\":" << statistics.m_answered << ",\"refused\":" << statistics.m_refused
@@ -248,9 +356,12 @@
     standin_site::site m_site{standin_site::site_options{}};
     fleet m_fleet;
     clients m_clients;
+    std::multimap<time_point, std::function<void()>> m_actions{};
     std::set<std::size_t> m_faulty_store_links{};
     bool m_store_faulty{false};
     std::uint64_t m_configuration_version{1U};
+    /*! @brief Shortest timeout of the routes in any configuration, and of the requests themselves. */
+    duration m_shortest_timeout{std::chrono::seconds{3}};
     std::uint64_t m_weights_version{1U};
 };
 
