Say why a program of a test cannot be started

What was seen: once, test_soak ended before its first assertion, with 'test cases: 1 | 0 passed | 1 failed' and 0 assertions.

Cause of that signature: an exception in the constructor of fleet, whose thread runs already, ends the program with std::terminate, so that neither the test's error nor the tests after it are reported. A daemon that cannot be started gives exactly this output: RHUBARBWHARF_BIN unset does, each time. What kept the daemon from starting in the run that was seen is not known. A port that another process has taken does not fit: the daemon then starts and exits, and the fixture fails an assertion after its wait of 60 s.

Change: the fleet stops its thread before the exception goes on; the message has the system's error.

Measured: without RHUBARBWHARF_BIN both cases now report 'failed to start ./rhubarbwharfd: No such file or directory'; with the program open for writing, 'Text file busy'.

--- a/test/process/process.cpp
+++ b/test/process/process.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -46,7 +47,7 @@
     const auto error = posix_spawn(&pid, program.c_str(), &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
-        throw std::runtime_error{"failed to start " + program};
+        throw std::runtime_error{"failed to start " + program + ": " + std::strerror(error)};
     }
     return pid;
 }
--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -33,12 +33,21 @@
     for (std::size_t index = 0U; index < runners.size(); ++index) {
         add_daemon("loader-" + std::to_string(index), runners[index]);
     }
-    for (std::size_t index = 0U; index < m_daemons.size(); ++index) {
-        start_daemon(index);
+    try {
+        for (std::size_t index = 0U; index < m_daemons.size(); ++index) {
+            start_daemon(index);
+        }
+    } catch (...) {
+        stop();
+        throw;
     }
 }
 
 fleet::~fleet() {
+    stop();
+}
+
+auto fleet::stop() -> void {
     for (auto& each : m_daemons) {
         each.m_process.reset();
     }
--- a/test/soak/fleet.hpp
+++ b/test/soak/fleet.hpp
@@ -56,6 +56,8 @@
     [[nodiscard]] auto logs() const -> std::string;
 
 private:
+    /*! @brief Ends the daemons, the proxies and their thread. */
+    auto stop() -> void;
     auto run_in_proxy_loop(const std::function<void()>& task) -> void;
     /*! @brief Adds a loader for the runner, or a gateway if the port of the runner is 0. */
     auto add_daemon(const std::string& name, const net::endpoint& runner) -> void;
