--- a/test/soak/losses.cpp
+++ b/test/soak/losses.cpp
@@ -53,20 +53,24 @@
 } // namespace
 
 auto find_losses(const client_statistics& statistics, const std::vector<daemon>& daemons, standin_site::site& platform,
-                 const duration shortest_timeout) -> std::vector<std::string> {
+                 const duration shortest_timeout) -> loss_report {
     standin_site::arrivals arrived{};
     platform.run_in_loop([&](standin_site::site& site) { arrived = site.observations().m_stays; });
-    std::vector<std::string> out{};
+    loss_report out{};
     for (const auto& each : statistics.m_suspects) {
         const auto gateway = std::ranges::find(daemons, each.m_gateway, &daemon::m_caller_address);
         const auto& at_servers = arrived[each.m_attempt];
         const auto took = each.m_ended_at - each.m_sent_at;
-        const auto is_excused =
-            was_disturbed(each, *gateway) ||
-            (!each.m_is_late && ((at_servers.empty() && took <= loss_slack) || was_broken_off(at_servers) ||
-                                 (each.m_had_head && took >= shortest_timeout)));
-        if (!is_excused) {
-            out.push_back(describe(each, gateway->m_name, at_servers));
+        if (was_disturbed(each, *gateway)) {
+            ++out.m_disturbed;
+        } else if (!each.m_is_late && at_servers.empty() && took <= loss_slack) {
+            ++out.m_crossed;
+        } else if (!each.m_is_late && was_broken_off(at_servers)) {
+            ++out.m_broken_off;
+        } else if (!each.m_is_late && each.m_had_head && took >= shortest_timeout) {
+            ++out.m_timed_out;
+        } else {
+            out.m_lines.push_back(describe(each, gateway->m_name, at_servers));
         }
     }
     return out;
--- a/test/soak/losses.hpp
+++ b/test/soak/losses.hpp
@@ -7,6 +7,16 @@
 
 namespace rhubarbwharf::soak {
 
+/*! @brief Requests that were cut or late, by reason. */
+struct loss_report {
+    /*! @brief One line for each request that was lost or late without an excuse. */
+    std::vector<std::string> m_lines{};
+    std::size_t m_disturbed{};
+    std::size_t m_crossed{};
+    std::size_t m_broken_off{};
+    std::size_t m_timed_out{};
+};
+
 /**
  * @brief Finds the requests that gateways lost, or answered more than 0.5 s after their deadline.
  *
@@ -20,9 +30,9 @@
  * @param daemons Daemons with the disturbances that the soak caused.
  * @param platform Site with the servers' records of the requests.
  * @param shortest_timeout Shortest timeout that any configuration, or the request itself, allows.
- * @return One line for each request.
+ * @return The requests that were found, and how many were excused for which reason.
  */
 [[nodiscard]] auto find_losses(const client_statistics& statistics, const std::vector<daemon>& daemons,
-                               standin_site::site& platform, duration shortest_timeout) -> std::vector<std::string>;
+                               standin_site::site& platform, duration shortest_timeout) -> loss_report;
 
 } // namespace rhubarbwharf::soak
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -314,13 +314,17 @@
         for (const auto& line : statistics.m_violations.m_lines) {
             FAIL_CHECK(line);
         }
-        for (const auto& line : find_losses(statistics, m_fleet.daemons(), m_site, m_shortest_timeout)) {
+        const auto losses = find_losses(statistics, m_fleet.daemons(), m_site, m_shortest_timeout);
+        for (const auto& line : losses.m_lines) {
             FAIL_CHECK(line);
         }
         CHECK(statistics.m_answered > statistics.m_sent / 4U);
         std::cout << "{\"seed\":" << m_seed << ",\"sent\":" << statistics.m_sent
                   << ",\"answered\":" << statistics.m_answered << ",\"refused\":" << statistics.m_refused
-                  << ",\"failed\":" << statistics.m_failed << ",\"cut\":" << statistics.m_cut << "}" << std::endl;
+                  << ",\"failed\":" << statistics.m_failed << ",\"cut\":" << statistics.m_cut
+                  << ",\"lost_or_late\":" << losses.m_lines.size() << ",\"disturbed\":" << losses.m_disturbed
+                  << ",\"crossed\":" << losses.m_crossed << ",\"broken_off\":" << losses.m_broken_off
+                  << ",\"timed_out\":" << losses.m_timed_out << "}" << std::endl;
         if (const auto* const file = std::getenv("SOAK_LOG")) {
             std::ofstream{file} << m_fleet.logs();
         }
