Let servers of the soak pause in the middle of their output

Servers send each event, and every second plain response, in two parts; a pause may fall between them, as if bytes were held on the way.

--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -301,10 +301,30 @@
     run_after(delay_before(1U), [this, alive = m_alive, attempt, responder] {
         if (*alive) {
             --m_running_requests;
-            responder->respond({internal::ok,
-                                {{std::string{adapter::field::attempt}, attempt},
-                                 {std::string{adapter::field::signature}, "seal-" + attempt}},
-                                plain_server_body(attempt)});
+            send_plain_response(attempt, responder);
+        }
+    });
+}
+
+auto server::send_plain_response(const std::string& attempt, const responder_ptr& responder) -> void {
+    net::http_response response{
+        internal::ok,
+        {{std::string{adapter::field::attempt}, attempt}, {std::string{adapter::field::signature}, "seal-" + attempt}},
+        plain_server_body(attempt)};
+    if (!m_options.m_split_output || m_request_count % 2U == 0U) {
+        responder->respond(std::move(response));
+        return;
+    }
+    const auto body = std::exchange(response.m_body, {});
+    const auto first_size = body.size() / 2U;
+    responder->start(std::move(response));
+    responder->write(std::string_view{body}.substr(0U, first_size));
+    run_after(m_options.m_step_duration, [alive = m_alive, responder, rest = body.substr(first_size)] {
+        if (*alive) {
+            responder->write(rest);
+            responder->finish();
+        } else {
+            responder->abort();
         }
     });
 }
@@ -359,7 +379,24 @@
         --m_running_requests;
         return;
     }
-    output->m_responder->write(text);
+    if (!m_options.m_split_output) {
+        output->m_responder->write(text);
+        finish_event(output);
+        return;
+    }
+    const auto first_size = text.size() / 2U;
+    output->m_responder->write(std::string_view{text}.substr(0U, first_size));
+    run_after(m_options.m_step_duration / 2, [this, alive = m_alive, output, rest = text.substr(first_size)] {
+        if (*alive) {
+            output->m_responder->write(rest);
+            finish_event(output);
+        } else {
+            output->m_responder->abort();
+        }
+    });
+}
+
+auto server::finish_event(const std::shared_ptr<stream>& output) -> void {
     if (output->m_next_event++ == events_per_stream) {
         output->m_responder->finish();
         --m_running_requests;
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -65,6 +65,8 @@
     std::size_t m_piece_count{};
     /*! @brief Execution time of a plain request, and the interval between two events of a stream. */
     duration m_step_duration{std::chrono::milliseconds{5}};
+    /*! @brief Whether events and every second plain response are sent in two parts, between which a pause may fall. */
+    bool m_split_output{false};
 };
 
 /*! @brief Stand-in for one backend server: a model runner, or a plain server if it has no model. */
@@ -124,6 +126,8 @@
     /*! @brief Returns the time until an event of a response is sent. */
     [[nodiscard]] auto delay_before(unsigned event) const -> duration;
     auto send_event(const std::shared_ptr<stream>& output) -> void;
+    auto finish_event(const std::shared_ptr<stream>& output) -> void;
+    auto send_plain_response(const std::string& attempt, const responder_ptr& responder) -> void;
     /*! @brief Runs a task after a delay, and not before a pause of the server has ended. */
     auto run_after(duration delay, std::function<void()> task) -> void;
     auto check_request(const net::http_request& request, time_point arrived_at) -> void;
--- a/app/standin-site/site.cpp
+++ b/app/standin-site/site.cpp
@@ -80,6 +80,7 @@
     server_options new_options{};
     new_options.m_id = "server-" + std::to_string(index) + "-" + std::to_string(m_incarnation_count++);
     new_options.m_data_centre = "dc-1";
+    new_options.m_split_output = m_options.m_split_output;
     new_options.m_service = index < m_options.m_runner_count ? "llm" : "book";
     if (index < m_options.m_runner_count) {
         new_options.m_model = model_name;
--- a/app/standin-site/site.hpp
+++ b/app/standin-site/site.hpp
@@ -18,6 +18,8 @@
     std::size_t m_ledger_count{2};
     /*! @brief Pieces of each version of the weights. */
     std::size_t m_piece_count{16};
+    /*! @brief Whether servers send parts of their output, as in `server_options::m_split_output`. */
+    bool m_split_output{false};
 };
 
 /*! @brief Host, model and path prefixes that callers of a site use. */
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -357,7 +357,7 @@
 
     std::uint64_t m_seed{};
     std::mt19937_64 m_random;
-    standin_site::site m_site{standin_site::site_options{}};
+    standin_site::site m_site{standin_site::site_options{.m_split_output = true}};
     fleet m_fleet;
     clients m_clients;
     std::multimap<time_point, std::function<void()>> m_actions{};
