Hold that a request which may have been read is not sent anew

Shows row 'kept connection that its server closes' of the table of endings: a request on a kept connection that its server ends after reading it fails with 'some bytes sent', and the next one gets a new connection.

--- a/test/net/endings.cpp
+++ b/test/net/endings.cpp
@@ -183,3 +183,26 @@
     peer.m_socket.close();
     CHECK(run_until(owner, [&] { return server.connections() == 0U; }));
 }
+
+TEST_CASE("a request that its server may have read on a kept connection is not sent anew") {
+    loop owner{};
+    auto requests = 0;
+    http_server server{owner, {}, [&](const http_request&, const std::shared_ptr<responder>& answer) {
+                           if (++requests == 2) {
+                               answer->abort();
+                           } else {
+                               answer->respond({200U, {}, "whole"});
+                           }
+                       }};
+    ensure_listening(server);
+    http_client client{owner};
+    for (const auto expected : {code::ok, code::connection_failed, code::ok}) {
+        std::optional<call_end> got{};
+        client.fetch(local(server.port()), {}, {}, [&](const call_end& end, const http_response&) { got = end; });
+        REQUIRE(run_until(owner, [&] { return got.has_value(); }));
+        CHECK(got->m_code == expected);
+        CHECK(got->m_sent == sent::some);
+        CHECK(server.connections() <= 1U);
+    }
+    CHECK(requests == 3);
+}
