Let a started stream wait for a place when its server broke off

What callers saw: a stream whose server broke off was cut at once if no other server had a place at that moment.

Cause: its wait for a place was bounded by the time of its first byte, which is past once a stream has started, and by the expected wait of new requests.

Evidence: 'a stream whose server broke off waits for a place at another server' failed before: request.refused with reason 'the time left is too short', then request.ended with status 0 after one attempt, while all 12 places were taken for 0.8 s.

Change: a started stream may wait until its caller would give up: the route's longest wait for an event since the last one, and its deadline. It is cut at once as before if no server is left that could run it, so that it never blocks the queue from the start.

--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -78,6 +78,12 @@
                                [&](const auto& each) { return dispatch::is_eligible(*each, requirements, now); });
 }
 
+/*! @brief Returns the longest time that the caller of a stream waits for its next event. */
+[[nodiscard]] auto max_stream_wait(const fleet::route& route) -> duration {
+    return std::max<duration>({min_stream_wait, route.m_first_byte_target * stream_wait_target_factor,
+                               route.m_max_event_gap * stream_wait_gap_factor});
+}
+
 [[nodiscard]] auto queue_entry(const exchange& item) -> dispatch::waiting_request {
     const auto* const engine = item.m_service->m_engine ? &*item.m_service->m_engine : nullptr;
     auto first_byte_time = std::chrono::milliseconds{10};
@@ -94,13 +100,18 @@
     out.m_request = item.m_id;
     out.m_priority = item.m_priority;
     out.m_arrived = item.m_arrived_at;
+    if (item.m_stream_started) {
+        out.m_send_deadline = std::min<time_point>(
+            item.m_deadline - response_time, item.m_last_event_at + max_stream_wait(*item.m_route) - first_byte_time);
+        out.m_on_time_deadline = out.m_send_deadline;
+        return out;
+    }
     out.m_on_time_deadline = item.m_first_byte_deadline - first_byte_time;
     const auto late_until =
         std::min<time_point>(item.m_deadline - response_time, item.m_arrived_at + dispatch::max_late_wait);
     out.m_send_deadline = out.m_on_time_deadline > item.m_arrived_at ? out.m_on_time_deadline : late_until;
     if (item.m_route->m_streaming) {
-        const auto max_wait = std::max({min_stream_wait, item.m_route->m_first_byte_target * stream_wait_target_factor,
-                                        item.m_route->m_max_event_gap * stream_wait_gap_factor});
+        const auto max_wait = max_stream_wait(*item.m_route);
         out.m_send_deadline = std::min<time_point>(out.m_send_deadline, item.m_arrived_at + max_wait - first_byte_time);
     }
     return out;
@@ -279,11 +290,13 @@
         internal::refuse(self, item, std::chrono::milliseconds{100}, "the time left is too short");
         return;
     }
-    if (!internal::has_eligible_backend(self, *item, now) && item->m_tried_servers.empty()) {
+    const auto needs_eligible = item->m_tried_servers.empty() || item->m_stream_started;
+    if (needs_eligible && !internal::has_eligible_backend(self, *item, now)) {
         internal::refuse(self, item, std::chrono::milliseconds{400}, "no backend server can run it now");
         return;
     }
-    if (const auto expected = dispatch::refusal_retry_after(state.m_queue, entry, now)) {
+    const auto expected = dispatch::refusal_retry_after(state.m_queue, entry, now);
+    if (expected && !item->m_stream_started) {
         internal::refuse(self, item, *expected, "no place is expected in time");
         return;
     }
--- a/test/soak/cases.cpp
+++ b/test/soak/cases.cpp
@@ -66,6 +66,36 @@
     CHECK(fixture.send_request("c9", standin_site::model_path, "a").m_body == complete_stream());
 }
 
+TEST_CASE("a stream whose server broke off waits for a place at another server") {
+    site_fixture fixture{1U};
+    auto faults = pause_before_event(4U);
+    faults.m_pause = std::chrono::milliseconds{600};
+    faults.m_cut_every = 1U;
+    fixture.set_server_faults(faults);
+    auto running = fixture.start_request("b1", standin_site::model_path, "b");
+    REQUIRE(process::wait_until([&] { return fixture.count_executions("b1") == 1U; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    faults = pause_before_event(1U);
+    faults.m_pause = std::chrono::milliseconds{800};
+    fixture.set_server_faults(faults);
+    // Requests that find no place are refused, so that all places are taken after some rounds.
+    constexpr auto rounds = 8;
+    constexpr auto requests_per_round = 6;
+    std::vector<std::future<process::call_result>> others{};
+    for (auto index = 0; index < rounds * requests_per_round; ++index) {
+        others.push_back(fixture.start_request("c" + std::to_string(index), standin_site::model_path, "c"));
+        if (index % requests_per_round == 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+        }
+    }
+    const auto result = running.get();
+    CHECK(result.m_end.m_code == code::ok);
+    CHECK(result.m_response.m_body == complete_stream());
+    for (auto& each : others) {
+        each.wait();
+    }
+}
+
 TEST_CASE("a call that may have run is not retried and gets 502") {
     site_fixture fixture{1U};
     fixture.set_server_faults({false, 0U, 1U, 0U});
