--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -160,8 +160,9 @@
 
 } // namespace
 
-auto cancel_attempt(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt> ended,
+auto cancel_attempt(daemon& self, const std::shared_ptr<exchange>& item, std::shared_ptr<attempt> value,
                     const std::string_view reason) -> void {
+    const auto ended = std::move(value);
     if (ended == item->m_hedge) {
         item->m_hedge = nullptr;
     } else if (ended == item->m_attempt) {
@@ -291,7 +292,7 @@
 auto end_all_unanswered(daemon& self, const std::string_view reason) -> void {
     auto exchanges = internal::list_exchanges(self);
     // Queued requests end first, so that none of them is sent to a server that becomes free.
-    std::ranges::partition(exchanges, [](const auto& item) { return item->m_attempt == nullptr; });
+    std::partition(exchanges.begin(), exchanges.end(), [](const auto& item) { return item->m_attempt == nullptr; });
     for (const auto& item : exchanges) {
         if (!item->m_ended) {
             end_unanswered(self, item, reason);
