Give each port of the tests to one process only

What was seen: find_free_port started at a multiple of the process id and tested a port with bind. Processes whose ids are near each other could get the same port; a daemon that is restarted then finds its port taken.

Change: ports come in blocks of 100; a process holds the lock file of its block in the temporary directory until it ends.

No run of a test that failed for this reason is known.

--- a/test/process/process.cpp
+++ b/test/process/process.cpp
@@ -13,6 +13,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -23,10 +24,10 @@
 
 constexpr std::chrono::milliseconds poll_interval{20};
 constexpr auto timeout_status = 1000;
-/*! @brief Range of listening ports, below the ephemeral ports of the kernel. */
+/*! @brief Range of listening ports, below the ephemeral ports of the kernel; divided into blocks. */
 constexpr std::uint32_t first_port = 10'000;
-constexpr std::uint32_t port_count = 20'000;
-constexpr std::uint32_t ports_per_process = 131;
+constexpr std::uint32_t ports_per_block = 100;
+constexpr std::uint32_t block_count = 200;
 
 [[nodiscard]] auto spawn(const std::string& program, const std::vector<std::string>& arguments,
                          const std::string& log_path) -> pid_t {
@@ -64,6 +65,28 @@
     _exit(signal);
 }
 
+/**
+ * @brief Takes a block of ports that no other process of the tests uses, until this process ends.
+ *
+ * A port that was only tested with bind may be taken by another process before the daemon listens, or while it
+ * restarts.
+ * @return The first port of the block.
+ */
+[[nodiscard]] auto take_port_block() -> std::uint32_t {
+    const auto start = static_cast<std::uint32_t>(getpid());
+    for (std::uint32_t index = 0; index < block_count; ++index) {
+        const auto block = (start + index) % block_count;
+        const auto path =
+            std::filesystem::temp_directory_path() / ("rhubarbwharf-ports-" + std::to_string(block) + ".lock");
+        const auto lock_file = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+        if (lock_file >= 0 && ::flock(lock_file, LOCK_EX | LOCK_NB) == 0) {
+            return first_port + block * ports_per_block;
+        }
+        ::close(lock_file);
+    }
+    throw std::runtime_error{"no block of ports is free"};
+}
+
 [[nodiscard]] auto can_bind(const std::uint16_t port) -> bool {
     const auto socket_number = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
@@ -223,9 +246,14 @@
 }
 
 auto find_free_port() -> std::uint16_t {
-    static auto next_offset = static_cast<std::uint32_t>(getpid()) * internal::ports_per_process;
+    static std::uint32_t block_port{};
+    static std::uint32_t used = internal::ports_per_block;
     for (;;) {
-        const auto port = static_cast<std::uint16_t>(internal::first_port + next_offset++ % internal::port_count);
+        if (used == internal::ports_per_block) {
+            block_port = internal::take_port_block();
+            used = 0;
+        }
+        const auto port = static_cast<std::uint16_t>(block_port + used++);
         if (internal::can_bind(port)) {
             return port;
         }
