--- a/test/soak/hedges.cpp
+++ b/test/soak/hedges.cpp
@@ -97,6 +97,7 @@
     site_fixture fixture{1U};
     fixture.set_server_faults(pause_before_event(1U));
     std::vector<std::future<process::call_result>> running{};
+    running.reserve(lookups);
     for (auto index = 0U; index < lookups; ++index) {
         running.push_back(fixture.start_request("b1" + std::to_string(index), standin_site::lookup_path, "b"));
     }
