--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -105,6 +105,8 @@
 
     [[nodiscard]] auto address() const -> net::endpoint;
 
+    [[nodiscard]] auto id() const noexcept -> const std::string& { return m_options.m_id; }
+
     [[nodiscard]] auto version() const noexcept -> std::uint64_t { return m_options.m_version; }
 
     [[nodiscard]] auto is_draining() const noexcept -> bool { return m_draining; }
--- a/app/standin-site/store.cpp
+++ b/app/standin-site/store.cpp
@@ -7,6 +7,8 @@
 #include <openssl/evp.h>
 
 #include <platform/decode.hpp>
+#include <platform/names.hpp>
+#include <rhubarbwharf/core/assert.hpp>
 
 namespace rhubarbwharf::standin_site {
 
@@ -19,6 +21,8 @@
 constexpr std::uint16_t unavailable = 503U;
 constexpr duration tick_interval = std::chrono::milliseconds{20};
 constexpr std::size_t max_history_size = 4096U;
+constexpr duration copy_interval = std::chrono::milliseconds{100};
+constexpr std::size_t max_copies = 100U;
 
 namespace {
 
@@ -85,6 +89,12 @@
                                   on_request(request, responder);
                               }} {
     m_loop.every(internal::tick_interval, [this] { expire_leases_and_watches(); });
+    m_loop.every(internal::copy_interval, [this] {
+        m_copies.push_back({steady_now(), m_entries, m_leases, m_revision, m_last_lease_id});
+        if (m_copies.size() > internal::max_copies) {
+            m_copies.pop_front();
+        }
+    });
 }
 
 auto store::listen() -> net::endpoint {
@@ -117,13 +127,65 @@
     }
 }
 
+auto store::restore(const duration age, const duration rewrite_delay) -> void {
+    const auto now = steady_now();
+    const auto found = std::ranges::find_if(m_copies.rbegin(), m_copies.rend(),
+                                            [&](const copy& each) { return each.m_taken_at <= now - age; });
+    ensure(found != m_copies.rend(), "a copy of the store is old enough");
+    const auto chosen = *found;
+    const auto lost = std::exchange(m_entries, chosen.m_entries);
+    m_leases = chosen.m_leases;
+    for (auto& [id, each] : m_leases) {
+        each.m_expires_at += now - chosen.m_taken_at;
+    }
+    m_revision = chosen.m_revision;
+    m_last_lease_id = chosen.m_last_lease_id;
+    std::erase_if(m_history, [this](const change& each) { return each.m_revision > m_revision; });
+    m_copies.clear();
+    ++m_era;
+    for (const auto& each : std::exchange(m_watchers, {})) {
+        each.m_responder->abort();
+    }
+    m_loop.after(rewrite_delay, [this, lost, restored = chosen.m_entries] { rewrite(lost, restored); });
+}
+
+auto store::rewrite(const std::map<std::string, entry>& lost, const std::map<std::string, entry>& restored) -> void {
+    const auto value_in = [](const std::map<std::string, entry>& entries, const std::string& key) {
+        const auto found = entries.find(key);
+        return found == entries.end() ? std::optional<std::string>{} : found->second.m_value;
+    };
+    auto keys = lost;
+    keys.insert(restored.begin(), restored.end());
+    for (const auto& [key, unused] : keys) {
+        const auto is_of_platform = key.starts_with("op/") || key.starts_with("servers/");
+        const auto wanted = value_in(lost, key);
+        const auto copied = value_in(restored, key);
+        if (!is_of_platform || wanted == copied || value_in(m_entries, key) != copied) {
+            continue;
+        }
+        if (wanted) {
+            put(key, *wanted);
+        } else {
+            remove(key);
+        }
+    }
+}
+
+auto store::make_answer(const std::uint16_t status, const boost::json::object& body) const -> net::http_response {
+    auto out = json_response(status, body);
+    if (!m_faults.m_omit_era) {
+        out.m_headers.push_back({std::string{adapter::field::store_era}, std::to_string(m_era)});
+    }
+    return out;
+}
+
 auto store::set_faults(const store_faults& faults) -> void {
     m_faults = faults;
     if (m_faults.m_unavailable) {
         auto waiting = std::move(m_watchers);
         m_watchers.clear();
         for (const auto& each : waiting) {
-            each.m_responder->respond(json_response(internal::unavailable, {}));
+            each.m_responder->respond(make_answer(internal::unavailable, {}));
         }
     }
     if (!m_faults.m_unresponsive) {
@@ -183,7 +245,7 @@
         if (body.at("events").as_array().empty()) {
             m_watchers.push_back(std::move(each));
         } else {
-            each.m_responder->respond(json_response(internal::ok, body));
+            each.m_responder->respond(make_answer(internal::ok, body));
         }
     }
 }
@@ -212,7 +274,7 @@
     m_watchers.clear();
     for (auto& each : waiting) {
         if (now >= each.m_deadline) {
-            each.m_responder->respond(json_response(internal::ok, changes_for(each)));
+            each.m_responder->respond(make_answer(internal::ok, changes_for(each)));
         } else {
             m_watchers.push_back(std::move(each));
         }
@@ -220,11 +282,12 @@
 }
 
 auto store::on_request(const net::http_request& request, const responder_ptr& responder) -> void {
+    ++m_call_count;
     const auto path = internal::path_of(request);
     if (m_faults.m_unresponsive) {
         m_unanswered.push_back(responder);
     } else if (m_faults.m_unavailable) {
-        responder->respond(json_response(internal::unavailable, {}));
+        responder->respond(make_answer(internal::unavailable, {}));
     } else if (path == "/api/kv-range") {
         on_range(request, responder);
     } else if (path == "/api/kv-watch") {
@@ -253,19 +316,19 @@
         items.push_back(encode_entry(key, each));
     }
     responder->respond(
-        json_response(internal::ok, {{"items", items}, {"has-more", has_more}, {"store-revision", m_revision}}));
+        make_answer(internal::ok, {{"items", items}, {"has-more", has_more}, {"store-revision", m_revision}}));
 }
 
 auto store::on_watch(const net::http_request& request, const responder_ptr& responder) -> void {
     watcher watch{internal::query_parameter(request, "prefix"), internal::numeric_parameter(request, "after"),
                   steady_now() + std::chrono::milliseconds{internal::numeric_parameter(request, "wait-ms")}, responder};
-    if (watch.m_after_revision < m_compacted_revision) {
-        responder->respond(json_response(internal::gone, {}));
+    if (watch.m_after_revision < m_compacted_revision || watch.m_after_revision > m_revision) {
+        responder->respond(make_answer(internal::gone, {}));
         return;
     }
     auto body = changes_for(watch);
     if (!body.at("events").as_array().empty()) {
-        responder->respond(json_response(internal::ok, body));
+        responder->respond(make_answer(internal::ok, body));
         return;
     }
     m_watchers.push_back(std::move(watch));
@@ -278,7 +341,7 @@
         const auto found = m_entries.find(std::string{condition.at("key").as_string()});
         if ((found == m_entries.end() ? 0U : found->second.m_revision) !=
             internal::integer_member(condition, "revision")) {
-            responder->respond(json_response(internal::compare_failed, {{"items", boost::json::array{}}}));
+            responder->respond(make_answer(internal::compare_failed, {{"items", boost::json::array{}}}));
             return;
         }
     }
@@ -287,7 +350,7 @@
         const auto& write = each.as_object();
         const auto lease_id = internal::integer_member(write, "lease");
         if (lease_id != 0U && !m_leases.contains(lease_id)) {
-            responder->respond(json_response(internal::not_found, {}));
+            responder->respond(make_answer(internal::not_found, {}));
             return;
         }
         apply_change(std::string{write.at("key").as_string()},
@@ -301,7 +364,7 @@
         responder->abort();
         return;
     }
-    responder->respond(json_response(internal::ok, {{"revision", m_revision}}));
+    responder->respond(make_answer(internal::ok, {{"revision", m_revision}}));
 }
 
 auto store::on_lease(const net::http_request& request, const responder_ptr& responder) -> void {
@@ -311,16 +374,16 @@
         const auto ttl_ms = internal::integer_member(boost::json::parse(request.m_body).as_object(), "ttl-ms");
         const auto ttl = duration{std::chrono::milliseconds{ttl_ms}};
         m_leases[++m_last_lease_id] = {ttl, steady_now() + ttl};
-        responder->respond(json_response(internal::ok, {{"lease", m_last_lease_id}, {"ttl-ms", ttl_ms}}));
+        responder->respond(make_answer(internal::ok, {{"lease", m_last_lease_id}, {"ttl-ms", ttl_ms}}));
         return;
     }
     const auto found = m_leases.find(id);
     if (found == m_leases.end()) {
-        responder->respond(json_response(internal::not_found, {}));
+        responder->respond(make_answer(internal::not_found, {}));
         return;
     }
     found->second.m_expires_at = request.m_method == "DELETE" ? steady_now() : steady_now() + found->second.m_ttl;
-    responder->respond(json_response(internal::ok, {{"ttl-ms", found->second.m_ttl.count() / 1'000}}));
+    responder->respond(make_answer(internal::ok, {{"ttl-ms", found->second.m_ttl.count() / 1'000}}));
 }
 
 } // namespace rhubarbwharf::standin_site
--- a/app/standin-site/store.hpp
+++ b/app/standin-site/store.hpp
@@ -31,6 +31,8 @@
     bool m_unresponsive{false};
     /*! @brief Closes the connection instead of answering every n-th committed transaction; 0 disables the fault. */
     unsigned m_lose_reply_every{};
+    /*! @brief Leaves the era out of the responses. */
+    bool m_omit_era{false};
 };
 
 /*! @brief In-memory key-value store with leases and watches; linearizable, as it runs on one thread. */
@@ -54,6 +56,18 @@
     /*! @brief Replaces the injected faults; aborts unanswered requests unless the store stays unresponsive. */
     auto set_faults(const store_faults& faults) -> void;
 
+    /**
+     * @brief Restores a copy and begins a new era: revisions and lease ids since then are given out again.
+     * @param age Minimum age of the copy; one of that age must exist.
+     * @param rewrite_delay Time after which the platform writes again what it has written since the copy.
+     */
+    auto restore(duration age, duration rewrite_delay) -> void;
+
+    /*! @brief Counts the requests since the start, renewals and refused ones included. */
+    [[nodiscard]] auto call_count() const noexcept -> std::uint64_t { return m_call_count; }
+
+    [[nodiscard]] auto era() const noexcept -> std::uint64_t { return m_era; }
+
     /*! @brief Counts the keys that start with a prefix. */
     [[nodiscard]] auto count(std::string_view prefix) const -> std::size_t;
 
@@ -84,6 +98,14 @@
         time_point m_expires_at{};
     };
 
+    struct copy {
+        time_point m_taken_at{};
+        std::map<std::string, entry> m_entries{};
+        std::map<std::uint64_t, lease> m_leases{};
+        std::uint64_t m_revision{};
+        std::uint64_t m_last_lease_id{};
+    };
+
     using responder_ptr = std::shared_ptr<net::responder>;
 
     auto on_request(const net::http_request& request, const responder_ptr& responder) -> void;
@@ -91,6 +113,8 @@
     auto on_watch(const net::http_request& request, const responder_ptr& responder) -> void;
     auto on_transaction(const net::http_request& request, const responder_ptr& responder) -> void;
     auto on_lease(const net::http_request& request, const responder_ptr& responder) -> void;
+    auto rewrite(const std::map<std::string, entry>& lost, const std::map<std::string, entry>& restored) -> void;
+    [[nodiscard]] auto make_answer(std::uint16_t status, const boost::json::object& body) const -> net::http_response;
     auto apply_change(const std::string& key, std::optional<entry> value) -> void;
     auto notify_watchers() -> void;
     auto expire_leases_and_watches() -> void;
@@ -109,6 +133,9 @@
     std::uint64_t m_compacted_revision{};
     std::uint64_t m_last_lease_id{};
     unsigned m_transaction_count{};
+    std::deque<copy> m_copies{};
+    std::uint64_t m_era{1U};
+    std::uint64_t m_call_count{};
 };
 
 /*! @brief Returns a response with a JSON body. */
--- a/include/rhubarbwharf/fleet/configuration.hpp
+++ b/include/rhubarbwharf/fleet/configuration.hpp
@@ -127,6 +127,11 @@
 
 using shared_configuration = std::shared_ptr<const configuration>;
 
+/*! @brief Tells whether a configuration takes the place of the present one. Only a newer one does, wherever it comes
+ * from.
+ * @param present Null if there is none. */
+[[nodiscard]] auto replaces(const configuration& offered, const shared_configuration& present) noexcept -> bool;
+
 /*! @brief Rebuilds `m_routes_by_host` from `m_routes`. */
 auto index_routes(configuration& value) -> void;
 
--- a/include/rhubarbwharf/fleet/member.hpp
+++ b/include/rhubarbwharf/fleet/member.hpp
@@ -45,6 +45,8 @@
     std::uint64_t m_servers_fingerprint{};
     /*! @brief Requests per second that it last reported to receive; gateways only. */
     double m_demand_per_s{};
+    /*! @brief Era of the platform's store that it last reported; 0 if it reports none. */
+    std::uint64_t m_store_era{};
 };
 
 /*! @brief Members by instance name. */
@@ -73,6 +75,7 @@
 /**
  * @brief Tells whether a gateway is one of those that watch the store and forward its changes: the first ones of its
  * region by name, with those that the store answers before the others.
+ * Gateways that report no era count only for others that know none: they cannot follow the store into a new one.
  * @return True also if `table` lacks the gateway.
  */
 [[nodiscard]] auto is_watcher(const member_table& table, const member& self, time_point now) -> bool;
--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -3,12 +3,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include <rhubarbwharf/core/time.hpp>
 #include <rhubarbwharf/fleet/fwd.hpp>
+#include <rhubarbwharf/fleet/store_version.hpp>
 #include <rhubarbwharf/net/http.hpp>
 
 namespace rhubarbwharf::fleet {
@@ -36,8 +38,8 @@
     /*! @brief Time after its start during which it is slow. */
     duration m_warm_up_time{};
     std::vector<held_model> m_models{};
-    /*! @brief Revision of the entry in the platform's store. */
-    std::uint64_t m_revision{};
+    /*! @brief Version of the entry in the platform's store. */
+    store_version m_store_version{};
 };
 
 /*! @brief Load of a backend server and progress of its load orders, as it reports them. */
@@ -75,29 +77,45 @@
 /*! @brief Backend servers that have said they are leaving, by id; of each the newest such incarnation. */
 using leaving_table = std::map<std::string, leaving_server, std::less<>>;
 
-/*! @brief Backend servers by id. Entries and removals are merged by revision, in any order. */
+/*! @brief Backend servers by id. Entries and removals are merged by version, in any order. */
 struct server_table {
     std::map<std::string, backend_server, std::less<>> m_rows{};
-    /*! @brief Revisions of removals by id, so that an outdated entry from a peer does not restore a removed server. */
-    std::map<std::string, std::uint64_t, std::less<>> m_removed{};
-    /*! @brief Highest revision merged. */
-    std::uint64_t m_revision{};
+    /*! @brief Versions of removals by id, so that an outdated entry from a peer does not restore a removed server. */
+    std::map<std::string, store_version, std::less<>> m_removed{};
+    /*! @brief Highest version merged. */
+    store_version m_version{};
+    /*! @brief Version of the newest complete listing: an unknown entry that is not newer no longer exists. */
+    store_version m_listing_version{};
 };
 
 /*! @brief Merges an entry, if it is newer than what is known. @return Whether the table changed. */
 auto merge_server(server_table& table, backend_server row) -> bool;
 
-/*! @brief Merges a removal, and removes the entry unless it is newer. @param revision Revision of the removal.
+/*! @brief Merges a removal, and removes the entry unless it is newer. @param version Version of the removal.
  * @return Whether an entry was removed. */
-auto merge_removal(server_table& table, std::string_view id, std::uint64_t revision) -> bool;
+auto merge_removal(server_table& table, std::string_view id, store_version version) -> bool;
+
+/*! @brief Finds the entries that a complete listing lacks and that are not newer than it. @param listed Ids in the
+ * listing. @param version Lower bound of the version of the listing. */
+[[nodiscard]] auto missing_entries(const server_table& table, const std::set<std::string, std::less<>>& listed,
+                                   store_version version) -> std::vector<std::string>;
+
+/*! @brief Tells whether an entry brings back a server that was removed in a former era. */
+[[nodiscard]] auto revives_removed(const server_table& table, const backend_server& row) noexcept -> bool;
+
+/*! @brief Tells whether an entry calls an incarnation ready that was draining in a former era. */
+[[nodiscard]] auto revives_drained(const backend_server& known, const backend_server& row) noexcept -> bool;
+
+/*! @brief Records that a complete listing has been merged, apart from the removal of entries that it lacks. */
+auto note_listing(server_table& table, store_version version) -> void;
 
 /**
  * @brief Merges a complete listing: entries that it lacks are removed unless they are newer than the listing.
  * @param rows All entries.
- * @param revision Lower bound of the revision of the listing.
+ * @param version Lower bound of the version of the listing.
  * @return Ids of the removed entries.
  */
-auto merge_listing(server_table& table, std::vector<backend_server> rows, std::uint64_t revision)
+auto merge_listing(server_table& table, std::vector<backend_server> rows, store_version version)
     -> std::vector<std::string>;
 
 /*! @brief Records that an incarnation is leaving. @return Whether this was not known. */
@@ -107,9 +125,12 @@
 [[nodiscard]] auto is_leaving(const leaving_table& table, std::string_view id, std::uint64_t started_ms) noexcept
     -> bool;
 
-/*! @brief Computes an order-independent digest of ids and revisions, by which tables of two processes are compared. */
+/*! @brief Computes an order-independent digest of ids and versions, by which tables of two processes are compared. */
 [[nodiscard]] auto fingerprint(const server_table& table) noexcept -> std::uint64_t;
 
+/*! @brief Computes the digest without eras, for processes that do not know of them. */
+[[nodiscard]] auto fingerprint_of_revisions(const server_table& table) noexcept -> std::uint64_t;
+
 /**
  * @brief Returns the version of a model of which all layers are held.
  * @param layers Layers of the model.
--- a/src/fleet/configuration.cpp
+++ b/src/fleet/configuration.cpp
@@ -4,6 +4,10 @@
 
 namespace rhubarbwharf::fleet {
 
+auto replaces(const configuration& offered, const shared_configuration& present) noexcept -> bool {
+    return !present || offered.m_version > present->m_version;
+}
+
 auto index_routes(configuration& value) -> void {
     value.m_routes_by_host.clear();
     for (std::size_t index = 0U; index < value.m_routes.size(); ++index) {
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -63,7 +63,8 @@
         const auto precedes_self = row.m_reaches_store != self_row->second.m_reaches_store
                                        ? row.m_reaches_store
                                        : each.first < self.m_instance;
-        return is_live_peer && precedes_self;
+        const auto follows_eras = row.m_store_era != 0U || self_row->second.m_store_era == 0U;
+        return is_live_peer && precedes_self && follows_eras;
     };
     return static_cast<std::size_t>(std::ranges::count_if(table, comes_first)) < watchers_per_region;
 }
--- a/src/fleet/server.cpp
+++ b/src/fleet/server.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/*! @brief Maximum number of remembered removals; the ones with the lowest revision are evicted first. */
+/*! @brief Maximum number of remembered removals; the ones with the lowest version are evicted first. */
 constexpr std::size_t max_remembered_removals = 1024U;
 /*! @brief Maximum number of remembered leaving servers; the ones that started first are evicted first. */
 constexpr std::size_t max_remembered_leaving = 1024U;
@@ -16,54 +16,77 @@
 
 auto merge_server(server_table& table, backend_server row) -> bool {
     const auto removal = table.m_removed.find(row.m_id);
-    if (removal != table.m_removed.end() && removal->second >= row.m_revision) {
+    if (removal != table.m_removed.end() && removal->second >= row.m_store_version) {
         return false;
     }
     const auto found = table.m_rows.find(row.m_id);
-    if (found != table.m_rows.end() && found->second.m_revision >= row.m_revision) {
+    const auto known_version = found == table.m_rows.end() ? table.m_listing_version : found->second.m_store_version;
+    if (known_version >= row.m_store_version) {
         return false;
     }
-    table.m_revision = std::max(table.m_revision, row.m_revision);
+    table.m_version = std::max(table.m_version, row.m_store_version);
     table.m_rows.insert_or_assign(row.m_id, std::move(row));
     return true;
 }
 
-auto merge_removal(server_table& table, const std::string_view id, const std::uint64_t revision) -> bool {
-    table.m_revision = std::max(table.m_revision, revision);
+auto merge_removal(server_table& table, const std::string_view id, const store_version version) -> bool {
+    table.m_version = std::max(table.m_version, version);
     auto& removal = table.m_removed[std::string{id}];
-    removal = std::max(removal, revision);
+    removal = std::max(removal, version);
     if (table.m_removed.size() > max_remembered_removals) {
         table.m_removed.erase(
             std::ranges::min_element(table.m_removed, {}, [](const auto& each) { return each.second; }));
     }
     const auto found = table.m_rows.find(id);
-    if (found == table.m_rows.end() || found->second.m_revision > revision) {
+    if (found == table.m_rows.end() || found->second.m_store_version > version) {
         return false;
     }
     table.m_rows.erase(found);
     return true;
 }
 
-auto merge_listing(server_table& table, std::vector<backend_server> rows, const std::uint64_t revision)
+auto missing_entries(const server_table& table, const std::set<std::string, std::less<>>& listed,
+                     const store_version version) -> std::vector<std::string> {
+    std::vector<std::string> out{};
+    for (const auto& [id, row] : table.m_rows) {
+        if (!listed.contains(id) && row.m_store_version <= version) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
+auto merge_listing(server_table& table, std::vector<backend_server> rows, const store_version version)
     -> std::vector<std::string> {
     std::set<std::string, std::less<>> listed{};
     for (auto& row : rows) {
         listed.insert(row.m_id);
         merge_server(table, std::move(row));
     }
-    std::vector<std::string> dropped{};
-    for (const auto& [id, row] : table.m_rows) {
-        if (!listed.contains(id) && row.m_revision <= revision) {
-            dropped.push_back(id);
-        }
-    }
+    note_listing(table, version);
+    auto dropped = missing_entries(table, listed, version);
     for (const auto& id : dropped) {
-        merge_removal(table, id, revision);
+        merge_removal(table, id, version);
     }
-    table.m_revision = std::max(table.m_revision, revision);
     return dropped;
 }
 
+auto revives_removed(const server_table& table, const backend_server& row) noexcept -> bool {
+    const auto removal = table.m_removed.find(row.m_id);
+    return removal != table.m_removed.end() && removal->second.m_era < row.m_store_version.m_era &&
+           !table.m_rows.contains(row.m_id);
+}
+
+auto revives_drained(const backend_server& known, const backend_server& row) noexcept -> bool {
+    return known.m_draining && !row.m_draining && known.m_started_ms == row.m_started_ms &&
+           known.m_store_version.m_era < row.m_store_version.m_era;
+}
+
+auto note_listing(server_table& table, const store_version version) -> void {
+    table.m_version = std::max(table.m_version, version);
+    table.m_listing_version = std::max(table.m_listing_version, version);
+}
+
 auto merge_leaving(leaving_table& table, const std::string_view id, leaving_server value) -> bool {
     if (is_leaving(table, id, value.m_started_ms)) {
         return false;
@@ -81,12 +104,15 @@
     return found != table.end() && found->second.m_started_ms >= started_ms;
 }
 
-auto fingerprint(const server_table& table) noexcept -> std::uint64_t {
+namespace {
+
+/*! @brief Combines a digest of each entry. @param seed_of Function from the version of an entry to a number. */
+[[nodiscard]] auto digest(const server_table& table, const auto& seed_of) noexcept -> std::uint64_t {
     constexpr std::uint64_t offset = 14'695'981'039'346'656'037ULL;
     constexpr std::uint64_t prime = 1'099'511'628'211ULL;
     std::uint64_t out{};
     for (const auto& [id, row] : table.m_rows) {
-        auto mixed = offset ^ row.m_revision;
+        auto mixed = offset ^ seed_of(row.m_store_version);
         for (const auto character : id) {
             mixed = (mixed ^ static_cast<unsigned char>(character)) * prime;
         }
@@ -95,6 +121,17 @@
     return out;
 }
 
+} // namespace
+
+auto fingerprint(const server_table& table) noexcept -> std::uint64_t {
+    constexpr std::uint64_t factor = 0x9e37'79b9'7f4a'7c15ULL;
+    return digest(table, [](const store_version version) { return version.m_revision ^ (version.m_era * factor); });
+}
+
+auto fingerprint_of_revisions(const server_table& table) noexcept -> std::uint64_t {
+    return digest(table, [](const store_version version) { return version.m_revision; });
+}
+
 auto complete_version(const std::vector<held_model>& models, const std::string_view model, const unsigned layers)
     -> std::uint64_t {
     const auto found = std::ranges::find(models, model, &held_model::m_name);
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -12,8 +12,6 @@
 
 namespace internal {
 
-/*! @brief Time after the store's return in which entries that expired during the outage are written again. */
-constexpr duration store_recovery_window = std::chrono::milliseconds{2'300};
 /*! @brief Batch delay for changes of backend servers: a quarter of the time within which a draining server must get no
  * new requests. */
 constexpr duration server_batch_delay = std::chrono::milliseconds{500};
@@ -26,6 +24,12 @@
 /*! @brief Capacity of the send queue of one peer: a few seconds of pulses and reports. */
 constexpr int max_queued_messages = 256;
 constexpr duration bus_heartbeat_interval = std::chrono::seconds{2};
+/*! @brief Longest time for which operators' keys are held at the start. */
+constexpr duration startup_hold_time = std::chrono::milliseconds{1'200};
+/*! @brief Times over which processes register again in a new era: each writes twice, and the store limits the writes of
+ * all processes together. */
+constexpr duration gateway_registration_spread = std::chrono::seconds{4};
+constexpr duration loader_registration_spread = std::chrono::seconds{30};
 
 namespace {
 
@@ -55,8 +59,9 @@
 }
 
 auto update_store_contact(core& self, const std::string_view prefix, const bool reachable) -> void {
-    self.m_events.write(reachable ? "store.reached" : "store.lost",
-                        {{"prefix", prefix}, {"revision", static_cast<std::int64_t>(self.m_servers.m_revision)}});
+    self.m_events.write(
+        reachable ? "store.reached" : "store.lost",
+        {{"prefix", prefix}, {"revision", static_cast<std::int64_t>(self.m_servers.m_version.m_revision)}});
     if (reachable && !self.m_store_reachable) {
         self.m_store_reachable_since = steady_now();
     }
@@ -64,19 +69,26 @@
     self.m_counters.set("store_reachable", reachable ? 1.0 : 0.0);
 }
 
-/*! @brief Applies a key written by an operator. @param since Earliest time at which it was written. @param is_exact
- * Whether it was written at exactly that time. */
+/*! @brief Applies a key written by an operator, or holds it at the start. @param since Earliest time at which it was
+ * written. @param is_exact Whether it was written at exactly that time. */
 auto on_operator_item(core& self, const adapter::key_value& item, const time_point since, const bool is_exact) -> void {
     if (item.m_removed) {
         return;
     }
+    if (!self.m_applies_operator_items) {
+        self.m_held_operator_items.push_back({item, since, is_exact});
+        return;
+    }
     if (item.m_key == adapter::key::configuration) {
         accept_configuration(self, item.m_value, "store");
         schedule_push(self, {});
     } else if (item.m_key.starts_with(adapter::key::weights_targets)) {
         if (auto target = adapter::decode_weights_target(item.m_value)) {
+            // In a new era, operators write again what the copy lacks.
+            const auto may_be_repeated = self.m_store_era_since != time_point{};
             target->m_written_at = since;
-            target->m_has_exact_write_time = is_exact;
+            target->m_has_exact_write_time =
+                is_exact && !(may_be_repeated && target->m_version <= wanted_version(self, target->m_model));
             accept_weights_target(self, std::move(*target), "store");
             schedule_push(self, {});
         }
@@ -87,44 +99,42 @@
     return key.substr(adapter::key::servers.size());
 }
 
-auto on_server_item(core& self, const adapter::key_value& item) -> void {
+/*! @brief Applies the entry of a backend server. @param is_new_write Whether it has just been written. */
+auto on_server_item(core& self, const adapter::key_value& item, const bool is_new_write) -> void {
     const auto id = server_id_of(item.m_key);
     if (item.m_removed) {
-        handle_server_removal(self, id, item.m_revision);
+        handle_server_removal(self, id, item.m_version);
         return;
     }
-    auto server = adapter::decode_server(id, item.m_value, item.m_revision);
+    auto server = adapter::decode_server(id, item.m_value, item.m_version);
     if (!server) {
         self.m_events.write("server.malformed",
-                            {{"server", id}, {"revision", static_cast<std::int64_t>(item.m_revision)}});
-        handle_server_removal(self, id, item.m_revision);
+                            {{"server", id}, {"revision", static_cast<std::int64_t>(item.m_version.m_revision)}});
+        handle_server_removal(self, id, item.m_version);
         return;
     }
     const auto draining = server->m_draining;
-    if (fleet::merge_server(self.m_servers, std::move(*server))) {
-        self.m_pending_removals.erase(id);
-        self.m_events.write(
-            "server.entry",
-            {{"server", id}, {"draining", draining}, {"revision", static_cast<std::int64_t>(item.m_revision)}});
+    if (offer_server(self, *server, is_new_write)) {
+        self.m_events.write("server.entry", {{"server", id},
+                                             {"draining", draining},
+                                             {"revision", static_cast<std::int64_t>(item.m_version.m_revision)}});
         self.m_handlers.m_on_server(id);
         schedule_push(self, id);
     }
 }
 
-auto on_server_list(core& self, const std::vector<adapter::key_value>& items, const std::uint64_t revision) -> void {
+auto on_server_list(core& self, const std::vector<adapter::key_value>& items, const fleet::store_version version)
+    -> void {
     std::set<std::string, std::less<>> listed_ids{};
     for (const auto& each : items) {
         listed_ids.insert(server_id_of(each.m_key));
-        on_server_item(self, each);
+        on_server_item(self, each, false);
     }
-    std::vector<std::string> missing{};
-    for (const auto& [id, row] : self.m_servers.m_rows) {
-        if (!listed_ids.contains(id) && row.m_revision <= revision) {
-            missing.push_back(id);
-        }
+    if (self.m_held_servers.empty()) {
+        fleet::note_listing(self.m_servers, version);
     }
-    for (const auto& id : missing) {
-        handle_server_removal(self, id, revision);
+    for (const auto& id : fleet::missing_entries(self.m_servers, listed_ids, version)) {
+        handle_server_removal(self, id, version);
     }
 }
 
@@ -152,7 +162,7 @@
 
 /*! @brief Creates a follower whose callbacks refer to the core, which must outlive it. */
 [[nodiscard]] auto make_follower(core& self, const std::string_view prefix, const duration batch_delay,
-                                 std::function<void(std::vector<adapter::key_value>, std::uint64_t)> on_list,
+                                 std::function<void(std::vector<adapter::key_value>, fleet::store_version)> on_list,
                                  std::function<void(adapter::key_value)> on_change) -> std::shared_ptr<follower> {
     follower_handlers handlers{};
     handlers.m_on_list = std::move(on_list);
@@ -217,7 +227,7 @@
     }
     self.m_operator_follower = make_follower(
         self, adapter::key::operators, duration::zero(),
-        [&self](const std::vector<adapter::key_value>& items, std::uint64_t) {
+        [&self](const std::vector<adapter::key_value>& items, fleet::store_version) {
             // A listing does not contain write times; a new key was written after the last update at the earliest.
             const auto since = std::exchange(self.m_last_operator_update, steady_now());
             for (const auto& each : items) {
@@ -230,10 +240,10 @@
         });
     self.m_server_follower = make_follower(
         self, adapter::key::servers, server_batch_delay,
-        [&self](const std::vector<adapter::key_value>& items, const std::uint64_t revision) {
-            on_server_list(self, items, revision);
+        [&self](const std::vector<adapter::key_value>& items, const fleet::store_version version) {
+            on_server_list(self, items, version);
         },
-        [&self](const adapter::key_value& item) { on_server_item(self, item); });
+        [&self](const adapter::key_value& item) { on_server_item(self, item, true); });
     self.m_server_follower->start();
     self.m_operator_follower->start();
 }
@@ -251,7 +261,8 @@
             }},
       m_store{m_http, internal::endpoint_or_empty(settings.m_store.m_address),
               std::chrono::milliseconds{settings.m_store.m_call_ms}},
-      m_self{internal::make_own_member(settings, m_incarnation)}, m_follows_servers{follows_servers} {
+      m_self{internal::make_own_member(settings, m_incarnation)}, m_first_seed{m_random()}, m_follows_servers{
+                                                                                                follows_servers} {
     m_handlers.m_on_configuration = [] {
     };
     m_handlers.m_on_weights = [] {
@@ -267,10 +278,19 @@
         return false;
     }
     self.m_members[self.m_self.m_instance] = {self.m_self, true, steady_now(), false, false, true, 0U, 0.0};
+    self.m_store.set_era_handler(
+        [&self](const std::uint64_t former, const std::uint64_t era) { on_store_era(self, former, era); });
+    self.m_loop.after(internal::startup_hold_time, [&self] { apply_held_operator_items(self); });
     internal::follow_store(self);
     self.m_registration = std::make_shared<registration>(
         self.m_loop, self.m_store, std::string{adapter::key::members} + self.m_self.m_instance,
         adapter::encode_member(self.m_self), std::chrono::milliseconds{self.m_settings.m_store.m_lease_ms}, [&self] {
+            self.m_events.write("member.registered", {{"era", static_cast<std::int64_t>(self.m_store.era())}});
+            // In a new era the list is incomplete until all processes have registered again.
+            const auto era_age = steady_now() - self.m_store_era_since;
+            if (self.m_store_era_since != time_point{} && era_age <= internal::loader_registration_spread) {
+                return;
+            }
             // If two processes start together, the one that writes later reads the other's entry.
             self.m_members_read = false;
             internal::read_members(self);
@@ -280,6 +300,36 @@
     return true;
 }
 
+auto on_store_era(core& self, const std::uint64_t former, const std::uint64_t era) -> void {
+    self.m_store_era_since = steady_now();
+    self.m_pending_removals.clear();
+    self.m_events.write("store.era", {{"old", static_cast<std::int64_t>(former)},
+                                      {"new", static_cast<std::int64_t>(era)},
+                                      {"revision", static_cast<std::int64_t>(self.m_servers.m_version.m_revision)},
+                                      {"servers", static_cast<std::int64_t>(self.m_servers.m_rows.size())}});
+    self.m_counters.add("store_eras_total");
+    for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
+        if (each) {
+            each->relist();
+        }
+    }
+    if (self.m_registration) {
+        const auto spread = static_cast<std::uint64_t>(
+            (self.m_follows_servers ? internal::gateway_registration_spread : internal::loader_registration_spread)
+                .count());
+        self.m_registration->renew_in_new_era(duration{static_cast<duration::rep>(self.m_random() % spread)});
+    }
+}
+
+auto apply_held_operator_items(core& self) -> void {
+    if (std::exchange(self.m_applies_operator_items, true)) {
+        return;
+    }
+    for (const auto& each : std::exchange(self.m_held_operator_items, {})) {
+        internal::on_operator_item(self, each.m_item, each.m_since, each.m_is_exact);
+    }
+}
+
 auto leave(core& self) -> void {
     self.m_leaving = true;
     self.m_ready = false;
@@ -294,7 +344,7 @@
         return;
     }
     const auto previous_version = self.m_configuration ? self.m_configuration->m_version : 0U;
-    if (self.m_configuration && decoded->m_version <= previous_version) {
+    if (!fleet::replaces(*decoded, self.m_configuration)) {
         return;
     }
     const auto version = decoded->m_version;
@@ -369,41 +419,4 @@
     self.m_boot_clock_offset_known = true;
 }
 
-auto mark_server_leaving(core& self, const std::string_view id, const fleet::leaving_server& server,
-                         const std::string_view source) -> void {
-    if (!fleet::merge_leaving(self.m_leaving_servers, id, server)) {
-        return;
-    }
-    self.m_events.write(
-        "server.leaving",
-        {{"server", id}, {"started", static_cast<std::int64_t>(server.m_started_ms)}, {"source", source}});
-    self.m_counters.add("servers_leaving_total");
-    self.m_handlers.m_on_server(std::string{id});
-}
-
-auto handle_server_removal(core& self, const std::string& id, const std::uint64_t revision) -> void {
-    if (!self.m_servers.m_rows.contains(id)) {
-        fleet::merge_removal(self.m_servers, id, revision);
-        return;
-    }
-    const auto reachable_for = steady_now() - self.m_store_reachable_since;
-    if (reachable_for < internal::store_recovery_window &&
-        steady_now() - self.m_started > internal::store_recovery_window) {
-        self.m_pending_removals.insert(id);
-        self.m_loop.after(internal::store_recovery_window - reachable_for, [&self, id, revision] {
-            if (self.m_pending_removals.erase(id) > 0U && fleet::merge_removal(self.m_servers, id, revision)) {
-                self.m_events.write("server.gone", {{"server", id}, {"after_outage", true}});
-                self.m_handlers.m_on_server(id);
-                schedule_push(self, id);
-            }
-        });
-        return;
-    }
-    if (fleet::merge_removal(self.m_servers, id, revision)) {
-        self.m_events.write("server.gone", {{"server", id}, {"revision", static_cast<std::int64_t>(revision)}});
-        self.m_handlers.m_on_server(id);
-        schedule_push(self, id);
-    }
-}
-
 } // namespace rhubarbwharf::node
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -42,6 +43,15 @@
     std::function<void(std::string_view, const wire::fleet::Frame&)> m_on_frame{};
 };
 
+/*! @brief Key written by an operator, with what is known of the time of the write. */
+struct operator_item {
+    adapter::key_value m_item{};
+    /*! @brief Earliest time of the write. */
+    time_point m_since{};
+    /*! @brief Whether it was written at exactly that time. */
+    bool m_is_exact{false};
+};
+
 /*! @brief State common to gateways and loaders; accessed only on the loop's thread. */
 struct core {
     core(const config::node_settings& settings, bool follows_servers);
@@ -74,14 +84,27 @@
     /*! @brief Whether a seed has sent its full state since the start. */
     bool m_state_received{false};
     unsigned m_seed_requests{};
-    /*! @brief Backend servers whose removal is delayed because the store has just become reachable again. */
-    std::set<std::string, std::less<>> m_pending_removals{};
+    /*! @brief Seeds that have been tried since the start, the same one several times included. */
+    std::size_t m_seeds_tried{};
+    /*! @brief Position of the seed that is tried first. */
+    std::size_t m_first_seed{};
+    /*! @brief Whether operators' keys from the store are applied. At the start they are held until the seeds have been
+     * asked, as a store that was restored from a copy may contain older ones than the peers know. */
+    bool m_applies_operator_items{false};
+    std::vector<operator_item> m_held_operator_items{};
+    /*! @brief Removals that are delayed because the store has just become reachable again or begun a new era, by id. */
+    std::map<std::string, fleet::store_version, std::less<>> m_pending_removals{};
+    /*! @brief Entries that are held because a new era brings back what was removed in the former one, by id. A listing
+     * does not count as complete meanwhile. */
+    std::map<std::string, fleet::store_version, std::less<>> m_held_servers{};
 
     /*! @brief Whether backend servers are followed; false for loaders. */
     bool m_follows_servers{false};
     bool m_store_reachable{false};
     /*! @brief When the store last became reachable; the epoch if it never was. */
     time_point m_store_reachable_since{};
+    /*! @brief When the present era of the store became known; the epoch if it is the first one. */
+    time_point m_store_era_since{};
     /*! @brief Smoothed rate of requests that reach this gateway, per second. */
     double m_demand{};
     bool m_ready{false};
@@ -113,6 +136,12 @@
  * @return False if the bus cannot listen; nothing else is started then. */
 [[nodiscard]] auto start(core& self) -> bool;
 
+/*! @brief Reads everything anew and registers again after the store has begun a new era. */
+auto on_store_era(core& self, std::uint64_t former, std::uint64_t era) -> void;
+
+/*! @brief Applies the operators' keys that were held since the start, and from now on all further ones at once. */
+auto apply_held_operator_items(core& self) -> void;
+
 /*! @brief Removes the own entry from the store and announces the departure to the peers. */
 auto leave(core& self) -> void;
 
@@ -178,8 +207,8 @@
 /*! @brief Decides whether this gateway watches the store, and pauses or resumes the followers accordingly. */
 auto update_store_watch(core& self) -> void;
 
-/*! @brief Requests the state of a random seed, repeatedly until a configuration is known and a seed has answered or the
- * attempts are used up. */
+/*! @brief Requests the state of a seed, repeatedly until a configuration is known and a seed has answered or the
+ * attempts are used up. At the start, the seeds are asked one after another until one knows a configuration. */
 auto request_seed_state(core& self) -> void;
 
 /*! @brief Adds or updates a member, and connects to it if it is a gateway. @param is_listed Whether the store lists it.
@@ -195,8 +224,16 @@
 auto mark_server_leaving(core& self, std::string_view id, const fleet::leaving_server& server, std::string_view source)
     -> void;
 
-/*! @brief Removes a backend server. If the store has just become reachable again, the removal is delayed, as the entry
- * may be written again. @param revision Store revision of the removal. */
-auto handle_server_removal(core& self, const std::string& id, std::uint64_t revision) -> void;
+/**
+ * @brief Merges an entry of a backend server. In the recovery window of a new era, an entry that was removed in the
+ * former one is held unless it has just been written; an incarnation that was draining counts as leaving.
+ * @param is_new_write Whether the entry has just been written.
+ * @return Whether the table changed.
+ */
+auto offer_server(core& self, const fleet::backend_server& row, bool is_new_write) -> bool;
+
+/*! @brief Removes a backend server. If the store has just become reachable again or begun a new era, the removal is
+ * delayed, as the entry may be written again. @param version Store version of the removal. */
+auto handle_server_removal(core& self, const std::string& id, fleet::store_version version) -> void;
 
 } // namespace rhubarbwharf::node
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -11,7 +11,9 @@
 constexpr duration min_retry_delay = std::chrono::milliseconds{100};
 /*! @brief Longest delay, so that a store that answers again is noticed within the time limit of a change. */
 constexpr duration max_retry_delay = std::chrono::milliseconds{800};
-/*! @brief Jitter of the listings after a compaction, which affects all processes at once. */
+/*! @brief Wait of the first watch after a failure: a store that answers again tells its era at once. */
+constexpr duration first_watch_timeout = std::chrono::milliseconds{50};
+/*! @brief Jitter of the listings after a compaction or in a new era, which affect all processes at once. */
 constexpr duration max_listing_jitter = std::chrono::milliseconds{200};
 constexpr unsigned max_retry_doublings = 3U;
 
@@ -43,8 +45,20 @@
     watch();
 }
 
+auto follower::relist() -> void {
+    if (m_stopped || m_paused) {
+        return;
+    }
+    ++m_generation;
+    m_failures = 0U;
+    if (auto call = std::exchange(m_call, nullptr)) {
+        call->cancel();
+    }
+    schedule_listing();
+}
+
 auto follower::pause() -> void {
-    if (m_paused || m_revision == 0U) {
+    if (m_paused || m_version.m_revision == 0U) {
         return;
     }
     m_paused = true;
@@ -87,6 +101,16 @@
     });
 }
 
+auto follower::schedule_listing() -> void {
+    const auto spread = static_cast<std::uint64_t>(internal::max_listing_jitter.count());
+    const auto jitter = duration{static_cast<duration::rep>(m_random() % spread)};
+    m_loop.after(jitter, [self = shared_from_this(), generation = m_generation] {
+        if (!self->m_stopped && self->m_generation == generation) {
+            self->list({});
+        }
+    });
+}
+
 auto follower::list(const std::string& after_key) -> void {
     if (after_key.empty()) {
         m_listed_items.clear();
@@ -109,7 +133,7 @@
     // Pages are not one snapshot: the watch continues from the first page's revision, and duplicates are merged by
     // revision.
     if (m_listed_items.empty()) {
-        m_listing_revision = page.m_revision;
+        m_listing_version = page.m_version;
     }
     std::ranges::move(page.m_items, std::back_inserter(m_listed_items));
     if (page.m_has_more && !m_listed_items.empty()) {
@@ -117,14 +141,15 @@
         return;
     }
     m_failures = 0U;
-    m_revision = m_listing_revision;
-    m_handlers.m_on_list(std::exchange(m_listed_items, {}), m_revision);
+    m_version = m_listing_version;
+    m_handlers.m_on_list(std::exchange(m_listed_items, {}), m_version);
     watch();
 }
 
 auto follower::watch() -> void {
     const auto generation = ++m_generation;
-    m_call = m_store.watch(m_prefix, m_revision, m_watch_timeout,
+    const auto timeout = m_failures == 0U ? m_watch_timeout : std::min(m_watch_timeout, internal::first_watch_timeout);
+    m_call = m_store.watch(m_prefix, m_version.m_revision, timeout,
                            [self = shared_from_this(), generation](adapter::page page) {
                                if (!self->m_stopped && self->m_generation == generation) {
                                    self->m_call = nullptr;
@@ -135,13 +160,7 @@
 
 auto follower::on_changes(adapter::page page) -> void {
     if (page.m_reply == adapter::reply::compacted) {
-        const auto spread = static_cast<std::uint64_t>(internal::max_listing_jitter.count());
-        const auto jitter = duration{static_cast<duration::rep>(m_random() % spread)};
-        m_loop.after(jitter, [self = shared_from_this(), generation = m_generation] {
-            if (!self->m_stopped && self->m_generation == generation) {
-                self->list({});
-            }
-        });
+        schedule_listing();
         return;
     }
     if (page.m_reply != adapter::reply::ok) {
@@ -151,7 +170,7 @@
     }
     update_contact(true);
     m_failures = 0U;
-    m_revision = std::max(m_revision, page.m_revision);
+    m_version = std::max(m_version, page.m_version);
     for (auto& each : page.m_items) {
         m_handlers.m_on_change(std::move(each));
     }
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -16,8 +16,8 @@
 
 /*! @brief Callbacks of a follower; all run on the loop's thread. */
 struct follower_handlers {
-    /*! @brief Called after a listing with all keys and a revision; the listing is at least as new as that revision. */
-    std::function<void(std::vector<adapter::key_value>, std::uint64_t)> m_on_list{};
+    /*! @brief Called after a listing with all keys and a version; the listing is at least as new as that version. */
+    std::function<void(std::vector<adapter::key_value>, fleet::store_version)> m_on_list{};
     /*! @brief Called for each change, in order. */
     std::function<void(adapter::key_value)> m_on_change{};
     /*! @brief Called with whether the store answers, each time that this changes. */
@@ -28,7 +28,8 @@
  * @brief Follows the keys of one prefix: lists them, then watches for changes from the listing's revision on.
  *
  * While the store does not answer, calls are retried with exponential backoff and jitter, and the known revision is
- * kept. Keys are listed again only after `resume`, or if the store has compacted the history that is needed.
+ * kept. Keys are listed again only after `resume` and `relist`, or if the store has compacted the history that is
+ * needed.
  */
 class follower : public std::enable_shared_from_this<follower> {
 public:
@@ -52,6 +53,9 @@
      * has not delivered. */
     auto restart_watch() -> void;
 
+    /*! @brief Drops the call in progress and lists anew after a random delay. The known revision may fall. */
+    auto relist() -> void;
+
     /*! @brief Stops watching until `resume`; the known revision is kept. No effect before the first listing. */
     auto pause() -> void;
 
@@ -61,8 +65,8 @@
     /*! @brief Stops for good; no callback runs afterwards. */
     auto stop() -> void;
 
-    /*! @brief Returns the revision up to which changes are known. @return 0 before the first listing. */
-    [[nodiscard]] auto revision() const noexcept -> std::uint64_t { return m_revision; }
+    /*! @brief Returns the version up to which changes are known. @return Revision 0 before the first listing. */
+    [[nodiscard]] auto version() const noexcept -> fleet::store_version { return m_version; }
 
 private:
     auto list(const std::string& after_key) -> void;
@@ -70,6 +74,7 @@
     auto watch() -> void;
     auto on_changes(adapter::page page) -> void;
     auto schedule_retry(bool relist) -> void;
+    auto schedule_listing() -> void;
     auto update_contact(bool reachable) -> void;
 
     net::loop& m_loop;
@@ -81,8 +86,8 @@
     follower_handlers m_handlers{};
     std::vector<adapter::key_value> m_listed_items{};
     std::shared_ptr<net::call> m_call{};
-    std::uint64_t m_revision{};
-    std::uint64_t m_listing_revision{};
+    fleet::store_version m_version{};
+    fleet::store_version m_listing_version{};
     /*! @brief Incremented to invalidate callbacks of earlier calls and timers. */
     std::uint64_t m_generation{};
     unsigned m_failures{};
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -63,11 +63,18 @@
 
 /*! @brief Checks whether a gateway of the own region has reported the same differing set of backend servers twice in
  * a row. */
-[[nodiscard]] auto servers_differ(core& self, fleet::member_observation& row, const std::uint64_t fingerprint) -> bool {
+[[nodiscard]] auto servers_differ(core& self, fleet::member_observation& row, const wire::fleet::Pulse& message)
+    -> bool {
+    const auto states_era = message.store_era() != 0U;
+    if (!states_era && self.m_store.era() != 0U) {
+        return false;
+    }
+    const auto fingerprint = states_era ? message.server_versions() : message.servers();
+    const auto own = states_era ? fleet::fingerprint(self.m_servers) : fleet::fingerprint_of_revisions(self.m_servers);
     const auto is_stable = row.m_servers_fingerprint == fingerprint;
     row.m_servers_fingerprint = fingerprint;
     const auto is_local = row.m_member.m_region == self.m_self.m_region;
-    return self.m_follows_servers && is_local && is_stable && fingerprint != fleet::fingerprint(self.m_servers);
+    return self.m_follows_servers && is_local && is_stable && fingerprint != own;
 }
 
 auto add_leaving_servers(const core& self, wire::fleet::Pulse& out) -> void {
@@ -91,11 +98,13 @@
     row.m_leaving = message.leaving();
     row.m_reaches_store = message.reaches_store();
     row.m_demand_per_s = message.demand();
+    row.m_store_era = message.store_era();
+    self.m_store.note_era(message.store_era());
     for (const auto& each : message.leaving_servers()) {
         mark_server_leaving(self, each.id(), from_wire(each), from);
     }
     const auto loaders_differ = !self.m_follows_servers && message.loaders() != loaders_digest(self);
-    const peer_status status{message.configuration(), message.weights(), servers_differ(self, row, message.servers()),
+    const peer_status status{message.configuration(), message.weights(), servers_differ(self, row, message),
                              loaders_differ};
     if (!is_behind(self, status, now) || now - self.m_last_state_pull < min_pull_interval) {
         return;
@@ -144,6 +153,7 @@
     own.m_leaving = self.m_leaving;
     own.m_reaches_store = self.m_store_reachable;
     own.m_demand_per_s = self.m_demand;
+    own.m_store_era = self.m_store.era();
     wire::fleet::Frame frame{};
     auto& message = *frame.mutable_pulse();
     to_wire(self.m_self, *message.mutable_self());
@@ -152,7 +162,9 @@
     message.set_demand(self.m_demand);
     message.set_configuration(internal::configuration_version(self));
     message.set_weights(internal::weights_version_sum(self));
-    message.set_servers(fleet::fingerprint(self.m_servers));
+    message.set_servers(fleet::fingerprint_of_revisions(self.m_servers));
+    message.set_server_versions(fleet::fingerprint(self.m_servers));
+    message.set_store_era(self.m_store.era());
     message.set_reaches_store(self.m_store_reachable);
     message.set_loaders(internal::loaders_digest(self));
     internal::add_leaving_servers(self, message);
@@ -211,7 +223,8 @@
     } else if (const auto removed = self.m_servers.m_removed.find(id); removed != self.m_servers.m_removed.end()) {
         auto* const server = out.add_servers();
         server->set_id(id);
-        server->set_revision(removed->second);
+        server->set_revision(removed->second.m_revision);
+        server->set_era(removed->second.m_era);
         server->set_removed(true);
     }
 }
@@ -312,7 +325,7 @@
         for (const auto& [id, row] : self.m_servers.m_rows) {
             internal::add_server(self, id, out);
         }
-        for (const auto& [id, revision] : self.m_servers.m_removed) {
+        for (const auto& [id, version] : self.m_servers.m_removed) {
             internal::add_server(self, id, out);
         }
     }
@@ -334,13 +347,18 @@
     }
     if (!state.configuration().empty()) {
         accept_configuration(self, state.configuration(), source);
+        apply_held_operator_items(self);
     }
     for (const auto& each : state.servers()) {
         if (!self.m_follows_servers) {
             break;
         }
-        const auto changed = each.removed() ? fleet::merge_removal(self.m_servers, each.id(), each.revision())
-                                            : fleet::merge_server(self.m_servers, from_wire(each));
+        if (each.era() == 0U && self.m_store.era() != 0U) {
+            continue;
+        }
+        const fleet::store_version version{each.era(), each.revision()};
+        const auto changed = each.removed() ? fleet::merge_removal(self.m_servers, each.id(), version)
+                                            : offer_server(self, from_wire(each), false);
         if (changed) {
             self.m_events.write("server.told",
                                 {{"server", each.id()}, {"removed", each.removed()}, {"source", source}});
@@ -377,37 +395,68 @@
     }
 }
 
-auto request_seed_state(core& self) -> void {
-    const auto has_enough_state = self.m_state_received || self.m_seed_requests >= internal::max_seed_requests;
-    auto seeds = self.m_settings.m_seeds;
-    std::erase(seeds, self.m_settings.m_listen.m_control);
-    if ((self.m_configuration && has_enough_state) || seeds.empty()) {
+namespace internal {
+
+namespace {
+
+[[nodiscard]] auto other_seeds(const core& self) -> std::vector<std::string> {
+    auto out = self.m_settings.m_seeds;
+    std::erase(out, self.m_settings.m_listen.m_control);
+    return out;
+}
+
+auto ask_next_seed(core& self) -> void;
+
+/*! @brief Asks the next seed at once while operators' keys are held and not all have been asked, otherwise after the
+ * interval. */
+auto continue_with_seeds(core& self) -> void {
+    if (!self.m_applies_operator_items && self.m_seeds_tried < other_seeds(self).size()) {
+        self.m_loop.post([&self] { ask_next_seed(self); });
         return;
     }
-    ++self.m_seed_requests;
-    const auto seed = net::parse_endpoint(seeds[self.m_random() % seeds.size()]);
-    const auto retry = [&self] {
-        self.m_loop.after(internal::seed_retry_interval, [&self] { request_seed_state(self); });
-    };
+    apply_held_operator_items(self);
+    self.m_loop.after(seed_retry_interval, [&self] { request_seed_state(self); });
+}
+
+auto ask_next_seed(core& self) -> void {
+    const auto seeds = other_seeds(self);
+    const auto seed = net::parse_endpoint(seeds[(self.m_first_seed + self.m_seeds_tried++) % seeds.size()]);
     if (!seed) {
-        retry();
+        continue_with_seeds(self);
         return;
     }
     net::call_limits limits{};
-    limits.m_total_time = internal::seed_retry_interval;
-    limits.m_connect_time = internal::seed_retry_interval;
+    limits.m_total_time = seed_retry_interval;
+    limits.m_connect_time = seed_retry_interval;
     net::http_request request{};
     request.m_target = "/state";
     self.m_http.fetch(*seed, std::move(request), limits,
-                      [&self, retry](const net::call_end&, const net::http_response& response) {
+                      [&self](const net::call_end&, const net::http_response& response) {
                           constexpr std::uint16_t ok = 200U;
                           wire::fleet::State state{};
                           if (response.m_status == ok && state.ParseFromString(response.m_body)) {
                               self.m_state_received = true;
                               accept_state(self, state, "seed");
                           }
-                          retry();
+                          continue_with_seeds(self);
                       });
 }
 
+} // namespace
+
+} // namespace internal
+
+auto request_seed_state(core& self) -> void {
+    const auto has_enough_state = self.m_state_received || self.m_seed_requests >= internal::max_seed_requests;
+    if (internal::other_seeds(self).empty()) {
+        apply_held_operator_items(self);
+        return;
+    }
+    if (self.m_configuration && has_enough_state) {
+        return;
+    }
+    ++self.m_seed_requests;
+    internal::ask_next_seed(self);
+}
+
 } // namespace rhubarbwharf::node
--- a/src/node/registration.cpp
+++ b/src/node/registration.cpp
@@ -17,37 +17,60 @@
       m_on_written{std::move(on_written)} {}
 
 auto registration::start() -> void {
-    m_store.grant_lease(m_ttl, [self = shared_from_this()](const adapter::lease lease) {
+    m_store.grant_lease(m_ttl, [self = shared_from_this(), generation = m_generation](const adapter::lease lease) {
+        if (self->m_generation != generation) {
+            return;
+        }
         if (lease.m_reply != adapter::reply::ok) {
             self->schedule(internal::retry_delay, &registration::start);
             return;
         }
         self->m_lease_id = lease.m_id;
+        self->m_lease_era = self->m_store.era();
         self->write();
     });
 }
 
+auto registration::renew_in_new_era(const duration delay) -> void {
+    ++m_generation;
+    m_lease_id = 0U;
+    schedule(delay, &registration::start);
+}
+
+auto registration::revoke() -> void {
+    if (m_lease_id != 0U && m_lease_era == m_store.era()) {
+        m_store.revoke_lease(m_lease_id, [](adapter::reply) {});
+    }
+}
+
 auto registration::write() -> void {
     if (m_stopped) {
-        m_store.revoke_lease(m_lease_id, [](adapter::reply) {});
+        revoke();
         return;
     }
     adapter::transaction transaction{};
-    transaction.m_puts.push_back({m_key, m_value, 0U, m_lease_id, false});
-    m_store.commit(transaction, [self = shared_from_this()](const adapter::reply result, std::uint64_t) {
-        if (result == adapter::reply::ok) {
-            self->m_on_written();
-            self->schedule(self->m_ttl / internal::renewals_per_lease, &registration::renew);
-        } else if (result == adapter::reply::missing) {
-            self->schedule(duration::zero(), &registration::start);
-        } else {
-            self->schedule(internal::retry_delay, &registration::write);
-        }
-    });
+    transaction.m_puts.push_back({m_key, m_value, {}, m_lease_id, false});
+    m_store.commit(transaction,
+                   [self = shared_from_this(), generation = m_generation](const adapter::reply result, std::uint64_t) {
+                       if (self->m_generation != generation) {
+                           return;
+                       }
+                       if (result == adapter::reply::ok) {
+                           self->m_on_written();
+                           self->schedule(self->m_ttl / internal::renewals_per_lease, &registration::renew);
+                       } else if (result == adapter::reply::missing) {
+                           self->schedule(duration::zero(), &registration::start);
+                       } else {
+                           self->schedule(internal::retry_delay, &registration::write);
+                       }
+                   });
 }
 
 auto registration::renew() -> void {
-    m_store.renew_lease(m_lease_id, [self = shared_from_this()](const adapter::lease lease) {
+    m_store.renew_lease(m_lease_id, [self = shared_from_this(), generation = m_generation](const adapter::lease lease) {
+        if (self->m_generation != generation) {
+            return;
+        }
         if (lease.m_reply == adapter::reply::ok) {
             self->schedule(self->m_ttl / internal::renewals_per_lease, &registration::renew);
         } else if (lease.m_reply == adapter::reply::missing) {
@@ -62,8 +85,8 @@
     if (m_stopped) {
         return;
     }
-    m_loop.after(delay, [self = shared_from_this(), step] {
-        if (!self->m_stopped) {
+    m_loop.after(delay, [self = shared_from_this(), step, generation = m_generation] {
+        if (!self->m_stopped && self->m_generation == generation) {
             (*self.*step)();
         }
     });
@@ -71,9 +94,7 @@
 
 auto registration::stop() -> void {
     m_stopped = true;
-    if (m_lease_id != 0U) {
-        m_store.revoke_lease(m_lease_id, [](adapter::reply) {});
-    }
+    revoke();
 }
 
 } // namespace rhubarbwharf::node
--- a/src/node/registration.hpp
+++ b/src/node/registration.hpp
@@ -15,7 +15,7 @@
 /**
  * @brief Keeps the entry of this process in the store, on a lease that is renewed three times within its time to live.
  *
- * If the lease has expired, a new one is granted and the entry is written again.
+ * If the lease has expired or the store has begun a new era, a new one is granted and the entry is written again.
  */
 class registration : public std::enable_shared_from_this<registration> {
 public:
@@ -34,10 +34,16 @@
     /*! @brief Requests a lease and writes the entry. */
     auto start() -> void;
 
+    /*! @brief Requests a lease of the new era and writes the entry again; the former lease may belong to another
+     * process.
+     * @param delay Time until then. */
+    auto renew_in_new_era(duration delay) -> void;
+
     /*! @brief Ends the lease, which removes the entry. */
     auto stop() -> void;
 
 private:
+    auto revoke() -> void;
     auto write() -> void;
     auto renew() -> void;
     auto schedule(duration delay, void (registration::*step)()) -> void;
@@ -49,6 +55,10 @@
     duration m_ttl{};
     std::function<void()> m_on_written{};
     std::uint64_t m_lease_id{};
+    /*! @brief Era of the store in which the lease was granted. */
+    std::uint64_t m_lease_era{};
+    /*! @brief Incremented to invalidate callbacks of earlier calls and timers. */
+    std::uint64_t m_generation{};
     bool m_stopped{false};
 };
 
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -76,7 +76,8 @@
     out.set_cold_ms(static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(value.m_warm_up_time).count()));
     to_wire(value.m_models, *out.mutable_models());
-    out.set_revision(value.m_revision);
+    out.set_revision(value.m_store_version.m_revision);
+    out.set_era(value.m_store_version.m_era);
 }
 
 auto from_wire(const wire::fleet::LeavingServer& value) -> fleet::leaving_server {
@@ -94,7 +95,7 @@
     out.m_draining = value.draining();
     out.m_warm_up_time = std::chrono::milliseconds{value.cold_ms()};
     out.m_models = from_wire(value.models());
-    out.m_revision = value.revision();
+    out.m_store_version = {value.era(), value.revision()};
     return out;
 }
 
--- a/test/adapter/decode.cpp
+++ b/test/adapter/decode.cpp
@@ -49,7 +49,7 @@
 TEST_CASE("entries that do not describe a backend server are ignored") {
     const std::string good = R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","born":12,)"
                              R"("models":[{"name":"m","version":3}],"layers":{"from":0,"to":16,"version":3}})";
-    const auto decoded = decode_server("i", good, 9U);
+    const auto decoded = decode_server("i", good, {1U, 9U});
     REQUIRE(decoded);
     CHECK(decoded->m_started_ms == 12U);
     CHECK(decoded->m_models == std::vector<fleet::held_model>{{"m", 3U, 16U}});
@@ -57,9 +57,10 @@
                                   R"({"service":"s","address":"nowhere","zone":"z","slots":4,"state":"ready"})",
                                   R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":"4","state":"ready"})",
                                   R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"asleep"})"}) {
-        CHECK_FALSE(decode_server("i", bad, 9U));
+        CHECK_FALSE(decode_server("i", bad, {1U, 9U}));
     }
-    CHECK(decode_server("i", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"draining"})", 1U)
+    CHECK(decode_server("i", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"draining"})",
+                        {1U, 1U})
               ->m_draining);
 }
 
--- a/test/fleet/server.cpp
+++ b/test/fleet/server.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-[[nodiscard]] auto make_entry(const std::string& id, const std::uint64_t revision) -> backend_server {
+[[nodiscard]] auto make_entry(const std::string& id, const std::uint64_t revision, const std::uint64_t era = 1U)
+    -> backend_server {
     backend_server out{};
     out.m_id = id;
-    out.m_revision = revision;
+    out.m_store_version = {era, revision};
     return out;
 }
 
@@ -19,11 +20,11 @@
 TEST_CASE("an outdated entry from a peer does not restore a removed server") {
     server_table table{};
     CHECK(merge_server(table, make_entry("a", 5U)));
-    CHECK(merge_removal(table, "a", 7U));
+    CHECK(merge_removal(table, "a", {1U, 7U}));
     CHECK_FALSE(merge_server(table, make_entry("a", 6U)));
     CHECK(table.m_rows.empty());
     CHECK(merge_server(table, make_entry("a", 8U)));
-    CHECK_FALSE(merge_removal(table, "a", 7U));
+    CHECK_FALSE(merge_removal(table, "a", {1U, 7U}));
     CHECK(table.m_rows.size() == 1U);
 }
 
@@ -31,12 +32,40 @@
     server_table table{};
     merge_server(table, make_entry("old", 3U));
     merge_server(table, make_entry("new", 12U));
-    const auto dropped = merge_listing(table, {make_entry("listed", 9U)}, 10U);
+    const auto dropped = merge_listing(table, {make_entry("listed", 9U)}, {1U, 10U});
     CHECK(dropped == std::vector<std::string>{"old"});
     CHECK(table.m_rows.contains("new"));
     CHECK(table.m_rows.contains("listed"));
 }
 
+TEST_CASE("an entry of a new era is believed whatever its revision, and a removal of the former era does not hide it") {
+    server_table table{};
+    merge_server(table, make_entry("a", 500U));
+    merge_removal(table, "b", {1U, 600U});
+    CHECK(merge_server(table, make_entry("a", 3U, 2U)));
+    CHECK(merge_server(table, make_entry("b", 4U, 2U)));
+    CHECK_FALSE(merge_removal(table, "a", {1U, 700U}));
+    CHECK_FALSE(merge_server(table, make_entry("a", 800U)));
+    CHECK(table.m_rows.size() == 2U);
+    CHECK(table.m_version == store_version{2U, 4U});
+}
+
+TEST_CASE("a listing of a new era removes what it lacks, whatever its revision was") {
+    server_table table{};
+    merge_server(table, make_entry("old", 900U));
+    CHECK(merge_listing(table, {make_entry("listed", 5U, 2U)}, {2U, 10U}) == std::vector<std::string>{"old"});
+    CHECK_FALSE(merge_server(table, make_entry("old", 950U)));
+}
+
+TEST_CASE("tables that differ only in the era have the same digest for processes that know no eras") {
+    server_table former{};
+    server_table present{};
+    merge_server(former, make_entry("a", 5U, 1U));
+    merge_server(present, make_entry("a", 5U, 2U));
+    CHECK(fingerprint(former) != fingerprint(present));
+    CHECK(fingerprint_of_revisions(former) == fingerprint_of_revisions(present));
+}
+
 TEST_CASE("tables that receive the same changes in any order are equal") {
     struct change {
         std::string m_id{};
@@ -56,7 +85,7 @@
             server_table table{};
             for (const auto& each : order) {
                 if (each.m_removed) {
-                    merge_removal(table, each.m_id, each.m_revision);
+                    merge_removal(table, each.m_id, {1U, each.m_revision});
                 } else {
                     merge_server(table, make_entry(each.m_id, each.m_revision));
                 }
--- a/test/node/follower.cpp
+++ b/test/node/follower.cpp
@@ -13,6 +13,9 @@
 
 constexpr duration watch_timeout = std::chrono::milliseconds{300};
 constexpr duration call_timeout = std::chrono::milliseconds{200};
+/*! @brief Age of the copies from which the store is restored. */
+constexpr duration copy_age = std::chrono::milliseconds{150};
+constexpr duration hour = std::chrono::hours{1};
 
 /*! @brief A stand-in store, and a follower whose callbacks record the known keys. */
 struct follower_fixture {
@@ -27,7 +30,7 @@
 
     follower_fixture() {
         follower_handlers handlers{};
-        handlers.m_on_list = [this](const std::vector<adapter::key_value>& items, std::uint64_t) {
+        handlers.m_on_list = [this](const std::vector<adapter::key_value>& items, fleet::store_version) {
             ++m_listing_count;
             m_items.clear();
             for (const auto& each : items) {
@@ -45,6 +48,7 @@
             m_reachable = reachable;
         };
         m_follower = std::make_shared<follower>(m_loop, m_store, "op/", watch_timeout, duration::zero(), 7U, handlers);
+        m_store.set_era_handler([this](std::uint64_t, std::uint64_t) { m_follower->relist(); });
     }
 
     ~follower_fixture() { m_follower->stop(); }
@@ -57,6 +61,11 @@
     [[nodiscard]] auto wait_until(const std::function<bool()>& condition) -> bool {
         return net::run_until(m_loop, condition);
     }
+
+    auto let_pass(const duration time) -> void {
+        const auto end = steady_now() + time;
+        REQUIRE(wait_until([end] { return steady_now() >= end; }));
+    }
 };
 
 } // namespace
@@ -107,6 +116,124 @@
     CHECK_FALSE(fixture.m_items.contains("op/a"));
 }
 
+TEST_CASE("a follower lists anew in a new era and believes entries whose revision has fallen") {
+    follower_fixture fixture{};
+    fixture.m_platform_store.put("op/kept", "1");
+    fixture.m_follower->start();
+    REQUIRE(fixture.wait_until([&] { return fixture.m_listing_count == 1; }));
+    fixture.let_pass(copy_age * 2);
+    for (auto index = 0; index < 5; ++index) {
+        fixture.m_platform_store.put("op/lost", std::to_string(index));
+    }
+    REQUIRE(fixture.wait_until([&] { return fixture.m_items["op/lost"] == "4"; }));
+    const auto former = fixture.m_follower->version();
+    fixture.m_platform_store.restore(copy_age, hour);
+    fixture.m_platform_store.put("op/kept", "2");
+    REQUIRE(fixture.wait_until([&] { return fixture.m_items["op/kept"] == "2"; }));
+    CHECK(fixture.m_items.size() == 1U);
+    CHECK(fixture.m_listing_count == 2);
+    CHECK(fixture.m_follower->version() > former);
+    CHECK(fixture.m_follower->version().m_revision < former.m_revision);
+    fixture.m_platform_store.put("op/kept", "3");
+    CHECK(fixture.wait_until([&] { return fixture.m_items["op/kept"] == "3"; }));
+}
+
+TEST_CASE("a follower misses no change if the store gives out again the revision that it watched from") {
+    follower_fixture fixture{};
+    fixture.m_follower->start();
+    REQUIRE(fixture.wait_until([&] { return fixture.m_listing_count == 1; }));
+    fixture.let_pass(copy_age * 2);
+    fixture.m_platform_store.put("op/lost", "1");
+    REQUIRE(fixture.wait_until([&] { return fixture.m_items.contains("op/lost"); }));
+    fixture.m_platform_store.restore(copy_age, hour);
+    fixture.m_platform_store.put("op/new", "1");
+    fixture.m_platform_store.put("other/new", "1");
+    CHECK(
+        fixture.wait_until([&] { return fixture.m_items.contains("op/new") && !fixture.m_items.contains("op/lost"); }));
+}
+
+TEST_CASE("a response without an era counts for the known one, and one of a former era is ignored") {
+    follower_fixture fixture{};
+    auto replies = 0;
+    adapter::page last{};
+    const auto read = [&] {
+        const auto expected = replies + 1;
+        fixture.m_store.range("op/", {}, [&](adapter::page page) {
+            last = std::move(page);
+            ++replies;
+        });
+        REQUIRE(fixture.wait_until([&] { return replies == expected; }));
+    };
+    read();
+    CHECK(last.m_version.m_era == 1U);
+    fixture.m_platform_store.set_faults({false, false, 0U, true});
+    read();
+    CHECK(last.m_reply == adapter::reply::ok);
+    CHECK(last.m_version.m_era == 1U);
+    fixture.m_platform_store.set_faults({});
+    fixture.m_store.note_era(2U);
+    read();
+    CHECK(last.m_reply == adapter::reply::unknown);
+    CHECK(fixture.m_store.era() == 2U);
+}
+
+TEST_CASE("the first era is not reported as a new one, and an error reports a new one too") {
+    follower_fixture fixture{};
+    std::vector<std::uint64_t> eras{};
+    fixture.m_store.set_era_handler([&](const std::uint64_t former, const std::uint64_t era) {
+        eras.push_back(former);
+        eras.push_back(era);
+    });
+    auto replies = 0;
+    const auto renew = [&] {
+        const auto expected = replies + 1;
+        fixture.m_store.renew_lease(99U, [&](const adapter::lease lease) {
+            CHECK(lease.m_reply == adapter::reply::missing);
+            ++replies;
+        });
+        REQUIRE(fixture.wait_until([&] { return replies == expected; }));
+    };
+    renew();
+    CHECK(eras.empty());
+    fixture.let_pass(copy_age * 2);
+    fixture.m_platform_store.restore(copy_age, hour);
+    renew();
+    CHECK(eras == std::vector<std::uint64_t>{1U, 2U});
+}
+
+TEST_CASE("a condition of a former era is not sent") {
+    follower_fixture fixture{};
+    fixture.m_store.note_era(2U);
+    const auto calls = fixture.m_platform_store.call_count();
+    adapter::transaction changes{};
+    changes.m_compares.push_back({"op/a", {1U, 5U}});
+    auto result = adapter::reply::ok;
+    fixture.m_store.commit(changes, [&](const adapter::reply reply, std::uint64_t) { result = reply; });
+    CHECK(result == adapter::reply::refused);
+    fixture.let_pass(copy_age);
+    CHECK(fixture.m_platform_store.call_count() == calls);
+}
+
+TEST_CASE("a registration takes a new lease in a new era and leaves the former id to its new owner") {
+    follower_fixture fixture{};
+    fixture.let_pass(copy_age * 2);
+    const auto entry = std::make_shared<registration>(fixture.m_loop, fixture.m_store, "members/me", "value",
+                                                      watch_timeout * 4, [] {});
+    fixture.m_store.set_era_handler([&](std::uint64_t, std::uint64_t) { entry->renew_in_new_era(duration::zero()); });
+    entry->start();
+    REQUIRE(fixture.wait_until([&] { return fixture.m_platform_store.count("members/") == 1U; }));
+    fixture.m_platform_store.restore(copy_age, hour);
+    REQUIRE(fixture.m_platform_store.count("members/") == 0U);
+    const auto other =
+        std::make_shared<registration>(fixture.m_loop, fixture.m_store, "members/other", "value", hour, [] {});
+    other->start();
+    REQUIRE(fixture.wait_until([&] { return fixture.m_platform_store.count("members/") == 2U; }));
+    entry->stop();
+    REQUIRE(fixture.wait_until([&] { return fixture.m_platform_store.count("members/me") == 0U; }));
+    fixture.let_pass(copy_age);
+    CHECK(fixture.m_platform_store.count("members/other") == 1U);
+}
+
 TEST_CASE("a registration survives lost writes and expired leases, and is removed on stop") {
     follower_fixture fixture{};
     fixture.m_platform_store.set_faults({false, false, 2U});
