Learn of a new era from a peer's entry before merging it

What callers saw: after a restore, gateways sent requests to a server that had been replaced before it: 23 requests got 503 in one run of site.store_era (0 in the run before).

Cause: a gateway that had just started pushed the copy's entry to others that did not know of the new era yet; they merged it at once instead of holding it for the recovery window.

Change: an entry of a peer reveals its era, as a pulse does, before it is merged.

--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -356,6 +356,7 @@
         if (each.era() == 0U && self.m_store.era() != 0U) {
             continue;
         }
+        self.m_store.note_era(each.era());
         const fleet::store_version version{each.era(), each.revision()};
         const auto changed = each.removed() ? fleet::merge_removal(self.m_servers, each.id(), version)
                                             : offer_server(self, from_wire(each), false);
--- a/test/node/eras.cpp
+++ b/test/node/eras.cpp
@@ -130,6 +130,21 @@
     CHECK(steady_now() - restored < listing_bound);
 }
 
+TEST_CASE("an entry of a peer reveals a new era, and is held if the server was removed in the former one") {
+    core_fixture fixture{};
+    fixture.m_store.put("servers/a", make_entry("ready"));
+    REQUIRE(start(fixture.m_core));
+    REQUIRE(fixture.wait_until([&] { return fixture.knows("a"); }));
+    fixture.m_store.remove("servers/a");
+    REQUIRE(fixture.wait_until([&] { return !fixture.knows("a"); }));
+    wire::fleet::State state{};
+    to_wire(make_row({2U, 3U}), *state.add_servers());
+    accept_state(fixture.m_core, state, "peer");
+    CHECK_FALSE(fixture.knows("a"));
+    CHECK(fixture.m_core.m_held_servers.contains("a"));
+    CHECK(fixture.m_core.m_store.era() == 2U);
+}
+
 TEST_CASE("an incarnation that was draining counts as leaving when a new era calls it ready") {
     core self{make_settings(), true};
     auto row = make_row({1U, 9U});
--- a/test/soak/store_era.cpp
+++ b/test/soak/store_era.cpp
@@ -145,6 +145,44 @@
     });
 }
 
+TEST_CASE("a server that drains in a new era gets no request although its revision has fallen") {
+    constexpr std::size_t gateways = 2U;
+    constexpr duration notice = std::chrono::seconds{2};
+    constexpr duration recovery = std::chrono::seconds{3};
+    site_fixture fixture{gateways};
+    REQUIRE(wait_for_path(fixture, standin_site::lookup_path, gateways));
+    wait_for_copy();
+    fixture.m_site.run_in_loop([](standin_site::site& site) {
+        for (unsigned index = 0U; index < 100U; ++index) {
+            site.key_value_store().put("other/" + std::to_string(index), "x");
+        }
+        site.restart_server(first_ledger);
+    });
+    const auto replacement = server_id(fixture, first_ledger);
+    for (std::size_t gateway = 0U; gateway < gateways; ++gateway) {
+        REQUIRE(process::wait_until(
+            [&] { return logs_server(fixture.m_fleet.daemons()[gateway].m_process->output(), 0U, replacement); }));
+    }
+    fixture.m_site.run_in_loop(
+        [](standin_site::site& site) { site.key_value_store().restore(copy_age, rewrite_delay); });
+    std::this_thread::sleep_for(recovery);
+    fixture.m_site.run_in_loop([](standin_site::site& site) { site.servers()[first_ledger]->drain(); });
+    std::this_thread::sleep_for(notice);
+    unsigned before{};
+    fixture.m_site.run_in_loop([&](standin_site::site& site) { before = site.observations().m_arrivals[replacement]; });
+    unsigned failed{};
+    for (unsigned number = 0U; number < 50U; ++number) {
+        const auto attempt = "b" + std::to_string(number);
+        auto answer = fixture.start_request(attempt, standin_site::lookup_path, "b", number % gateways);
+        failed += answer.get().m_response.m_status == 200U ? 0U : 1U;
+    }
+    CHECK(failed == 0U);
+    fixture.m_site.run_in_loop([&](standin_site::site& site) {
+        CHECK(site.observations().m_arrivals[replacement] == before);
+        CHECK(site.observations().m_violations.m_lines == std::vector<std::string>{});
+    });
+}
+
 TEST_CASE("processes register again in a new era with leases of their own") {
     constexpr std::size_t gateways = 2U;
     site_fixture fixture{gateways};
@@ -161,6 +199,13 @@
     REQUIRE(wait_for_path(fixture, standin_site::lookup_path, gateways));
     fixture.m_site.run_in_loop(
         [](standin_site::site& site) { site.key_value_store().restore(copy_age, rewrite_delay); });
+    const auto restored = steady_now();
+    const auto count_calls = [&] {
+        std::uint64_t calls{};
+        fixture.m_site.run_in_loop([&](standin_site::site& site) { calls = site.key_value_store().call_count(); });
+        return calls;
+    };
+    const auto calls = count_calls();
     const auto registered = [&] {
         const auto log = fixture.m_fleet.logs();
         std::size_t out{};
@@ -170,6 +215,8 @@
         }
         return out;
     };
+    std::this_thread::sleep_for(restored + std::chrono::seconds{10} - steady_now());
+    MESSAGE(all, " processes: store calls in ten seconds: ", count_calls() - calls);
     CHECK(process::wait_until([&] { return registered() == all; }));
     CHECK(count() == all);
 }
