--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -104,6 +104,32 @@
     m_paused_until = std::max<time_point>(m_paused_until, steady_now() + length);
 }
 
+auto server::announce_leaving() -> void {
+    m_leaving_since = steady_now();
+}
+
+auto server::respond(const responder_ptr& responder, net::http_response response) const -> void {
+    add_server_headers(response);
+    responder->respond(std::move(response));
+}
+
+auto server::add_server_headers(net::http_response& response) const -> void {
+    if (m_leaving_since != time_point{}) {
+        response.m_headers.push_back({std::string{adapter::field::leaving}, "1"});
+    }
+}
+
+auto server::refuse(const responder_ptr& responder) -> void {
+    auto response = internal::not_executed_response(internal::unavailable);
+    if (m_faults.m_retry_after > duration::zero()) {
+        const auto seconds = std::chrono::duration<double>{m_faults.m_retry_after}.count();
+        response.m_headers.push_back({std::string{adapter::field::retry_after}, std::to_string(seconds)});
+        m_pause_requested_at = steady_now();
+        m_pause_requested_until = m_pause_requested_at + m_faults.m_retry_after;
+    }
+    respond(responder, std::move(response));
+}
+
 auto server::run_after(const duration delay, std::function<void()> task) -> void {
     m_loop.after(delay, [this, alive = m_alive, task = std::move(task)] {
         const auto now = steady_now();
@@ -154,7 +180,7 @@
         body["waiting"] = 0;
         body["running"] = m_running_requests;
         body["pace"] = 1.0;
-        responder->respond(json_response(internal::ok, body));
+        respond(responder, json_response(internal::ok, body));
     } else if (target.starts_with("/api/order")) {
         on_load_order(request, responder);
     } else if (target.starts_with("/api/stage-")) {
@@ -168,7 +194,7 @@
 auto server::on_load_order(const net::http_request& request, const responder_ptr& responder) -> void {
     const auto order = boost::json::parse(request.m_body).as_object();
     if (order.at("expected").to_number<std::uint64_t>() != m_accepted_orders || m_loading) {
-        responder->respond({internal::conflict, {}, {}});
+        respond(responder, {internal::conflict, {}, {}});
         return;
     }
     const auto version = order.at("version").to_number<std::uint64_t>();
@@ -180,7 +206,7 @@
     }
     ++m_accepted_orders;
     m_loading = true;
-    responder->respond({internal::accepted, {}, {}});
+    respond(responder, {internal::accepted, {}, {}});
     m_loop.after(internal::load_duration, [this, alive = m_alive, version] {
         if (*alive) {
             m_loading = false;
@@ -197,21 +223,21 @@
         for (const auto& [piece, bytes] : m_staged_pieces) {
             held.push_back(static_cast<std::int64_t>(piece));
         }
-        responder->respond(json_response(internal::ok, {{"held", held}}));
+        respond(responder, json_response(internal::ok, {{"held", held}}));
         return;
     }
     const auto piece = static_cast<std::size_t>(std::strtoull(text.c_str(), nullptr, 10));
     if (request.m_method == "PUT") {
         m_staged_pieces[piece] = request.m_body;
-        responder->respond({internal::ok, {}, {}});
+        respond(responder, {internal::ok, {}, {}});
     } else if (const auto found = m_staged_pieces.find(piece); found != m_staged_pieces.end()) {
-        responder->respond({internal::ok, {}, found->second});
+        respond(responder, {internal::ok, {}, found->second});
     } else {
-        responder->respond({internal::not_found, {}, {}});
+        respond(responder, {internal::not_found, {}, {}});
     }
 }
 
-auto server::check_request(const net::http_request& request) -> void {
+auto server::check_request(const net::http_request& request, const time_point arrived_at) -> void {
     const auto attempt = internal::header_value(request, adapter::field::attempt);
     for (const auto& each : request.m_headers) {
         if (m_observations.m_api_keys.contains(each.m_value) || each.m_name == "Authorization") {
@@ -227,17 +253,31 @@
     constexpr duration max_propagation_time = std::chrono::seconds{4};
     const auto draining_known_since = std::max(m_draining_since, m_observations.m_store_reachable_since);
     if (m_draining && draining_known_since != time_point::max() &&
-        steady_now() - draining_known_since > max_propagation_time) {
+        arrived_at - draining_known_since > max_propagation_time) {
         m_observations.m_violations.add(attempt +
                                         " reached a server more than 4 s after every daemon could know that it leaves");
     }
 }
 
 auto server::on_request(const net::http_request& request, const responder_ptr& responder) -> void {
+    const auto attempt = internal::header_value(request, adapter::field::attempt);
+    if (attempt.empty()) {
+        handle_request(request, responder, steady_now());
+        return;
+    }
+    auto stay = std::make_shared<arrival>();
+    stay->m_server = m_options.m_id;
+    stay->m_arrived_at = steady_now();
+    m_observations.m_stays[attempt].push_back(stay);
+    handle_request(request, record_stay(responder, stay, m_alive), stay->m_arrived_at);
+}
+
+auto server::handle_request(const net::http_request& request, const responder_ptr& responder,
+                            const time_point arrived_at) -> void {
     if (steady_now() < m_paused_until) {
-        run_after(duration::zero(), [this, alive = m_alive, request, responder] {
+        run_after(duration::zero(), [this, alive = m_alive, request, responder, arrived_at] {
             if (*alive) {
-                on_request(request, responder);
+                handle_request(request, responder, arrived_at);
             }
         });
         return;
@@ -247,28 +287,35 @@
     }
     ++m_request_count;
     ++m_observations.m_arrivals[m_options.m_id];
+    const auto now = steady_now();
+    constexpr duration pause_notice = std::chrono::milliseconds{500};
+    if (now > m_pause_requested_at + pause_notice && now < m_pause_requested_until) {
+        ++m_observations.m_arrivals_in_pause;
+    }
+    m_observations.m_last_arrival_when_leaving =
+        m_leaving_since == time_point{} ? m_observations.m_last_arrival_when_leaving : now;
     const auto is_nth_request = [this](const unsigned n) {
         return n != 0U && m_request_count % n == 0U;
     };
     if (internal::header_value(request, adapter::field::expect_server) != m_options.m_id) {
-        responder->respond(internal::not_executed_response(internal::misdirected));
+        respond(responder, internal::not_executed_response(internal::misdirected));
         return;
     }
     const auto expected_version = internal::header_value(request, adapter::field::expect_version);
     const auto is_loaded = m_options.m_model.empty() || m_options.m_version != 0U;
     if (!is_loaded || (!expected_version.empty() && expected_version != std::to_string(m_options.m_version))) {
-        responder->respond(internal::not_executed_response(internal::misdirected));
+        respond(responder, internal::not_executed_response(internal::misdirected));
         return;
     }
     if (is_nth_request(m_faults.m_refuse_every) || m_running_requests >= m_options.m_slot_count * 4U || m_loading) {
-        responder->respond(internal::not_executed_response(internal::unavailable));
+        refuse(responder);
         return;
     }
     if (m_faults.m_unresponsive) {
         m_unanswered.push_back(responder);
         return;
     }
-    check_request(request);
+    check_request(request, arrived_at);
     ++m_observations.m_executions[internal::header_value(request, adapter::field::attempt)];
     if (is_nth_request(m_faults.m_lose_reply_every)) {
         responder->abort();
@@ -287,10 +334,31 @@
     run_after(delay_before(1U), [this, alive = m_alive, attempt, responder] {
         if (*alive) {
             --m_running_requests;
-            responder->respond({internal::ok,
-                                {{std::string{adapter::field::attempt}, attempt},
-                                 {std::string{adapter::field::signature}, "seal-" + attempt}},
-                                plain_server_body(attempt)});
+            send_plain_response(attempt, responder);
+        }
+    });
+}
+
+auto server::send_plain_response(const std::string& attempt, const responder_ptr& responder) -> void {
+    net::http_response response{
+        internal::ok,
+        {{std::string{adapter::field::attempt}, attempt}, {std::string{adapter::field::signature}, "seal-" + attempt}},
+        plain_server_body(attempt)};
+    if (!m_options.m_split_output || m_request_count % 2U == 0U) {
+        respond(responder, std::move(response));
+        return;
+    }
+    const auto body = std::exchange(response.m_body, {});
+    const auto first_size = body.size() / 2U;
+    add_server_headers(response);
+    responder->start(std::move(response));
+    responder->write(std::string_view{body}.substr(0U, first_size));
+    run_after(m_options.m_step_duration, [alive = m_alive, responder, rest = body.substr(first_size)] {
+        if (*alive) {
+            responder->write(rest);
+            responder->finish();
+        } else {
+            responder->abort();
         }
     });
 }
@@ -307,6 +375,15 @@
                        {std::string{adapter::field::signature}, "seal-" + attempt}},
                       {}};
     const auto last_event = internal::header_value(request, adapter::field::last_event);
+    if (!last_event.empty() && m_faults.m_resume_status != 0U) {
+        respond(responder, {m_faults.m_resume_status, output->m_head.m_headers, "not resumed"});
+        return;
+    }
+    if (!last_event.empty() && m_faults.m_resume_empty) {
+        responder->start(output->m_head);
+        responder->finish();
+        return;
+    }
     output->m_next_event = last_event.empty() ? 1U : static_cast<unsigned>(std::stoul(last_event)) + 1U;
     output->m_cut_event = m_faults.m_cut_every != 0U && m_request_count % m_faults.m_cut_every == 0U
                               ? output->m_next_event + 3U
@@ -336,6 +413,7 @@
         return;
     }
     if (!std::exchange(output->m_started, true)) {
+        add_server_headers(output->m_head);
         output->m_responder->start(output->m_head);
     }
     const auto text = event_text(output->m_request_body, output->m_next_event);
@@ -345,7 +423,24 @@
         --m_running_requests;
         return;
     }
-    output->m_responder->write(text);
+    if (!m_options.m_split_output) {
+        output->m_responder->write(text);
+        finish_event(output);
+        return;
+    }
+    const auto first_size = text.size() / 2U;
+    output->m_responder->write(std::string_view{text}.substr(0U, first_size));
+    run_after(m_options.m_step_duration / 2, [this, alive = m_alive, output, rest = text.substr(first_size)] {
+        if (*alive) {
+            output->m_responder->write(rest);
+            finish_event(output);
+        } else {
+            output->m_responder->abort();
+        }
+    });
+}
+
+auto server::finish_event(const std::shared_ptr<stream>& output) -> void {
     if (output->m_next_event++ == events_per_stream) {
         output->m_responder->finish();
         --m_running_requests;
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "arrivals.hpp"
 #include "store.hpp"
 
 namespace rhubarbwharf::standin_site {
@@ -25,6 +26,12 @@
     std::map<std::string, unsigned> m_executions{};
     /*! @brief Requests received, by server id. */
     std::map<std::string, unsigned> m_arrivals{};
+    /*! @brief Requests that reached a server later than 0.5 s after it had asked for a pause and before its end. */
+    unsigned m_arrivals_in_pause{};
+    /*! @brief When a request last reached a server that had announced leaving; the epoch if none did. */
+    time_point m_last_arrival_when_leaving{};
+    /*! @brief Stays of requests at servers, by attempt id. */
+    arrivals m_stays{};
     /*! @brief Time since which every daemon can reach the store; `time_point::max()` while one of them can't. */
     time_point m_store_reachable_since{};
     /*! @brief API keys of the organisations; none of them may be forwarded to a server. */
@@ -46,6 +53,12 @@
      */
     unsigned m_pause_event{};
     duration m_pause{};
+    /*! @brief Status of a plain response to a request that resumes a stream; 0 resumes it. */
+    std::uint16_t m_resume_status{};
+    /*! @brief Ends each resumed stream at once, without an event. */
+    bool m_resume_empty{false};
+    /*! @brief Time for which a refusal asks its sender for a pause; zero omits the header. */
+    duration m_retry_after{};
 };
 
 /*! @brief Properties of one server. */
@@ -62,6 +75,8 @@
     std::size_t m_piece_count{};
     /*! @brief Execution time of a plain request, and the interval between two events of a stream. */
     duration m_step_duration{std::chrono::milliseconds{5}};
+    /*! @brief Whether events and every second plain response are sent in two parts, between which a pause may fall. */
+    bool m_split_output{false};
 };
 
 /*! @brief Stand-in for one backend server: a model runner, or a plain server if it has no model. */
@@ -85,6 +100,9 @@
     /*! @brief Announces that the server is draining; it continues to serve requests. */
     auto drain() -> void;
 
+    /*! @brief Says in each response that the server is leaving, while its entry in the store stays as it is. */
+    auto announce_leaving() -> void;
+
     /*! @brief Removes the entry of the server from the store, as the platform does for an unresponsive server. */
     auto unregister() -> void;
 
@@ -109,6 +127,9 @@
     struct stream;
 
     auto on_request(const net::http_request& request, const responder_ptr& responder) -> void;
+    /*! @brief Handles a request when no pause is in progress. */
+    auto handle_request(const net::http_request& request, const responder_ptr& responder, time_point arrived_at)
+        -> void;
     auto on_control(const net::http_request& request, const responder_ptr& responder) -> bool;
     auto on_load_order(const net::http_request& request, const responder_ptr& responder) -> void;
     auto on_stage(const net::http_request& request, const responder_ptr& responder) -> void;
@@ -118,9 +139,14 @@
     /*! @brief Returns the time until an event of a response is sent. */
     [[nodiscard]] auto delay_before(unsigned event) const -> duration;
     auto send_event(const std::shared_ptr<stream>& output) -> void;
+    auto finish_event(const std::shared_ptr<stream>& output) -> void;
+    auto send_plain_response(const std::string& attempt, const responder_ptr& responder) -> void;
     /*! @brief Runs a task after a delay, and not before a pause of the server has ended. */
     auto run_after(duration delay, std::function<void()> task) -> void;
-    auto check_request(const net::http_request& request) -> void;
+    auto respond(const responder_ptr& responder, net::http_response response) const -> void;
+    auto add_server_headers(net::http_response& response) const -> void;
+    auto refuse(const responder_ptr& responder) -> void;
+    auto check_request(const net::http_request& request, time_point arrived_at) -> void;
     auto publish_entry() -> void;
     [[nodiscard]] auto make_entry() const -> boost::json::object;
 
@@ -140,6 +166,10 @@
     bool m_draining{false};
     time_point m_draining_since{};
     time_point m_paused_until{};
+    /*! @brief When leaving was announced; the epoch if it was not. */
+    time_point m_leaving_since{};
+    time_point m_pause_requested_at{};
+    time_point m_pause_requested_until{};
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
 };
 
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -39,6 +39,9 @@
     std::string m_value{};
 };
 
+/*! @brief Compares two header names without regard to case. */
+[[nodiscard]] auto is_same_name(std::string_view left, std::string_view right) noexcept -> bool;
+
 /**
  * @brief Finds a header field.
  * @param headers The fields.
@@ -76,6 +79,8 @@
     duration m_request_time{std::chrono::seconds{10}};
     /*! @brief Time that an idle connection is kept. */
     duration m_idle_time{std::chrono::seconds{60}};
+    /*! @brief Longest time in which a client takes no byte of a response. */
+    duration m_write_time{std::chrono::seconds{60}};
     /*! @brief Whether a client that has ended its sending side still gets its response; else it counts as gone. */
     bool m_half_close{true};
     /*! @brief Bytes that may wait for a slow reader before its connection is cut. */
@@ -174,7 +179,9 @@
     /*! @brief Ends each connection after its next response, and goes on taking new ones. */
     auto retire() -> void;
 
-    /*! @brief Sets the limits of what arrives from now on. @param limits The limits. */
+    /*! @brief Sets the limits of what arrives from now on. A connection that is idle keeps the longer of both idle
+     * times.
+     * @param limits The limits. */
     auto set_limits(const http_limits& limits) -> void;
 
     /*! @brief Returns the count of open connections. @return The count. */
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -30,9 +30,7 @@
     const auto safe = idempotent || (failure.m_not_run && !item.m_may_have_run);
     const auto resumable =
         !item.m_stream_started || (item.m_route->m_resumable && !item.m_events.last_event_id().empty());
-    // A backend server that could not be reached does not count as an attempt.
-    const auto attempts = item.m_tried_servers.size() - item.m_unrun_hedges - (failure.m_sent ? 0U : 1U);
-    return safe && resumable && attempts < item.m_route->m_max_attempts &&
+    return safe && resumable && item.m_tried_servers.size() - item.m_unsent_attempts < item.m_route->m_max_attempts &&
            item.m_tried_servers.size() < max_tried_servers;
 }
 
@@ -45,10 +43,12 @@
     }
     if (failure.m_not_run && !item->m_may_have_run) {
         constexpr duration retry_after = std::chrono::milliseconds{120};
-        end_with_response(self, item, refusal_response(503U, failure.m_reason, retry_after), failure.m_reason);
+        const auto pause = retry_after_pause(self, *item);
+        end_with_response(self, item, refusal_response(503U, failure.m_reason, pause.value_or(retry_after)),
+                          failure.m_reason);
         return;
     }
-    end_with_response(self, item, failure_response(502U, failure.m_reason), failure.m_reason);
+    end_with_response(self, item, give_up_response(*item, 502U, failure.m_reason), failure.m_reason);
 }
 
 /*! @brief Returns the exchanges in progress, so that some of them may end while all are visited. */
@@ -65,8 +65,7 @@
 [[nodiscard]] auto is_outdated(const daemon& self, const exchange& item, const attempt& current, const time_point now)
     -> bool {
     const auto& service = *item.m_service;
-    if (item.m_stream_started || current.m_head || !service.m_engine ||
-        item.m_route->m_idempotency != fleet::idempotency::idempotent) {
+    if (current.m_head || !service.m_engine || item.m_route->m_idempotency != fleet::idempotency::idempotent) {
         return false;
     }
     const auto min_version = node::min_allowed_version(self.m_core, item.m_model, now, node::version_withdrawal_margin);
@@ -99,8 +98,10 @@
     state.m_hedged = item->m_hedge != nullptr;
     state.m_has_engine = item->m_service->m_engine.has_value();
     state.m_first_byte_target = route.m_first_byte_target;
+    state.m_resumable = !item->m_events.last_event_id().empty();
+    state.m_time_left = item->m_deadline - now;
     state.m_silence = std::min(silence_of(*item, *current, now), now - item->m_silence_checked_at);
-    state.m_attempts = item->m_tried_servers.size() - item->m_unrun_hedges;
+    state.m_attempts = item->m_tried_servers.size() - item->m_unsent_attempts;
     state.m_max_attempts = route.m_max_attempts;
     if (item->m_tried_servers.size() >= max_tried_servers || !dispatch::needs_hedge(state)) {
         return;
@@ -109,14 +110,10 @@
     if (!hedge(self, item)) {
         return;
     }
-    auto& backend = *current->m_backend;
     self.m_core.m_events.write("request.hedged", {{"id", item->m_attempt_id},
-                                                  {"silent", backend.m_id},
+                                                  {"silent", current->m_backend->m_id},
                                                   {"silent_ms", to_ms(silence_of(*item, *current, now))},
                                                   {"server", item->m_hedge->m_backend->m_id}});
-    if (dispatch::record_failure(backend.m_health, service_failure_rate(self, backend), now)) {
-        self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
-    }
 }
 
 } // namespace
@@ -142,6 +139,11 @@
     return response;
 }
 
+auto give_up_response(const exchange& item, const std::uint16_t status, const std::string_view reason)
+    -> net::http_response {
+    return item.m_server_error ? *item.m_server_error : failure_response(status, reason);
+}
+
 namespace {
 
 /*! @brief Removes an attempt from the load of its backend server. */
@@ -182,10 +184,16 @@
 }
 
 auto keep_attempt(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& kept) -> void {
-    if (item->m_hedge) {
-        cancel_attempt(self, item, kept == item->m_hedge ? item->m_attempt : item->m_hedge,
-                       "another server delivered first");
+    if (!item->m_hedge) {
+        return;
     }
+    const auto loser = kept == item->m_hedge ? item->m_attempt : item->m_hedge;
+    auto& backend = *loser->m_backend;
+    if (loser == item->m_attempt &&
+        dispatch::record_failure(backend.m_health, service_failure_rate(self, backend), steady_now())) {
+        self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
+    }
+    cancel_attempt(self, item, loser, "another server delivered first");
 }
 
 auto retry_or_end(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& failed,
@@ -193,12 +201,18 @@
     const auto was_hedged = item->m_hedge != nullptr;
     cancel_attempt(self, item, failed, failure.m_reason);
     item->m_may_have_run = item->m_may_have_run || !failure.m_not_run;
+    item->m_unsent_attempts += failure.m_sent ? 0U : 1U;
     if (was_hedged) {
-        item->m_unrun_hedges += failure.m_not_run ? 1U : 0U;
+        return;
+    }
+    if (item->m_stream_started && item->m_resumed_to_end) {
+        constexpr std::uint16_t status_ok = 200U;
+        item->m_responder->finish();
+        close_exchange(self, item, status_ok, "answered");
         return;
     }
     const auto now = steady_now();
-    const auto in_time = now + std::chrono::milliseconds{20} < item->m_deadline;
+    const auto in_time = now + dispatch::min_attempt_time < item->m_deadline;
     auto& budget = self.m_services[item->m_service->m_name].m_retry_budget;
     const auto retries = internal::may_retry(*item, failure) && in_time;
     if (retries && (!failure.m_sent || dispatch::try_acquire_retry(budget, now))) {
@@ -221,7 +235,7 @@
     }
     // An earlier attempt may have run, so the response must not state that the request did not run.
     if (item->m_may_have_run && status == 503U) {
-        response = failure_response(502U, reason);
+        response = give_up_response(*item, 502U, reason);
     }
     const auto sent_status = response.m_status;
     item->m_responder->respond(std::move(response));
@@ -270,12 +284,15 @@
 auto end_unanswered(daemon& self, const std::shared_ptr<exchange>& item, const std::string_view reason) -> void {
     const auto may_have_run = item->m_attempt != nullptr || item->m_may_have_run;
     cancel_attempts(self, item, reason);
-    end_with_response(self, item, may_have_run ? failure_response(504U, reason) : refusal_response(503U, reason, {}),
-                      reason);
+    end_with_response(
+        self, item, may_have_run ? give_up_response(*item, 504U, reason) : refusal_response(503U, reason, {}), reason);
 }
 
 auto end_all_unanswered(daemon& self, const std::string_view reason) -> void {
-    for (const auto& item : internal::list_exchanges(self)) {
+    auto exchanges = internal::list_exchanges(self);
+    // Queued requests end first, so that none of them is sent to a server that becomes free.
+    std::ranges::partition(exchanges, [](const auto& item) { return item->m_attempt == nullptr; });
+    for (const auto& item : exchanges) {
         if (!item->m_ended) {
             end_unanswered(self, item, reason);
         }
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -77,15 +77,19 @@
     std::shared_ptr<attempt> m_attempt{};
     /*! @brief Second attempt, made because `m_attempt` is silent; the first of both that delivers is kept. */
     std::shared_ptr<attempt> m_hedge{};
-    /*! @brief Hedges that were refused or could not be sent, so that they have not run the request. */
-    std::size_t m_unrun_hedges{};
+    /*! @brief Tried backend servers that got no byte of the request, so that they do not count as attempts. */
+    std::size_t m_unsent_attempts{};
     /*! @brief Whether an earlier attempt may have run the request. */
     bool m_may_have_run{false};
+    /*! @brief Error response that a backend server gave to an attempt after which others were tried. */
+    std::optional<net::http_response> m_server_error{};
     bool m_ended{false};
 
     event_stream m_events{};
     /*! @brief Whether part of a stream has been forwarded to the caller. */
     bool m_stream_started{false};
+    /*! @brief Whether a hedge resumed the stream without a further event, so that it may be complete already. */
+    bool m_resumed_to_end{false};
     /*! @brief When the last event was forwarded, or the first attempt was sent. */
     time_point m_last_event_at{};
     /*! @brief Time from which silence counts anew, as no second backend server could be asked before. */
@@ -107,6 +111,13 @@
     std::vector<std::shared_ptr<dispatch::server_load>> m_backends{};
 };
 
+/*! @brief Pause that an incarnation of a backend server has asked for. */
+struct server_pause {
+    /*! @brief Start of the incarnation, Unix ms. */
+    std::uint64_t m_started_ms{};
+    time_point m_until{};
+};
+
 /*! @brief Longest timeout that the callers of a route have sent recently. */
 struct caller_timeout {
     duration m_longest{};
@@ -130,6 +141,8 @@
     std::map<std::string, service_state, std::less<>> m_services{};
     /*! @brief Backend servers by id. */
     std::map<std::string, std::shared_ptr<dispatch::server_load>, std::less<>> m_backends{};
+    /*! @brief Pauses by id of the backend server; kept while its entry is missing from the server list. */
+    std::map<std::string, server_pause, std::less<>> m_pauses{};
     std::unordered_map<request_id, std::shared_ptr<exchange>> m_exchanges{};
     routing::quarantine m_quarantine{};
     /*! @brief By name of the route. */
@@ -160,6 +173,9 @@
 auto dispatch_to(daemon& self, const std::shared_ptr<exchange>& item,
                  const std::shared_ptr<dispatch::server_load>& backend, const dispatch::choice& prediction) -> void;
 
+/*! @brief Returns the `Retry-After` of a request if only pauses keep it from being sent, jitter included. */
+[[nodiscard]] auto retry_after_pause(daemon& self, const exchange& item) -> std::optional<duration>;
+
 /*! @brief Sends a request to a second backend server beside the attempt in progress.
  * @return False if no backend server that has not been tried has capacity. */
 [[nodiscard]] auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> bool;
@@ -175,7 +191,8 @@
  * @param reason Reason, for the log. */
 auto cancel_attempts(daemon& self, const std::shared_ptr<exchange>& item, std::string_view reason) -> void;
 
-/*! @brief Cancels the other attempt of an exchange, if any, as this one has delivered. */
+/*! @brief Cancels the other attempt of an exchange, if any, as this one has delivered. If that is the hedge, the server
+ * that was silent until then has failed. */
 auto keep_attempt(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& kept) -> void;
 
 /*! @brief Outcome of an attempt without a response that can be forwarded. */
@@ -225,12 +242,21 @@
  * @param detail Explanation for the caller. */
 [[nodiscard]] auto failure_response(std::uint16_t status, std::string_view detail) -> net::http_response;
 
+/*! @brief Creates the response to a request that may have run and is given up: a backend server's error response if
+ * there is one, else one of the gateway.
+ * @param status 502 or 504, for the latter. */
+[[nodiscard]] auto give_up_response(const exchange& item, std::uint16_t status, std::string_view reason)
+    -> net::http_response;
+
 /*! @brief Enforces deadlines, hedges requests whose backend servers are silent, then dispatches queued requests. */
 auto check_timeouts(daemon& self, time_point now) -> void;
 
 /*! @brief Updates the load entry of one backend server from its registration; removes it if it is not registered. */
 auto refresh_backend(daemon& self, const std::string& id) -> void;
 
+/*! @brief Applies what the headers of a response say of its backend server: that it is leaving, or wants a pause. */
+auto on_server_headers(daemon& self, dispatch::server_load& backend, const net::http_response& head) -> void;
+
 /*! @brief Recalculates this gateway's quota at each backend server from gateways, backend servers and demand. */
 auto assign_quotas(daemon& self) -> void;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -146,16 +146,24 @@
                      {true, true, status == status_misdirected ? "misdirected" : "the server is full"});
         return;
     }
+    if (item->m_stream_started) {
+        dispatch::record_failure(health, service_failure_rate(self, *current.m_backend), steady_now());
+        retry_or_end(self, item, ended, {false, true, "the answer does not continue the stream"});
+        return;
+    }
     const auto signed_by_server = has_header(*current.m_head, adapter::field::signature);
     const auto encoded = has_header(*current.m_head, "Content-Encoding");
     if (!signed_by_server || encoded || implies_not_run(status) || current.m_body.size() >= max_buffered_bytes) {
-        dispatch::record_failure(health, service_failure_rate(self, *current.m_backend), steady_now());
+        if (current.m_backend->m_paused_until <= steady_now()) {
+            dispatch::record_failure(health, service_failure_rate(self, *current.m_backend), steady_now());
+        }
         retry_or_end(self, item, ended, {false, true, "the answer is not the server's own"});
         return;
     }
     if (status >= status_server_error) {
         dispatch::record_failure(health, service_failure_rate(self, *current.m_backend), steady_now());
         if (item->m_hedge) {
+            item->m_server_error = net::http_response{status, current.m_head->m_headers, std::move(current.m_body)};
             item->m_may_have_run = true;
             cancel_attempt(self, item, ended, "server error");
             return;
@@ -163,6 +171,7 @@
         const auto idempotent = item->m_route->m_idempotency == fleet::idempotency::idempotent;
         if (idempotent && item->m_tried_servers.size() < item->m_route->m_max_attempts) {
             if (dispatch::try_acquire_retry(self.m_services[item->m_service->m_name].m_retry_budget, steady_now())) {
+                item->m_server_error = net::http_response{status, current.m_head->m_headers, std::move(current.m_body)};
                 cancel_attempt(self, item, ended, "server error");
                 item->m_may_have_run = true;
                 schedule(self, item);
@@ -204,6 +213,9 @@
     const auto is_complete = end.m_code == code::ok && ended->m_head;
     if (!is_complete || (ended->m_is_stream && received.has_partial_event())) {
         on_incomplete_response(self, item, ended, end);
+    } else if (ended == item->m_hedge && item->m_stream_started && ended->m_is_stream) {
+        item->m_resumed_to_end = true;
+        cancel_attempt(self, item, ended, "the resumed stream has no further event");
     } else if (ended->m_is_stream) {
         keep_attempt(self, item, ended);
         finish_stream(self, item);
@@ -220,8 +232,9 @@
         return !item->m_ended && (item->m_attempt == current || item->m_hedge == current);
     };
     net::call_handlers out{};
-    out.m_on_head = [item, current, is_current](const net::http_response& head) {
+    out.m_on_head = [&self, item, current, is_current](const net::http_response& head) {
         if (is_current()) {
+            on_server_headers(self, *current->m_backend, head);
             on_head(*item, *current, head);
         }
     };
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -54,7 +54,7 @@
      * @param reason The reason. */
     auto close(close_reason reason) -> void;
 
-    /*! @brief Ends the connection if it is idle, else after the request in progress. */
+    /*! @brief Ends the connection if it is idle, else after the request in progress or its last response. */
     auto drain() -> void;
 
     /*! @brief Acts on a deadline that has passed. @param now The time. */
@@ -88,6 +88,13 @@
     auto on_input_end(boost::system::error_code failure) -> void;
     auto advance() -> void;
     auto parse() -> bool;
+    auto begin_idle() -> void;
+    /*! @brief Tells whether the idle time is over by the limits in force and nothing is left to write. */
+    [[nodiscard]] auto is_idle_time_over(time_point now) const -> bool;
+    /*! @brief Ends an idle connection, unless its read gives a request first.
+     * @param reason The reason; with `response_ended` the client gets time to take its last response. */
+    auto end_unused(close_reason reason) -> void;
+    auto on_read_cancelled(close_reason reason) -> void;
     auto begin_request() -> void;
     auto dispatch() -> void;
     auto reject(boost::system::error_code failure) -> void;
@@ -97,6 +104,10 @@
     auto flush() -> void;
     auto on_written(boost::system::error_code failure, std::size_t count) -> void;
     auto on_flushed() -> void;
+    /*! @brief Ends the sending side; the connection closes once its client has done so too, or after a time. */
+    auto end_output() -> void;
+    /*! @brief Tells whether bytes have arrived that were not read yet. */
+    [[nodiscard]] auto has_unread_input() const -> bool;
 
     tcp_socket m_socket;
     std::shared_ptr<server_state> m_owner;
@@ -108,14 +119,18 @@
     out_buffer m_flight{};
     std::function<void(close_reason)> m_on_close{};
     close_reason m_close_reason{close_reason::client_left};
+    /*! @brief Why the connection ends once its read is cancelled. */
+    std::optional<close_reason> m_unused{};
     time_point m_deadline{time_point::max()};
     time_point m_write_deadline{time_point::max()};
+    time_point m_idle_since{};
     phase m_phase{phase::idle};
     bool m_reading{};
     bool m_writing{};
     bool m_advancing{};
     bool m_input_ended{};
     bool m_keep{true};
+    bool m_drained{};
     bool m_continue_sent{};
     bool m_is_head{};
     bool m_is_chunked{true};
--- a/test/soak/cases.cpp
+++ b/test/soak/cases.cpp
@@ -1,113 +1,46 @@
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <csignal>
-#include <fstream>
-#include <sstream>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
-#include <platform/names.hpp>
-#include <soak/fleet.hpp>
+#include <soak/site_fixture.hpp>
 
 namespace rhubarbwharf::soak {
 
 namespace {
 
-/*! @brief Stand-in site with real daemons and one HTTP client; waits on construction until requests succeed. */
-class site_fixture {
+/*! @brief Caller whose connection holds few bytes, so that a response waits in the gateway until the caller reads. */
+class slow_caller {
 public:
-    explicit site_fixture(const std::size_t gateways) : m_fleet{m_site, gateways} {
-        REQUIRE(process::wait_until(
-            [this] { return send_request("a1", standin_site::lookup_path, "a").m_status == 200U; }));
-        REQUIRE(
-            process::wait_until([this] { return send_request("a2", standin_site::model_path, "a").m_status == 200U; }));
-    }
-
-    auto start_request(const std::string& attempt, const std::string_view path, const std::string& key)
-        -> std::future<process::call_result> {
-        net::http_request request{};
-        request.m_method = "POST";
-        request.m_target = std::string{path} + "x";
-        request.m_host = standin_site::host_name;
-        request.m_body = "content";
-        request.m_headers = {{std::string{adapter::field::attempt}, attempt},
-                             {"Authorization", "Bearer key-of-" + key},
-                             {std::string{adapter::field::model}, std::string{standin_site::model_name}},
-                             {std::string{adapter::field::deadline}, "3000"}};
-        return m_client.start(m_fleet.daemons()[0].m_caller_address, std::move(request));
-    }
-
-    [[nodiscard]] auto send_request(const std::string& attempt, const std::string_view path, const std::string& key)
-        -> net::http_response {
-        return start_request(attempt, path, key).get().m_response;
-    }
-
-    auto set_server_faults(const standin_site::server_faults& faults) -> void {
-        m_site.run_in_loop([&](standin_site::site& site) {
-            for (auto& each : site.servers()) {
-                each->set_faults(faults);
-            }
-        });
-    }
-
-    /*! @brief Restarts the first gateway with another grace period, and waits until requests succeed again. */
-    auto restart_gateway_with_grace(const std::chrono::milliseconds grace) -> void {
-        const auto& path = m_fleet.daemons()[0].m_settings_path;
-        std::ostringstream text{};
-        text << std::ifstream{path}.rdbuf();
-        auto settings = text.str();
-        const std::string bounds = "\"bounds\": {";
-        settings.insert(settings.find(bounds) + bounds.size(), "\"grace_ms\": " + std::to_string(grace.count()) + ", ");
-        std::ofstream{path} << settings;
-        m_fleet.start_daemon(0U);
-        REQUIRE(
-            process::wait_until([this] { return send_request("a6", standin_site::model_path, "a").m_status == 200U; }));
+    explicit slow_caller(const net::endpoint& gateway) {
+        constexpr int max_segment_bytes = 536;
+        constexpr int receive_buffer_bytes = 4'096;
+        m_socket.open(boost::asio::ip::tcp::v4());
+        setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &max_segment_bytes, sizeof(int));
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size{receive_buffer_bytes});
+        m_socket.connect({boost::asio::ip::make_address(gateway.m_address), gateway.m_port});
     }
 
-    /*! @brief Waits until every runner has loaded a version of the weights. @return False on timeout. */
-    [[nodiscard]] auto wait_until_version_everywhere(const std::uint64_t version) -> bool {
-        return process::wait_until([&] {
-            auto all = true;
-            m_site.run_in_loop([&](standin_site::site& site) {
-                for (std::size_t index = 0U; index < site.options().m_runner_count; ++index) {
-                    all = all && site.servers()[index]->version() == version;
-                }
-            });
-            return all;
-        });
-    }
+    auto send(const std::string& text) -> void { boost::asio::write(m_socket, boost::asio::buffer(text)); }
 
-    [[nodiscard]] auto count_executions(const std::string& attempt) -> unsigned {
-        unsigned out{};
-        m_site.run_in_loop([&](standin_site::site& site) {
-            const auto found = site.observations().m_executions.find(attempt);
-            out = found == site.observations().m_executions.end() ? 0U : found->second;
-            CHECK(site.observations().m_violations.m_lines == std::vector<std::string>{});
-        });
+    /*! @brief Reads until the gateway ends the connection. */
+    [[nodiscard]] auto read_all() -> std::string {
+        std::string out{};
+        boost::system::error_code ended{};
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(out), ended);
         return out;
     }
 
-    standin_site::site m_site{standin_site::site_options{}};
-    fleet m_fleet;
-    process::threaded_http_client m_client{};
+private:
+    boost::asio::io_context m_context{};
+    boost::asio::ip::tcp::socket m_socket{m_context};
 };
 
-[[nodiscard]] auto complete_stream() -> std::string {
-    std::string out{};
-    for (unsigned index = 1U; index <= standin_site::events_per_stream; ++index) {
-        out += standin_site::event_text("content", index);
-    }
-    return out;
-}
-
-/*! @brief Returns the fault of servers that pause before one event of each stream for longer than any timeout for
- * silence. A plain response counts as event 1. */
-[[nodiscard]] auto pause_before_event(const unsigned event) -> standin_site::server_faults {
-    standin_site::server_faults out{};
-    out.m_pause_event = event;
-    out.m_pause = std::chrono::milliseconds{1'500};
-    return out;
-}
-
 } // namespace
 
 TEST_CASE("requests are denied only for an unknown key or an unknown route") {
@@ -133,32 +66,34 @@
     CHECK(fixture.send_request("c9", standin_site::model_path, "a").m_body == complete_stream());
 }
 
-TEST_CASE("a stream is not cut while its server pauses and every other server refuses") {
+TEST_CASE("a stream whose server broke off waits for a place at another server") {
     site_fixture fixture{1U};
     auto faults = pause_before_event(4U);
+    faults.m_pause = std::chrono::milliseconds{600};
+    faults.m_cut_every = 1U;
     fixture.set_server_faults(faults);
     auto running = fixture.start_request("b1", standin_site::model_path, "b");
     REQUIRE(process::wait_until([&] { return fixture.count_executions("b1") == 1U; }));
-    faults.m_refuse_every = 1U;
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    faults = pause_before_event(1U);
+    faults.m_pause = std::chrono::milliseconds{800};
     fixture.set_server_faults(faults);
+    // Requests that find no place are refused, so that all places are taken after some rounds.
+    constexpr auto rounds = 8;
+    constexpr auto requests_per_round = 6;
+    std::vector<std::future<process::call_result>> others{};
+    for (auto index = 0; index < rounds * requests_per_round; ++index) {
+        others.push_back(fixture.start_request("c" + std::to_string(index), standin_site::model_path, "c"));
+        if (index % requests_per_round == 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{50});
+        }
+    }
     const auto result = running.get();
     CHECK(result.m_end.m_code == code::ok);
     CHECK(result.m_response.m_body == complete_stream());
-    CHECK(fixture.count_executions("b1") == 1U);
-}
-
-TEST_CASE("a request whose server pauses before its response gets that response if every other server refuses") {
-    site_fixture fixture{1U};
-    auto faults = pause_before_event(1U);
-    fixture.set_server_faults(faults);
-    auto stream = fixture.start_request("b2", standin_site::model_path, "b");
-    auto lookup = fixture.start_request("b3", standin_site::lookup_path, "b");
-    REQUIRE(process::wait_until(
-        [&] { return fixture.count_executions("b2") == 1U && fixture.count_executions("b3") == 1U; }));
-    faults.m_refuse_every = 1U;
-    fixture.set_server_faults(faults);
-    CHECK(stream.get().m_response.m_body == complete_stream());
-    CHECK(lookup.get().m_response.m_status == 200U);
+    for (auto& each : others) {
+        each.wait();
+    }
 }
 
 TEST_CASE("a call that may have run is not retried and gets 502") {
@@ -224,6 +159,27 @@
     CHECK(gateway.wait() == 0);
 }
 
+TEST_CASE("a gateway that is told to stop waits for a caller that takes its response late") {
+    site_fixture fixture{1U};
+    constexpr std::size_t content_bytes = 60'000U;
+    auto& gateway = *fixture.m_fleet.daemons()[0].m_process;
+    slow_caller caller{fixture.m_fleet.daemons()[0].m_caller_address};
+    caller.send("POST " + std::string{standin_site::model_path} +
+                "x HTTP/1.1\r\nHost: " + std::string{standin_site::host_name} +
+                "\r\nAuthorization: Bearer key-of-b\r\n" + std::string{adapter::field::attempt} + ": b1\r\n" +
+                std::string{adapter::field::model} + ": " + std::string{standin_site::model_name} + "\r\n" +
+                std::string{adapter::field::deadline} + ": 3000\r\nContent-Length: " + std::to_string(content_bytes) +
+                "\r\n\r\n" + std::string(content_bytes, 'x'));
+    REQUIRE(process::wait_until(
+        [&] { return gateway.output().find("\"event\":\"request.ended\",\"id\":\"b1\"") != std::string::npos; }));
+    gateway.send_signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::seconds{5});
+    const auto response = caller.read_all();
+    CHECK(response.size() > standin_site::events_per_stream * content_bytes);
+    CHECK(response.ends_with("\r\n0\r\n\r\n"));
+    CHECK(gateway.wait() == 0);
+}
+
 TEST_CASE("a gateway answers what is unanswered at the end of its grace period") {
     site_fixture fixture{1U};
     fixture.restart_gateway_with_grace(std::chrono::milliseconds{4'000});
