--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -118,23 +118,36 @@
         }
     }
 
-    /*! @brief Pauses servers one to three times; the pauses may overlap. */
+    /*! @brief Pauses servers one to three times; the pauses may overlap, and the other servers may be full meanwhile.
+     */
     auto pause_servers() -> void {
         duration delay{};
         for (auto rounds = 1U + m_random() % 3U; rounds > 0U; --rounds) {
             const auto chosen = 1U + m_random() % ((1U << server_count) - 1U);
+            const auto others_are_full = m_random() % 2U == 0U;
             for (std::size_t index = 0U; index < server_count; ++index) {
+                const auto length = random_duration(800U, 1'201U);
                 if ((chosen >> index & 1U) != 0U) {
-                    const auto length = random_duration(800U, 1'201U);
                     run_after(delay, [this, index, length] {
                         run_in_site_loop([&](standin_site::site& site) { site.servers()[index]->pause(length); });
                     });
+                } else if (others_are_full) {
+                    run_after(delay, [this, index] { set_refuse_every(index, 1U); });
+                    run_after(delay + length, [this, index] { set_refuse_every(index, 0U); });
                 }
             }
             delay += random_duration(100U, 2'000U);
         }
     }
 
+    auto set_refuse_every(const std::size_t index, const unsigned count) -> void {
+        run_in_site_loop([index, count](standin_site::site& site) {
+            standin_site::server_faults faults{};
+            faults.m_refuse_every = count;
+            site.servers()[index]->set_faults(faults);
+        });
+    }
+
     /*! @brief Sends a series of stop and reload signals to one daemon, which may be draining already. */
     auto send_signal_series() -> void {
         static const std::vector<std::vector<int>> patterns{{SIGTERM, SIGTERM},
