--- a/test/agent/events.cpp
+++ b/test/agent/events.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 TEST_CASE("a stream is split into complete events and its tokens are counted, wherever the bytes are cut") {
-    rc::check("cuts", [] {
+    CHECK(rc::check("cuts", [] {
         std::string stream{};
         for (int index = 0; index < 5; ++index) {
             stream += event(expected_fingerprint, index);
@@ -48,7 +48,7 @@
         RC_ASSERT(tokens == 5U);
         RC_ASSERT(scanner.m_is_done);
         RC_ASSERT(scanner.m_matching_fingerprints == 5U);
-    });
+    }));
 }
 
 TEST_CASE("neither an event of another version nor any later event is returned") {
--- a/test/agent/gate.cpp
+++ b/test/agent/gate.cpp
@@ -122,7 +122,7 @@
 }
 
 TEST_CASE("with random events, no request is admitted for a version that the engine did not confirm") {
-    rc::check("gate", [] {
+    CHECK(rc::check("gate", [] {
         gate state{};
         fake_engine engine{};
         engine.m_checks_fencing = *rc::gen::arbitrary<bool>();
@@ -168,7 +168,7 @@
                 RC_ASSERT(!state.m_load_in_progress);
             }
         }
-    });
+    }));
 }
 
 } // namespace rhubarbwharf::agent
--- a/test/agent/turn.cpp
+++ b/test/agent/turn.cpp
@@ -44,7 +44,7 @@
 }
 
 TEST_CASE("with outdated views, at most a batch is out of service at the same time, and every member gets its turn") {
-    rc::check("turns", [] {
+    CHECK(rc::check("turns", [] {
         const auto count = *rc::gen::inRange<std::size_t>(1, 14);
         auto group = make_group(count);
         std::vector<std::vector<member>> views(count, group);
@@ -77,7 +77,7 @@
             }
         }
         RC_ASSERT(std::ranges::all_of(group, [](const auto& item) { return item.m_ticket == new_ticket; }));
-    });
+    }));
 }
 
 TEST_CASE("a member that stalls without the version does not block the others forever") {
--- a/test/execution/segment.cpp
+++ b/test/execution/segment.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 TEST_CASE("a segment decodes to what was encoded if its records were appended one by one") {
-    rc::check("round trip", [] {
+    CHECK(rc::check("round trip", [] {
         segment written{*rc::gen::arbitrary<std::uint64_t>(),
                         fencing_token{*rc::gen::arbitrary<std::uint64_t>()},
                         "ledger-1/7",
@@ -41,7 +41,7 @@
         RC_ASSERT(read->m_token == written.m_token);
         RC_ASSERT(read->m_sealed == written.m_sealed);
         RC_ASSERT(encode_header(*read) + encode_records(read->m_records) == bytes);
-    });
+    }));
 }
 
 TEST_CASE("bytes that are not a valid segment are rejected") {
