--- a/test/fleet/eras.cpp
+++ b/test/fleet/eras.cpp
@@ -160,6 +160,7 @@
         const auto& rows = value.m_content.m_servers.m_rows;
         if (value.m_is_listing) {
             std::vector<backend_server> listed{};
+            listed.reserve(rows.size());
             for (const auto& [id, row] : rows) {
                 listed.push_back(row);
             }
