Forget a hedge's empty end once the first server has sent an event

What callers would see: a stream that ends as complete before its last event. A hedge resumes it without an event, the first server then goes on, and breaks off later: the flag of the hedge's end still said that nothing was missing.

Change: each forwarded event clears the flag.

--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -88,7 +88,8 @@
     event_stream m_events{};
     /*! @brief Whether part of a stream has been forwarded to the caller. */
     bool m_stream_started{false};
-    /*! @brief Whether a hedge resumed the stream without a further event, so that it may be complete already. */
+    /*! @brief Whether a hedge resumed the stream without a further event, and none has come since, so that it may be
+     * complete already. */
     bool m_resumed_to_end{false};
     /*! @brief When the last event was forwarded, or the first attempt was sent. */
     time_point m_last_event_at{};
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -90,6 +90,7 @@
     }
     item.m_last_event_at = now;
     item.m_event_bytes += events.size();
+    item.m_resumed_to_end = false;
     item.m_responder->write(events);
 }
 
