Tell when a process stood still and since when a version counts

Targets stand in the dump. The check of the boot-time clock, which moved the times back after a suspension, is part of the same record now and runs at each tick instead of each heartbeat; suspensions below 200 ms add up.

--- a/include/rhubarbwharf/fleet/fwd.hpp
+++ b/include/rhubarbwharf/fleet/fwd.hpp
@@ -22,5 +22,7 @@
 struct server_table;
 struct member;
 struct members;
+struct stall;
+struct stall_record;
 
 } // namespace rhubarbwharf::fleet
--- /dev/null
+++ b/include/rhubarbwharf/fleet/stall.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <rhubarbwharf/core/time.hpp>
+
+namespace rhubarbwharf::fleet {
+
+/*! @brief Shortest time without a check that counts as a stall; several intervals of a process that is merely busy. */
+inline constexpr duration min_stall = std::chrono::milliseconds{200};
+/*! @brief Time after a stall, beyond its own length, in which data that was sent during the stall may still arrive: a
+ * peer repeats what was not acknowledged at intervals of at most the time that has passed. */
+inline constexpr duration stall_aftermath = std::chrono::milliseconds{500};
+
+/*! @brief Last time in which this process stood still. All times are of the steady clock. */
+struct stall_record {
+    /*! @brief Last check; the epoch before the first one. */
+    time_point m_checked_at{};
+    /*! @brief Lead of the boot-time clock, which counts suspensions of the machine, over the steady clock. */
+    duration m_boot_clock_lead{};
+    /*! @brief Last check before the stall. A suspension, which the steady clock does not count, moves it back. */
+    time_point m_began{};
+    /*! @brief First check after the stall; the epoch if there was none. */
+    time_point m_ended{};
+};
+
+/*! @brief Length of a stall that a check has found. */
+struct stall {
+    /*! @brief Whole length; zero if the process has not stood still. */
+    duration m_length{};
+    /*! @brief Part of it that the steady clock did not count. */
+    duration m_suspended{};
+};
+
+/*! @brief Records that the process runs.
+ * @param boot_clock_lead Lead of the boot-time clock over the steady clock at `now`. */
+[[nodiscard]] auto check_running(stall_record& record, time_point now, duration boot_clock_lead) noexcept -> stall;
+
+/*! @brief Returns the earliest time at which data that is handled now may have reached this machine: `now`, or the
+ * beginning of a stall that has just ended. */
+[[nodiscard]] auto earliest_arrival(const stall_record& record, time_point now) noexcept -> time_point;
+
+} // namespace rhubarbwharf::fleet
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -47,6 +47,16 @@
         first = false;
         out += net::json_string(name) + ",\"ready\":" + std::string{member.m_ready ? "true" : "false"} + "}";
     }
+    out += "],\"weights\":[";
+    first = true;
+    for (const auto& each : self.m_core.m_weights_targets) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - each.m_written_at);
+        out += first ? "{\"model\":" : ",{\"model\":";
+        first = false;
+        out += net::json_string(each.m_model) + ",\"version\":" + std::to_string(each.m_version);
+        out += ",\"age_ms\":" + std::to_string(age.count());
+        out += ",\"exact\":" + std::string{each.m_has_exact_write_time ? "true" : "false"} + "}";
+    }
     return out + "]}";
 }
 
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -107,6 +107,7 @@
 }
 
 auto tick(daemon& self) -> void {
+    node::note_running(self.m_core);
     const auto now = steady_now();
     check_timeouts(self, now);
     update_readiness(self, now);
@@ -212,7 +213,6 @@
     auto& loop = self.m_core.m_loop;
     loop.every(tick_interval, [&self] { internal::tick(self); });
     loop.every(heartbeat_interval, [&self] {
-        node::adjust_for_suspension(self.m_core);
         internal::measure_demand(self);
         node::send_pulse(self.m_core);
         node::update_store_watch(self.m_core);
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -245,6 +245,7 @@
          {"waited_ms", internal::to_ms(now - item->m_arrived_at)},
          {"target_ms", internal::to_ms(item->m_first_byte_deadline - item->m_arrived_at)},
          {"version", static_cast<std::int64_t>(held_version)},
+         {"min_version", static_cast<std::int64_t>(requirements.m_min_version)},
          {"configuration", static_cast<std::int64_t>(item->m_configuration->m_version)}});
     current->m_call = self.m_core.m_http.send(
         backend->m_address, internal::backend_request(*item, *backend, pinned ? held_version : 0U, now), limits,
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -312,7 +312,10 @@
     }
     auto& loop = self.m_core.m_loop;
     loop.every(report_interval, [&self] { poll_runner(self); });
-    loop.every(fetch_interval, [&self] { advance_models(self); });
+    loop.every(fetch_interval, [&self] {
+        node::note_running(self.m_core);
+        advance_models(self);
+    });
     loop.on_stop_signal([&self](int) { internal::on_stop(self); });
     loop.on_reload_signal([&self] { internal::reload(self); });
     self.m_core.m_events.write("loader.started", {{"runner", settings.m_runner.m_address}});
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -15,10 +15,10 @@
 /*! @brief Batch delay for changes of backend servers: a quarter of the time within which a draining server must get no
  * new requests. */
 constexpr duration server_batch_delay = std::chrono::milliseconds{500};
-/*! @brief Smallest clock difference that counts as a suspension; smaller ones arise between the two clock readings. */
-constexpr duration min_suspension = std::chrono::milliseconds{200};
 /*! @brief Assumed time of keys that were written before this process started. */
 constexpr time_point distant_past{duration{1}};
+/*! @brief Smallest change of the time of a write that is logged; messages between processes take less. */
+constexpr duration min_logged_correction = std::chrono::milliseconds{50};
 /*! @brief Interval between checks whether the store has to be read directly. */
 constexpr duration store_fallback_interval = std::chrono::milliseconds{2'000};
 /*! @brief Capacity of the send queue of one peer: a few seconds of pulses and reports. */
@@ -33,6 +33,20 @@
 
 namespace {
 
+[[nodiscard]] auto to_ms(const duration time) noexcept -> std::int64_t {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+/*! @brief Reports the time of the write of a target, which decides how long older versions may begin requests. */
+auto log_target(core& self, const std::string_view event, const fleet::weights_target& target,
+                const std::string_view source) -> void {
+    self.m_events.write(event, {{"model", target.m_model},
+                                {"version", static_cast<std::int64_t>(target.m_version)},
+                                {"age_ms", to_ms(steady_now() - target.m_written_at)},
+                                {"exact", target.m_has_exact_write_time},
+                                {"source", source}});
+}
+
 [[nodiscard]] auto endpoint_or_empty(const std::string& text) -> net::endpoint {
     return net::parse_endpoint(text).value_or(net::endpoint{});
 }
@@ -365,19 +379,21 @@
     };
     if (const auto known = std::ranges::find_if(self.m_weights_targets, is_same);
         known != self.m_weights_targets.end()) {
+        const auto former = known->m_written_at;
         if (known->m_has_exact_write_time == target.m_has_exact_write_time) {
             known->m_written_at = std::min(known->m_written_at, target.m_written_at);
         } else if (target.m_has_exact_write_time) {
             *known = std::move(target);
         }
+        if (std::chrono::abs(known->m_written_at - former) >= internal::min_logged_correction) {
+            internal::log_target(self, "weights.retimed", *known, source);
+        }
         return;
     }
     if (target.m_version <= wanted_version(self, target.m_model)) {
         return;
     }
-    self.m_events.write(
-        "weights.named",
-        {{"model", target.m_model}, {"version", static_cast<std::int64_t>(target.m_version)}, {"source", source}});
+    internal::log_target(self, "weights.named", target, source);
     self.m_weights_targets.push_back(std::move(target));
     self.m_handlers.m_on_weights();
 }
@@ -402,21 +418,22 @@
     return min_version;
 }
 
-auto adjust_for_suspension(core& self) -> void {
+auto note_running(core& self) -> void {
     timespec boot_clock{};
     clock_gettime(CLOCK_BOOTTIME, &boot_clock);
     const duration since_boot = std::chrono::seconds{boot_clock.tv_sec} +
                                 std::chrono::duration_cast<duration>(std::chrono::nanoseconds{boot_clock.tv_nsec});
-    const auto offset = since_boot - steady_now().time_since_epoch();
-    const auto suspended = offset - std::exchange(self.m_boot_clock_offset, offset);
-    if (self.m_boot_clock_offset_known && suspended > internal::min_suspension) {
-        for (auto& each : self.m_weights_targets) {
-            each.m_written_at -= suspended;
-        }
-        self.m_events.write("clock.suspended",
-                            {{"slept_ms", std::chrono::duration_cast<std::chrono::milliseconds>(suspended).count()}});
+    const auto now = steady_now();
+    const auto found = fleet::check_running(self.m_stalls, now, since_boot - now.time_since_epoch());
+    if (found.m_length == duration::zero()) {
+        return;
+    }
+    for (auto& each : self.m_weights_targets) {
+        each.m_written_at -= found.m_suspended;
     }
-    self.m_boot_clock_offset_known = true;
+    self.m_events.write("process.stalled", {{"stalled_ms", internal::to_ms(found.m_length)},
+                                            {"suspended_ms", internal::to_ms(found.m_suspended)}});
+    self.m_counters.add("process_stalls_total");
 }
 
 } // namespace rhubarbwharf::node
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -14,6 +14,7 @@
 #include <rhubarbwharf/fleet/configuration.hpp>
 #include <rhubarbwharf/fleet/member.hpp>
 #include <rhubarbwharf/fleet/server.hpp>
+#include <rhubarbwharf/fleet/stall.hpp>
 #include <rhubarbwharf/net/bus.hpp>
 #include <rhubarbwharf/net/events.hpp>
 #include <rhubarbwharf/net/http.hpp>
@@ -78,9 +79,7 @@
     fleet::member_table m_members{};
     /*! @brief When the store last sent the operators' keys; bounds the age of keys found by the next listing. */
     time_point m_last_operator_update{duration{1}};
-    /*! @brief Lead of the boot-time clock, which counts suspensions, over the steady clock at the last check. */
-    duration m_boot_clock_offset{};
-    bool m_boot_clock_offset_known{false};
+    fleet::stall_record m_stalls{};
     /*! @brief Whether a seed has sent its full state since the start. */
     bool m_state_received{false};
     unsigned m_seed_requests{};
@@ -215,9 +214,9 @@
  */
 auto update_member(core& self, const fleet::member& value, bool is_listed) -> void;
 
-/*! @brief Moves the times at which versions were learned back by the time that the machine was suspended, which the
- * steady clock does not count. */
-auto adjust_for_suspension(core& self) -> void;
+/*! @brief Records that the process runs. After a suspension of the machine, which the steady clock does not count,
+ * moves the times at which versions were learned back by its length. */
+auto note_running(core& self) -> void;
 
 /*! @brief Records that an incarnation of a backend server is leaving; the next pulse tells the peers.
  * @param source Who says so, for the log. */
--- /dev/null
+++ b/test/fleet/stall.cpp
@@ -0,0 +1,62 @@
+#include <doctest/doctest.h>
+
+#include <rhubarbwharf/fleet/stall.hpp>
+
+namespace rhubarbwharf::fleet {
+
+namespace {
+
+constexpr duration tick = std::chrono::milliseconds{20};
+constexpr duration length = std::chrono::seconds{4};
+constexpr time_point start{std::chrono::hours{1}};
+constexpr duration lead = std::chrono::seconds{7};
+
+} // namespace
+
+TEST_CASE("a process that is checked at short intervals has not stood still") {
+    stall_record record{};
+    for (auto now = start; now < start + length; now += tick) {
+        CHECK(check_running(record, now, lead).m_length == duration::zero());
+        CHECK(earliest_arrival(record, now) == now);
+    }
+}
+
+TEST_CASE("what is handled after a stall may have arrived at its beginning") {
+    stall_record record{};
+    REQUIRE(check_running(record, start, lead).m_length == duration::zero());
+    const auto woken = start + length;
+    const auto found = check_running(record, woken, lead);
+    CHECK(found.m_length == length);
+    CHECK(found.m_suspended == duration::zero());
+    CHECK(earliest_arrival(record, woken) == start);
+    CHECK(check_running(record, woken + tick, lead).m_length == duration::zero());
+    CHECK(earliest_arrival(record, woken + length) == start);
+    const auto later = woken + length + stall_aftermath + tick;
+    CHECK(earliest_arrival(record, later) == later);
+}
+
+TEST_CASE("a suspension of the machine counts although the steady clock stood still") {
+    stall_record record{};
+    REQUIRE(check_running(record, start, lead).m_length == duration::zero());
+    const auto found = check_running(record, start + tick, lead + length);
+    CHECK(found.m_suspended == length);
+    CHECK(found.m_length == length + tick);
+    CHECK(earliest_arrival(record, start + tick) == start - length);
+    CHECK(check_running(record, start + 2 * tick, lead + length).m_length == duration::zero());
+}
+
+TEST_CASE("a boot-time clock that drifts against the steady clock is not a suspension until it adds up") {
+    stall_record record{};
+    REQUIRE(check_running(record, start, lead).m_length == duration::zero());
+    auto now = start;
+    auto drifted = lead;
+    auto suspended = duration::zero();
+    for (auto step = 0; step < 30; ++step) {
+        now += tick;
+        drifted += tick;
+        suspended += check_running(record, now, drifted).m_suspended;
+    }
+    CHECK(suspended == 30 * tick);
+}
+
+} // namespace rhubarbwharf::fleet
