--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -390,6 +390,7 @@
                               : events_per_stream + 1U;
     responder->on_close([output](net::close_reason) { output->m_disconnected = true; });
     ++m_running_requests;
+    m_observations.m_last_begin[m_options.m_version] = steady_now();
     schedule_event(output);
 }
 
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -30,6 +30,8 @@
     unsigned m_arrivals_in_pause{};
     /*! @brief When a request last reached a server that had announced leaving; the epoch if none did. */
     time_point m_last_arrival_when_leaving{};
+    /*! @brief When a request last began, by the version of the weights that it began on. */
+    std::map<std::uint64_t, time_point> m_last_begin{};
     /*! @brief Stays of requests at servers, by attempt id. */
     arrivals m_stays{};
     /*! @brief Time since which every daemon can reach the store; `time_point::max()` while one of them can't. */
