Count a version's time limit from its write, not from its handling

What callers saw: answers by version 3 more than 8 s after version 4 was acknowledged, through gateways that had stood still meanwhile.

Cause: the event of a watch counted as written at the moment it was handled. A gateway that was frozen when the event arrived began the time limit when it went on. Nothing corrected that, as pulses carry only the sum of the versions, which was equal by then.

Change: what is handled after a stall may have arrived since its beginning, so its time is a bound, not exact; changes that a watch delivers after a failure are bounded by the last time at which all changes were known. Within its time limit, the time of a write is confirmed by a gateway of another region. A request for a state is numbered: the answer was sent after it, so that its ages are exact to a round trip, whatever has delayed messages. Unasked states that may be old do not move the time of a known version.

Why it works: the time is never later than the write plus one round trip, as each way of learning it gives a lower bound or a confirmed time.

--- a/include/rhubarbwharf/fleet/fwd.hpp
+++ b/include/rhubarbwharf/fleet/fwd.hpp
@@ -22,6 +22,7 @@
 struct server_table;
 struct member;
 struct members;
+struct arrival_time;
 struct stall;
 struct stall_record;
 
--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -65,8 +65,25 @@
     time_point m_written_at{};
     /*! @brief Whether this process, or the one that reported the target to it, saw the write as it happened. */
     bool m_has_exact_write_time{false};
+    /*! @brief When this process learned of it. */
+    time_point m_learned_at{};
+    /*! @brief Whether a process that does not depend on the same links has reported an exact time. */
+    bool m_is_confirmed{false};
+    /*! @brief Requests to peers for such a report. */
+    unsigned m_confirmation_requests{};
 };
 
+/*! @brief Requests to peers to confirm the time of one write, at most. */
+inline constexpr unsigned max_confirmation_requests = 8U;
+
+/*! @brief Combines what is known of one write with another report of it: an exact time goes before a bound, and the
+ * earlier of two before the later, as a report can only be late. */
+auto merge_report(weights_target& known, const weights_target& reported) noexcept -> void;
+
+/*! @brief Checks whether a peer should be asked for the time of a write.
+ * @param limit Time for which older versions may begin requests; the time of the write no longer matters after it. */
+[[nodiscard]] auto needs_confirmation(const weights_target& target, time_point now, duration limit) noexcept -> bool;
+
 /*! @brief Incarnation of a backend server that has said it is leaving. */
 struct leaving_server {
     /*! @brief Start of the incarnation, Unix ms. */
--- a/include/rhubarbwharf/fleet/stall.hpp
+++ b/include/rhubarbwharf/fleet/stall.hpp
@@ -34,8 +34,15 @@
  * @param boot_clock_lead Lead of the boot-time clock over the steady clock at `now`. */
 [[nodiscard]] auto check_running(stall_record& record, time_point now, duration boot_clock_lead) noexcept -> stall;
 
-/*! @brief Returns the earliest time at which data that is handled now may have reached this machine: `now`, or the
- * beginning of a stall that has just ended. */
-[[nodiscard]] auto earliest_arrival(const stall_record& record, time_point now) noexcept -> time_point;
+/*! @brief When something that is handled now reached this machine. */
+struct arrival_time {
+    /*! @brief The time, or a lower bound of it. */
+    time_point m_earliest{};
+    bool m_is_exact{false};
+};
+
+/*! @brief Returns when data that is handled now reached this machine: now, or at any time since the beginning of a
+ * stall that has just ended. */
+[[nodiscard]] auto arrival_of(const stall_record& record, time_point now) noexcept -> arrival_time;
 
 } // namespace rhubarbwharf::fleet
--- a/src/fleet/server.cpp
+++ b/src/fleet/server.cpp
@@ -138,4 +138,19 @@
     return found == models.end() || found->m_layers.value_or(layers) < layers ? 0U : found->m_version;
 }
 
+auto merge_report(weights_target& known, const weights_target& reported) noexcept -> void {
+    if (known.m_has_exact_write_time == reported.m_has_exact_write_time) {
+        known.m_written_at = std::min(known.m_written_at, reported.m_written_at);
+    } else if (reported.m_has_exact_write_time) {
+        known.m_written_at = reported.m_written_at;
+        known.m_has_exact_write_time = true;
+    }
+    known.m_is_confirmed = known.m_is_confirmed || reported.m_is_confirmed;
+}
+
+auto needs_confirmation(const weights_target& target, const time_point now, const duration limit) noexcept -> bool {
+    return !target.m_is_confirmed && target.m_confirmation_requests < max_confirmation_requests &&
+           now - target.m_learned_at < limit;
+}
+
 } // namespace rhubarbwharf::fleet
--- a/src/fleet/stall.cpp
+++ b/src/fleet/stall.cpp
@@ -22,9 +22,10 @@
     return {length, suspended};
 }
 
-auto earliest_arrival(const stall_record& record, const time_point now) noexcept -> time_point {
+auto arrival_of(const stall_record& record, const time_point now) noexcept -> arrival_time {
     const auto length = record.m_ended - record.m_began;
-    return record.m_ended != time_point{} && now - record.m_ended <= length + stall_aftermath ? record.m_began : now;
+    const auto has_just_stalled = record.m_ended != time_point{} && now - record.m_ended <= length + stall_aftermath;
+    return has_just_stalled ? arrival_time{record.m_began, false} : arrival_time{now, true};
 }
 
 } // namespace rhubarbwharf::fleet
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <ctime>
 #include <utility>
 
 #include <node/core.hpp>
@@ -17,8 +16,6 @@
 constexpr duration server_batch_delay = std::chrono::milliseconds{500};
 /*! @brief Assumed time of keys that were written before this process started. */
 constexpr time_point distant_past{duration{1}};
-/*! @brief Smallest change of the time of a write that is logged; messages between processes take less. */
-constexpr duration min_logged_correction = std::chrono::milliseconds{50};
 /*! @brief Interval between checks whether the store has to be read directly. */
 constexpr duration store_fallback_interval = std::chrono::milliseconds{2'000};
 /*! @brief Capacity of the send queue of one peer: a few seconds of pulses and reports. */
@@ -33,20 +30,6 @@
 
 namespace {
 
-[[nodiscard]] auto to_ms(const duration time) noexcept -> std::int64_t {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
-/*! @brief Reports the time of the write of a target, which decides how long older versions may begin requests. */
-auto log_target(core& self, const std::string_view event, const fleet::weights_target& target,
-                const std::string_view source) -> void {
-    self.m_events.write(event, {{"model", target.m_model},
-                                {"version", static_cast<std::int64_t>(target.m_version)},
-                                {"age_ms", to_ms(steady_now() - target.m_written_at)},
-                                {"exact", target.m_has_exact_write_time},
-                                {"source", source}});
-}
-
 [[nodiscard]] auto endpoint_or_empty(const std::string& text) -> net::endpoint {
     return net::parse_endpoint(text).value_or(net::endpoint{});
 }
@@ -83,14 +66,13 @@
     self.m_counters.set("store_reachable", reachable ? 1.0 : 0.0);
 }
 
-/*! @brief Applies a key written by an operator, or holds it at the start. @param since Earliest time at which it was
- * written. @param is_exact Whether it was written at exactly that time. */
-auto on_operator_item(core& self, const adapter::key_value& item, const time_point since, const bool is_exact) -> void {
+/*! @brief Applies a key written by an operator, or holds it at the start. @param written When it was written. */
+auto on_operator_item(core& self, const adapter::key_value& item, const fleet::arrival_time& written) -> void {
     if (item.m_removed) {
         return;
     }
     if (!self.m_applies_operator_items) {
-        self.m_held_operator_items.push_back({item, since, is_exact});
+        self.m_held_operator_items.push_back({item, written});
         return;
     }
     if (item.m_key == adapter::key::configuration) {
@@ -99,10 +81,10 @@
     } else if (item.m_key.starts_with(adapter::key::weights_targets)) {
         if (auto target = adapter::decode_weights_target(item.m_value)) {
             // In a new era, operators write again what the copy lacks.
-            const auto may_be_repeated = self.m_store_era_since != time_point{};
-            target->m_written_at = since;
-            target->m_has_exact_write_time =
-                is_exact && !(may_be_repeated && target->m_version <= wanted_version(self, target->m_model));
+            const auto is_repeated = self.m_store_era_since != time_point{} &&
+                                     target->m_version <= wanted_version(self, target->m_model);
+            target->m_written_at = written.m_earliest;
+            target->m_has_exact_write_time = written.m_is_exact && !is_repeated;
             accept_weights_target(self, std::move(*target), "store");
             schedule_push(self, {});
         }
@@ -184,6 +166,9 @@
     handlers.m_on_reachability = [&self, prefix](const bool reachable) {
         update_store_contact(self, prefix, reachable);
     };
+    handlers.m_arrival = [&self] {
+        return arrival_now(self);
+    };
     const auto watch_timeout = std::chrono::milliseconds{self.m_settings.m_store.m_watch_ms};
     return std::make_shared<follower>(self.m_loop, self.m_store, std::string{prefix}, watch_timeout, batch_delay,
                                       self.m_random(), std::move(handlers));
@@ -208,7 +193,7 @@
         std::stable_partition(page.m_items.begin(), page.m_items.end(),
                               [](const auto& each) { return each.m_key != adapter::key::configuration; });
         for (const auto& each : page.m_items) {
-            on_operator_item(self, each, distant_past, false);
+            on_operator_item(self, each, {distant_past, false});
         }
     });
 }
@@ -242,15 +227,12 @@
     self.m_operator_follower = make_follower(
         self, adapter::key::operators, duration::zero(),
         [&self](const std::vector<adapter::key_value>& items, fleet::store_version) {
-            // A listing does not contain write times; a new key was written after the last update at the earliest.
-            const auto since = std::exchange(self.m_last_operator_update, steady_now());
             for (const auto& each : items) {
-                on_operator_item(self, each, since, false);
+                on_operator_item(self, each, self.m_operator_follower->write_time());
             }
         },
         [&self](const adapter::key_value& item) {
-            self.m_last_operator_update = steady_now();
-            on_operator_item(self, item, self.m_last_operator_update, true);
+            on_operator_item(self, item, self.m_operator_follower->write_time());
         });
     self.m_server_follower = make_follower(
         self, adapter::key::servers, server_batch_delay,
@@ -340,7 +322,7 @@
         return;
     }
     for (const auto& each : std::exchange(self.m_held_operator_items, {})) {
-        internal::on_operator_item(self, each.m_item, each.m_since, each.m_is_exact);
+        internal::on_operator_item(self, each.m_item, each.m_written);
     }
 }
 
@@ -370,70 +352,4 @@
     self.m_handlers.m_on_configuration();
 }
 
-auto accept_weights_target(core& self, fleet::weights_target target, const std::string_view source) -> void {
-    if (target.m_written_at == time_point{}) {
-        target.m_written_at = steady_now();
-    }
-    const auto is_same = [&target](const fleet::weights_target& each) {
-        return each.m_model == target.m_model && each.m_version == target.m_version;
-    };
-    if (const auto known = std::ranges::find_if(self.m_weights_targets, is_same);
-        known != self.m_weights_targets.end()) {
-        const auto former = known->m_written_at;
-        if (known->m_has_exact_write_time == target.m_has_exact_write_time) {
-            known->m_written_at = std::min(known->m_written_at, target.m_written_at);
-        } else if (target.m_has_exact_write_time) {
-            *known = std::move(target);
-        }
-        if (std::chrono::abs(known->m_written_at - former) >= internal::min_logged_correction) {
-            internal::log_target(self, "weights.retimed", *known, source);
-        }
-        return;
-    }
-    if (target.m_version <= wanted_version(self, target.m_model)) {
-        return;
-    }
-    internal::log_target(self, "weights.named", target, source);
-    self.m_weights_targets.push_back(std::move(target));
-    self.m_handlers.m_on_weights();
-}
-
-auto wanted_version(const core& self, const std::string_view model) -> std::uint64_t {
-    std::uint64_t newest{1U};
-    for (const auto& each : self.m_weights_targets) {
-        newest = each.m_model == model ? std::max(newest, each.m_version) : newest;
-    }
-    return newest;
-}
-
-auto min_allowed_version(const core& self, const std::string_view model, const time_point now, const duration margin)
-    -> std::uint64_t {
-    const auto limit = std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms} - margin;
-    std::uint64_t min_version{};
-    for (const auto& each : self.m_weights_targets) {
-        if (each.m_model == model && now - each.m_written_at >= limit) {
-            min_version = std::max(min_version, each.m_version);
-        }
-    }
-    return min_version;
-}
-
-auto note_running(core& self) -> void {
-    timespec boot_clock{};
-    clock_gettime(CLOCK_BOOTTIME, &boot_clock);
-    const duration since_boot = std::chrono::seconds{boot_clock.tv_sec} +
-                                std::chrono::duration_cast<duration>(std::chrono::nanoseconds{boot_clock.tv_nsec});
-    const auto now = steady_now();
-    const auto found = fleet::check_running(self.m_stalls, now, since_boot - now.time_since_epoch());
-    if (found.m_length == duration::zero()) {
-        return;
-    }
-    for (auto& each : self.m_weights_targets) {
-        each.m_written_at -= found.m_suspended;
-    }
-    self.m_events.write("process.stalled", {{"stalled_ms", internal::to_ms(found.m_length)},
-                                            {"suspended_ms", internal::to_ms(found.m_suspended)}});
-    self.m_counters.add("process_stalls_total");
-}
-
 } // namespace rhubarbwharf::node
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -47,10 +48,8 @@
 /*! @brief Key written by an operator, with what is known of the time of the write. */
 struct operator_item {
     adapter::key_value m_item{};
-    /*! @brief Earliest time of the write. */
-    time_point m_since{};
-    /*! @brief Whether it was written at exactly that time. */
-    bool m_is_exact{false};
+    /*! @brief When it was written. */
+    fleet::arrival_time m_written{};
 };
 
 /*! @brief State common to gateways and loaders; accessed only on the loop's thread. */
@@ -77,8 +76,6 @@
     fleet::server_table m_servers{};
     fleet::leaving_table m_leaving_servers{};
     fleet::member_table m_members{};
-    /*! @brief When the store last sent the operators' keys; bounds the age of keys found by the next listing. */
-    time_point m_last_operator_update{duration{1}};
     fleet::stall_record m_stalls{};
     /*! @brief Whether a seed has sent its full state since the start. */
     bool m_state_received{false};
@@ -121,6 +118,8 @@
     bool m_push_scheduled{false};
     /*! @brief When a full state was last requested from a peer. */
     time_point m_last_state_pull{};
+    /*! @brief Number of the last request for a state. */
+    std::uint64_t m_state_pulls{};
 
     core_handlers m_handlers{};
     std::shared_ptr<follower> m_operator_follower{};
@@ -148,7 +147,7 @@
  * @param text Configuration as the operator wrote it. @param source Sender, for the log. */
 auto accept_configuration(core& self, std::string_view text, std::string_view source) -> void;
 
-/*! @brief Adds a weights target if it names a newer version, or corrects the time at which a known one was learned.
+/*! @brief Adds a weights target if it names a newer version, or merges another report of the write of a known one.
  * @param source Sender, for the log. */
 auto accept_weights_target(core& self, fleet::weights_target target, std::string_view source) -> void;
 
@@ -189,8 +188,11 @@
  * members. */
 auto send_pulse(core& self) -> void;
 
-/*! @brief Merges the state of a peer; newer versions replace older ones. @param source Sender, for the log. */
-auto accept_state(core& self, const wire::fleet::State& state, std::string_view source) -> void;
+/*! @brief Merges the state of a peer; newer versions replace older ones.
+ * @param source Sender, for the log.
+ * @param requested_at When the state was requested; none if it came unasked. */
+auto accept_state(core& self, const wire::fleet::State& state, std::string_view source,
+                  std::optional<time_point> requested_at = std::nullopt) -> void;
 
 /*! @brief Returns the own state for a peer.
  * @param known_configuration Version of the configuration that the peer has; an older or equal one is left out.
@@ -214,6 +216,9 @@
  */
 auto update_member(core& self, const fleet::member& value, bool is_listed) -> void;
 
+/*! @brief Returns when a message that is handled now reached this machine. */
+[[nodiscard]] auto arrival_now(core& self) -> fleet::arrival_time;
+
 /*! @brief Records that the process runs. After a suspension of the machine, which the steady clock does not count,
  * moves the times at which versions were learned back by its length. */
 auto note_running(core& self) -> void;
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -22,7 +22,13 @@
 follower::follower(net::loop& loop, adapter::store& store, std::string prefix, const duration watch_timeout,
                    const duration batch_delay, const std::uint64_t seed, follower_handlers handlers)
     : m_loop{loop}, m_store{store}, m_prefix{std::move(prefix)}, m_watch_timeout{watch_timeout},
-      m_batch_delay{batch_delay}, m_random{seed}, m_handlers{std::move(handlers)} {}
+      m_batch_delay{batch_delay}, m_random{seed}, m_handlers{std::move(handlers)} {
+    if (!m_handlers.m_arrival) {
+        m_handlers.m_arrival = [] {
+            return fleet::arrival_time{steady_now(), true};
+        };
+    }
+}
 
 auto follower::start() -> void {
     list({});
@@ -114,6 +120,7 @@
 auto follower::list(const std::string& after_key) -> void {
     if (after_key.empty()) {
         m_listed_items.clear();
+        m_listing_requested_at = steady_now();
     }
     const auto generation = ++m_generation;
     m_store.range(m_prefix, after_key, [self = shared_from_this(), generation](adapter::page page) {
@@ -142,12 +149,15 @@
     }
     m_failures = 0U;
     m_version = m_listing_version;
+    m_write_time = {m_known_until, false};
+    m_known_until = m_listing_requested_at;
     m_handlers.m_on_list(std::exchange(m_listed_items, {}), m_version);
     watch();
 }
 
 auto follower::watch() -> void {
     const auto generation = ++m_generation;
+    m_watch_requested_at = steady_now();
     const auto timeout = m_failures == 0U ? m_watch_timeout : std::min(m_watch_timeout, internal::first_watch_timeout);
     m_call = m_store.watch(m_prefix, m_version.m_revision, timeout,
                            [self = shared_from_this(), generation](adapter::page page) {
@@ -163,13 +173,22 @@
         schedule_listing();
         return;
     }
+    const auto arrival = m_handlers.m_arrival();
+    const auto was_waiting = m_failures == 0U;
     if (page.m_reply != adapter::reply::ok) {
+        // A watch that the store ended would have delivered all changes until then; one that timed out may have been
+        // disconnected since it began.
+        if (was_waiting && steady_now() - m_watch_requested_at < m_watch_timeout) {
+            m_known_until = arrival.m_earliest;
+        }
         update_contact(false);
         schedule_retry(false);
         return;
     }
     update_contact(true);
     m_failures = 0U;
+    m_write_time = was_waiting ? arrival : fleet::arrival_time{std::min(m_known_until, arrival.m_earliest), false};
+    m_known_until = arrival.m_earliest;
     m_version = std::max(m_version, page.m_version);
     for (auto& each : page.m_items) {
         m_handlers.m_on_change(std::move(each));
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <rhubarbwharf/core/time.hpp>
+#include <rhubarbwharf/fleet/stall.hpp>
 #include <rhubarbwharf/net/loop.hpp>
 
 #include <platform/store.hpp>
@@ -22,6 +23,8 @@
     std::function<void(adapter::key_value)> m_on_change{};
     /*! @brief Called with whether the store answers, each time that this changes. */
     std::function<void(bool)> m_on_reachability{};
+    /*! @brief Returns when a response that is handled now reached this machine; empty if that is always now. */
+    std::function<fleet::arrival_time()> m_arrival{};
 };
 
 /**
@@ -68,6 +71,10 @@
     /*! @brief Returns the version up to which changes are known. @return Revision 0 before the first listing. */
     [[nodiscard]] auto version() const noexcept -> fleet::store_version { return m_version; }
 
+    /*! @brief Returns when the changes that are being delivered were written. The time is exact if the watch was
+     * waiting for them; otherwise it is the last time at which the follower knew all changes. */
+    [[nodiscard]] auto write_time() const noexcept -> fleet::arrival_time { return m_write_time; }
+
 private:
     auto list(const std::string& after_key) -> void;
     auto on_page(adapter::page page) -> void;
@@ -91,6 +98,11 @@
     /*! @brief Incremented to invalidate callbacks of earlier calls and timers. */
     std::uint64_t m_generation{};
     unsigned m_failures{};
+    /*! @brief Time up to which all changes are known; in the distant past before the first listing. */
+    time_point m_known_until{duration{1}};
+    fleet::arrival_time m_write_time{};
+    time_point m_listing_requested_at{};
+    time_point m_watch_requested_at{};
     bool m_contact_known{false};
     bool m_reachable{false};
     bool m_paused{false};
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -3,6 +3,7 @@
 
 #include <fleet.pb.h>
 #include <node/core.hpp>
+#include <node/targets.hpp>
 #include <node/wire.hpp>
 
 namespace rhubarbwharf::node {
@@ -106,19 +107,25 @@
     const auto loaders_differ = !self.m_follows_servers && message.loaders() != loaders_digest(self);
     const peer_status status{message.configuration(), message.weights(), servers_differ(self, row, message),
                              loaders_differ};
-    if (!is_behind(self, status, now) || now - self.m_last_state_pull < min_pull_interval) {
+    if (now - self.m_last_state_pull < min_pull_interval) {
+        return;
+    }
+    const auto behind = is_behind(self, status, now);
+    if (!behind && !request_confirmation(self, row.m_member.m_region, now)) {
         return;
     }
     self.m_last_state_pull = now;
     wire::fleet::Frame request{};
     request.mutable_pull()->set_configuration(configuration_version(self));
-    request.mutable_pull()->set_servers(self.m_follows_servers);
+    request.mutable_pull()->set_servers(behind && self.m_follows_servers);
+    request.mutable_pull()->set_number(++self.m_state_pulls);
     send(self, from, request);
 }
 
 auto on_pull(core& self, const std::string_view from, const wire::fleet::Pull& request) -> void {
     wire::fleet::Frame reply{};
     *reply.mutable_state() = full_state(self, request.configuration(), request.servers());
+    reply.mutable_state()->set_answers(request.number());
     send(self, from, reply);
 }
 
@@ -205,18 +212,6 @@
 
 namespace {
 
-auto add_targets(const core& self, wire::fleet::State& out) -> void {
-    const auto now = steady_now();
-    for (const auto& each : self.m_weights_targets) {
-        auto* const target = out.add_weights();
-        target->set_model(each.m_model);
-        target->set_version(each.m_version);
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - each.m_written_at);
-        target->set_age_ms(static_cast<std::uint64_t>(age.count()));
-        target->set_exact(each.m_has_exact_write_time);
-    }
-}
-
 auto add_server(const core& self, const std::string& id, wire::fleet::State& out) -> void {
     if (const auto row = self.m_servers.m_rows.find(id); row != self.m_servers.m_rows.end()) {
         to_wire(row->second, *out.add_servers());
@@ -320,7 +315,7 @@
     if (self.m_configuration && self.m_configuration->m_version > known_configuration) {
         out.set_configuration(self.m_configuration->m_source_text);
     }
-    internal::add_targets(self, out);
+    add_targets(self, out);
     if (with_servers) {
         for (const auto& [id, row] : self.m_servers.m_rows) {
             internal::add_server(self, id, out);
@@ -338,13 +333,10 @@
     return out;
 }
 
-auto accept_state(core& self, const wire::fleet::State& state, const std::string_view source) -> void {
+auto accept_state(core& self, const wire::fleet::State& state, const std::string_view source,
+                  const std::optional<time_point> requested_at) -> void {
     // Weights are applied first, so that a loader that learns its models starts with the wanted version.
-    const auto now = steady_now();
-    for (const auto& each : state.weights()) {
-        const auto age = std::chrono::milliseconds{each.age_ms()};
-        accept_weights_target(self, {each.model(), each.version(), now - age, each.exact()}, source);
-    }
+    accept_targets(self, state, source, requested_at);
     if (!state.configuration().empty()) {
         accept_configuration(self, state.configuration(), source);
         apply_held_operator_items(self);
@@ -388,9 +380,11 @@
     case wire::fleet::Frame::kPull:
         internal::on_pull(self, from, frame.pull());
         break;
-    case wire::fleet::Frame::kState:
-        accept_state(self, frame.state(), from);
+    case wire::fleet::Frame::kState: {
+        const auto is_answer = frame.state().answers() != 0U && frame.state().answers() == self.m_state_pulls;
+        accept_state(self, frame.state(), from, is_answer ? std::optional{self.m_last_state_pull} : std::nullopt);
         break;
+    }
     default:
         self.m_handlers.m_on_frame(from, frame);
     }
@@ -432,12 +426,12 @@
     net::http_request request{};
     request.m_target = "/state";
     self.m_http.fetch(*seed, std::move(request), limits,
-                      [&self](const net::call_end&, const net::http_response& response) {
+                      [&self, requested_at = steady_now()](const net::call_end&, const net::http_response& response) {
                           constexpr std::uint16_t ok = 200U;
                           wire::fleet::State state{};
                           if (response.m_status == ok && state.ParseFromString(response.m_body)) {
                               self.m_state_received = true;
-                              accept_state(self, state, "seed");
+                              accept_state(self, state, "seed", requested_at);
                           }
                           continue_with_seeds(self);
                       });
--- /dev/null
+++ b/src/node/targets.cpp
@@ -0,0 +1,166 @@
+#include <algorithm>
+#include <ctime>
+#include <utility>
+
+#include <fleet.pb.h>
+#include <node/targets.hpp>
+
+namespace rhubarbwharf::node {
+
+namespace internal {
+
+/*! @brief Smallest change of the time of a write that is logged; messages between processes take less. */
+constexpr duration min_logged_correction = std::chrono::milliseconds{50};
+
+namespace {
+
+[[nodiscard]] auto to_ms(const duration time) noexcept -> std::int64_t {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+/*! @brief Reports the time of the write of a target, which decides how long older versions may begin requests. */
+auto log_target(core& self, const std::string_view event, const fleet::weights_target& target,
+                const std::string_view source) -> void {
+    self.m_events.write(event, {{"model", target.m_model},
+                                {"version", static_cast<std::int64_t>(target.m_version)},
+                                {"age_ms", to_ms(steady_now() - target.m_written_at)},
+                                {"exact", target.m_has_exact_write_time},
+                                {"source", source}});
+}
+
+/*! @brief Returns when a state was sent. The answer to a request was sent after it, whatever has delayed it. */
+[[nodiscard]] auto sending_time(core& self, const std::optional<time_point> requested_at) -> fleet::arrival_time {
+    const auto arrival = arrival_now(self);
+    if (!requested_at) {
+        return arrival;
+    }
+    return {*requested_at, steady_now() - *requested_at < fleet::min_stall};
+}
+
+} // namespace
+
+} // namespace internal
+
+auto accept_weights_target(core& self, fleet::weights_target target, const std::string_view source) -> void {
+    if (target.m_written_at == time_point{}) {
+        target.m_written_at = steady_now();
+    }
+    const auto is_same = [&target](const fleet::weights_target& each) {
+        return each.m_model == target.m_model && each.m_version == target.m_version;
+    };
+    if (const auto known = std::ranges::find_if(self.m_weights_targets, is_same);
+        known != self.m_weights_targets.end()) {
+        const auto former = known->m_written_at;
+        fleet::merge_report(*known, target);
+        if (std::chrono::abs(known->m_written_at - former) >= internal::min_logged_correction) {
+            internal::log_target(self, "weights.retimed", *known, source);
+        }
+        return;
+    }
+    if (target.m_version <= wanted_version(self, target.m_model)) {
+        return;
+    }
+    internal::log_target(self, "weights.named", target, source);
+    target.m_learned_at = steady_now();
+    self.m_weights_targets.push_back(std::move(target));
+    self.m_handlers.m_on_weights();
+}
+
+auto wanted_version(const core& self, const std::string_view model) -> std::uint64_t {
+    std::uint64_t newest{1U};
+    for (const auto& each : self.m_weights_targets) {
+        newest = each.m_model == model ? std::max(newest, each.m_version) : newest;
+    }
+    return newest;
+}
+
+auto min_allowed_version(const core& self, const std::string_view model, const time_point now, const duration margin)
+    -> std::uint64_t {
+    const auto limit = std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms} - margin;
+    std::uint64_t min_version{};
+    for (const auto& each : self.m_weights_targets) {
+        if (each.m_model == model && now - each.m_written_at >= limit) {
+            min_version = std::max(min_version, each.m_version);
+        }
+    }
+    return min_version;
+}
+
+auto is_independent(const core& self, const std::string_view region, const time_point now) -> bool {
+    const auto is_other_region = [&self, now](const auto& each) {
+        return each.second.m_member.is_gateway() && each.second.m_member.m_region != self.m_self.m_region &&
+               now - each.second.m_last_received <= fleet::heartbeat_timeout;
+    };
+    return !self.m_follows_servers || region != self.m_self.m_region ||
+           std::ranges::none_of(self.m_members, is_other_region);
+}
+
+auto request_confirmation(core& self, const std::string_view region, const time_point now) -> bool {
+    const auto limit = std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms};
+    if (!is_independent(self, region, now)) {
+        return false;
+    }
+    auto out = false;
+    for (auto& each : self.m_weights_targets) {
+        if (fleet::needs_confirmation(each, now, limit)) {
+            ++each.m_confirmation_requests;
+            out = true;
+        }
+    }
+    return out;
+}
+
+auto arrival_now(core& self) -> fleet::arrival_time {
+    note_running(self);
+    return fleet::arrival_of(self.m_stalls, steady_now());
+}
+
+auto accept_targets(core& self, const wire::fleet::State& state, const std::string_view source,
+                    const std::optional<time_point> requested_at) -> void {
+    const auto sent = internal::sending_time(self, requested_at);
+    const auto sender = self.m_members.find(source);
+    const auto is_confirmed =
+        sender != self.m_members.end() && is_independent(self, sender->second.m_member.m_region, steady_now());
+    for (const auto& each : state.weights()) {
+        if (!sent.m_is_exact && each.version() <= wanted_version(self, each.model())) {
+            continue;
+        }
+        fleet::weights_target target{each.model(), each.version()};
+        target.m_written_at = sent.m_earliest - std::chrono::milliseconds{each.age_ms()};
+        target.m_has_exact_write_time = each.exact() && sent.m_is_exact;
+        target.m_is_confirmed = target.m_has_exact_write_time && is_confirmed;
+        accept_weights_target(self, std::move(target), source);
+    }
+}
+
+auto add_targets(const core& self, wire::fleet::State& out) -> void {
+    const auto now = steady_now();
+    for (const auto& each : self.m_weights_targets) {
+        auto* const target = out.add_weights();
+        target->set_model(each.m_model);
+        target->set_version(each.m_version);
+        const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - each.m_written_at);
+        target->set_age_ms(static_cast<std::uint64_t>(age.count()));
+        target->set_exact(each.m_has_exact_write_time);
+    }
+}
+
+auto note_running(core& self) -> void {
+    timespec boot_clock{};
+    clock_gettime(CLOCK_BOOTTIME, &boot_clock);
+    const duration since_boot = std::chrono::seconds{boot_clock.tv_sec} +
+                                std::chrono::duration_cast<duration>(std::chrono::nanoseconds{boot_clock.tv_nsec});
+    const auto now = steady_now();
+    const auto found = fleet::check_running(self.m_stalls, now, since_boot - now.time_since_epoch());
+    if (found.m_length == duration::zero()) {
+        return;
+    }
+    for (auto& each : self.m_weights_targets) {
+        each.m_written_at -= found.m_suspended;
+    }
+    self.m_events.write("process.stalled", {{"stalled_ms", internal::to_ms(found.m_length)},
+                                            {"suspended_ms", internal::to_ms(found.m_suspended)}});
+    self.m_counters.add("process_stalls_total");
+}
+
+} // namespace rhubarbwharf::node
--- a/test/fleet/server.cpp
+++ b/test/fleet/server.cpp
@@ -121,4 +121,32 @@
     CHECK(complete_version(models, "other", 1U) == 0U);
 }
 
+TEST_CASE("an exact report of a write replaces a bound, and the earlier of two reports counts") {
+    const time_point first{std::chrono::hours{1}};
+    const auto second = first + std::chrono::seconds{1};
+    weights_target known{"m", 2U, first, false};
+    merge_report(known, {"m", 2U, second, true});
+    CHECK(known.m_written_at == second);
+    CHECK(known.m_has_exact_write_time);
+    merge_report(known, {"m", 2U, first, false});
+    CHECK(known.m_written_at == second);
+    merge_report(known, {"m", 2U, first, true});
+    CHECK(known.m_written_at == first);
+    merge_report(known, {"m", 2U, second, true});
+    CHECK(known.m_written_at == first);
+}
+
+TEST_CASE("the time of a write is confirmed once, within its time limit, with a bounded number of requests") {
+    const time_point learned{std::chrono::hours{1}};
+    constexpr duration limit = std::chrono::seconds{8};
+    weights_target target{"m", 2U, learned, true, learned};
+    CHECK(needs_confirmation(target, learned, limit));
+    CHECK_FALSE(needs_confirmation(target, learned + limit, limit));
+    target.m_confirmation_requests = max_confirmation_requests;
+    CHECK_FALSE(needs_confirmation(target, learned, limit));
+    target.m_confirmation_requests = 0U;
+    merge_report(target, {"m", 2U, learned, true, learned, true});
+    CHECK_FALSE(needs_confirmation(target, learned, limit));
+}
+
 } // namespace rhubarbwharf::fleet
--- a/test/fleet/stall.cpp
+++ b/test/fleet/stall.cpp
@@ -17,7 +17,8 @@
     stall_record record{};
     for (auto now = start; now < start + length; now += tick) {
         CHECK(check_running(record, now, lead).m_length == duration::zero());
-        CHECK(earliest_arrival(record, now) == now);
+        CHECK(arrival_of(record, now).m_earliest == now);
+        CHECK(arrival_of(record, now).m_is_exact);
     }
 }
 
@@ -28,11 +29,12 @@
     const auto found = check_running(record, woken, lead);
     CHECK(found.m_length == length);
     CHECK(found.m_suspended == duration::zero());
-    CHECK(earliest_arrival(record, woken) == start);
+    CHECK(arrival_of(record, woken).m_earliest == start);
+    CHECK_FALSE(arrival_of(record, woken).m_is_exact);
     CHECK(check_running(record, woken + tick, lead).m_length == duration::zero());
-    CHECK(earliest_arrival(record, woken + length) == start);
+    CHECK(arrival_of(record, woken + length).m_earliest == start);
     const auto later = woken + length + stall_aftermath + tick;
-    CHECK(earliest_arrival(record, later) == later);
+    CHECK(arrival_of(record, later).m_earliest == later);
 }
 
 TEST_CASE("a suspension of the machine counts although the steady clock stood still") {
@@ -41,7 +43,7 @@
     const auto found = check_running(record, start + tick, lead + length);
     CHECK(found.m_suspended == length);
     CHECK(found.m_length == length + tick);
-    CHECK(earliest_arrival(record, start + tick) == start - length);
+    CHECK(arrival_of(record, start + tick).m_earliest == start - length);
     CHECK(check_running(record, start + 2 * tick, lead + length).m_length == duration::zero());
 }
 
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -6,6 +6,7 @@
 #include <fleet.pb.h>
 #include <net/fixture.hpp>
 #include <node/core.hpp>
+#include <node/targets.hpp>
 #include <standin-site/store.hpp>
 
 namespace rhubarbwharf::node {
@@ -96,6 +97,53 @@
     CHECK(min_allowed_version(self, "m", steady_now(), duration::zero()) == 2U);
 }
 
+TEST_CASE("a state that was received while the process stood still may be as old as the stall") {
+    core self{make_settings("gateway"), true};
+    const auto limit = duration{std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms}};
+    core peer{make_settings("gateway"), true};
+    const auto now = steady_now();
+    accept_weights_target(peer, make_target(2U, now - limit / 2), "test");
+    self.m_stalls.m_began = now - limit;
+    self.m_stalls.m_ended = now;
+    accept_state(self, full_state(peer, 0U, false), "peer");
+    REQUIRE(self.m_weights_targets.size() == 1U);
+    CHECK_FALSE(self.m_weights_targets.front().m_has_exact_write_time);
+    CHECK(min_allowed_version(self, "m", now, duration::zero()) == 2U);
+    accept_state(self, full_state(peer, 0U, false), "peer", steady_now());
+    CHECK(self.m_weights_targets.front().m_has_exact_write_time);
+    CHECK(min_allowed_version(self, "m", now, duration::zero()) == 0U);
+    CHECK(min_allowed_version(self, "m", now + limit / 2, duration::zero()) == 2U);
+}
+
+TEST_CASE("a gateway asks gateways of other regions for the time of a write, and its own region if there are none") {
+    auto settings = make_settings("gateway");
+    settings.m_region = "here";
+    core self{settings, true};
+    const auto now = steady_now();
+    CHECK_FALSE(request_confirmation(self, "here", now));
+    accept_weights_target(self, make_target(2U, now), "store");
+    CHECK(request_confirmation(self, "here", now));
+    auto& other = self.m_members["other"];
+    other.m_member.m_instance = "other";
+    other.m_member.m_region = "there";
+    other.m_member.m_caller_address = {"127.0.0.1", 1U};
+    other.m_last_received = now;
+    CHECK_FALSE(request_confirmation(self, "here", now));
+    CHECK(request_confirmation(self, "there", now));
+    wire::fleet::State state{};
+    auto* const reported = state.add_weights();
+    reported->set_model("m");
+    reported->set_version(2U);
+    reported->set_age_ms(1'000U);
+    reported->set_exact(true);
+    accept_state(self, state, "other");
+    CHECK_FALSE(request_confirmation(self, "there", now));
+    CHECK(self.m_weights_targets.front().m_written_at <= now - std::chrono::milliseconds{900});
+    core loader{make_settings("loader"), false};
+    accept_weights_target(loader, make_target(2U, now), "store");
+    CHECK(request_confirmation(loader, "here", now));
+}
+
 TEST_CASE("the weights of a received state are known before its configuration is applied") {
     core sender{make_settings("gateway"), true};
     accept_configuration(sender, R"({"version":1,"routes":[],"services":[],"limits":{},"tenants":[]})", "test");
--- a/test/node/eras.cpp
+++ b/test/node/eras.cpp
@@ -158,7 +158,7 @@
     auto settings = make_settings();
     settings.m_seeds = {"127.0.0.1:1"};
     core self{settings, true};
-    self.m_held_operator_items.push_back({{"op/config", make_configuration(1U), {}, 0U, false}, {}, false});
+    self.m_held_operator_items.push_back({{"op/config", make_configuration(1U), {}, 0U, false}, {}});
     wire::fleet::State state{};
     state.set_configuration(make_configuration(2U));
     accept_state(self, state, "seed");
--- a/test/node/follower.cpp
+++ b/test/node/follower.cpp
@@ -249,4 +249,28 @@
     REQUIRE(fixture.wait_until([&] { return fixture.m_platform_store.count("members/") == 0U; }));
 }
 
+TEST_CASE("the time of a write is exact if a watch waited for it, else the time up to which all changes were known") {
+    follower_fixture fixture{};
+    fixture.m_follower->start();
+    REQUIRE(fixture.wait_until([&] { return fixture.m_listing_count == 1; }));
+    CHECK_FALSE(fixture.m_follower->write_time().m_is_exact);
+    CHECK(fixture.m_follower->write_time().m_earliest == time_point{duration{1}});
+    fixture.let_pass(watch_timeout / 2);
+    const auto first = steady_now();
+    fixture.m_platform_store.put("op/a", "first");
+    REQUIRE(fixture.wait_until([&] { return fixture.m_items.contains("op/a"); }));
+    CHECK(fixture.m_follower->write_time().m_is_exact);
+    CHECK(fixture.m_follower->write_time().m_earliest >= first);
+    fixture.m_platform_store.set_faults({false, true, 0U});
+    REQUIRE(fixture.wait_until([&] { return !fixture.m_reachable; }));
+    const auto second = steady_now();
+    fixture.m_platform_store.put("op/b", "second");
+    fixture.let_pass(watch_timeout);
+    fixture.m_platform_store.set_faults({});
+    REQUIRE(fixture.wait_until([&] { return fixture.m_items.contains("op/b"); }));
+    CHECK_FALSE(fixture.m_follower->write_time().m_is_exact);
+    CHECK(fixture.m_follower->write_time().m_earliest >= first);
+    CHECK(fixture.m_follower->write_time().m_earliest <= second);
+}
+
 } // namespace rhubarbwharf::node
