Keep the time limit of a version that an operator writes again

An operator writes a version again after the store has lost it. A process that started after the era began, and so knew the version from a listing only, took the second write for the exact time of the first, and let older versions begin requests for the whole limit once more.

A write of a version that is known already is never exact. The new test fails on the code before (0 where 2 is the oldest allowed version) and passes now. A first write that a listing and a watch both deliver stays a bound until a peer confirms it.

--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -80,9 +80,8 @@
         schedule_push(self, {});
     } else if (item.m_key.starts_with(adapter::key::weights_targets)) {
         if (auto target = adapter::decode_weights_target(item.m_value)) {
-            // In a new era, operators write again what the copy lacks.
-            const auto is_repeated = self.m_store_era_since != time_point{} &&
-                                     target->m_version <= wanted_version(self, target->m_model);
+            // Operators write a version again if the store has lost it; its time limit began with the first write.
+            const auto is_repeated = target->m_version <= wanted_version(self, target->m_model);
             target->m_written_at = written.m_earliest;
             target->m_has_exact_write_time = written.m_is_exact && !is_repeated;
             accept_weights_target(self, std::move(*target), "store");
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -97,6 +97,20 @@
     CHECK(min_allowed_version(self, "m", steady_now(), duration::zero()) == 2U);
 }
 
+TEST_CASE("a version that an operator writes again does not get a new time limit") {
+    core self{make_settings("gateway"), true};
+    standin_site::store platform_store{self.m_loop};
+    self.m_store.set_address(platform_store.listen());
+    platform_store.put("op/version/m", R"({"model":"m","version":2})");
+    REQUIRE(start(self));
+    REQUIRE(net::run_until(self.m_loop, [&] { return wanted_version(self, "m") == 2U; }));
+    platform_store.put("op/version/m", R"({"model":"m","version":2})");
+    platform_store.put("op/version/other", R"({"model":"other","version":2})");
+    REQUIRE(net::run_until(self.m_loop, [&] { return wanted_version(self, "other") == 2U; }));
+    CHECK(min_allowed_version(self, "m", steady_now(), duration::zero()) == 2U);
+    CHECK(min_allowed_version(self, "other", steady_now(), duration::zero()) == 0U);
+}
+
 TEST_CASE("a state that was received while the process stood still may be as old as the stall") {
     core self{make_settings("gateway"), true};
     const auto limit = duration{std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms}};
