Defer a load by the age of the version, not by when the loader learned of it

What callers saw: refusals while version 4 was due.

The delay counts from the write now, if its time is exact, else as before. The test of the load order passes the version's age where it passed the time since the loader learned; a unit test has the age.

--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -67,7 +67,9 @@
     std::span<const relay> m_relays{};
     /*! @brief Time since this version was first wanted here. */
     duration m_age{};
-    /*! @brief Age from which the version is loaded regardless of the other loaders. */
+    /*! @brief Time since the version was named; `m_age` if it is not known exactly. */
+    duration m_version_age{};
+    /*! @brief Age of the version from which it is loaded regardless of the other loaders. */
     duration m_max_load_delay{};
     time_point m_now{};
     std::uint64_t m_random{};
@@ -149,7 +151,8 @@
  * @brief Checks whether a loader lets others of its region load a version first. A runner that has been ordered to load
  * accepts no requests until its running ones have ended; if all runners were ordered at once, none would accept any.
  * Runners with the oldest version load first, and each finished load admits the next.
- * @return Always false if the own runner holds no version, and from the age `plan_input::m_max_load_delay` on.
+ * @return Always false if the own runner holds no version, and once the version is older than
+ * `plan_input::m_max_load_delay`.
  */
 [[nodiscard]] auto defers_load(const plan_input& in) -> bool;
 
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -234,6 +234,7 @@
     out.m_pieces = model.m_pieces;
     out.m_peers = model.m_peers;
     out.m_age = now - model.m_wanted_since;
+    out.m_version_age = node::write_age(self.m_core, model.m_name, model.m_version, now).value_or(out.m_age);
     if (out.m_age >= peer_head_start) {
         out.m_relays = model.m_relays;
     }
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -239,7 +239,7 @@
 }
 
 auto defers_load(const plan_input& in) -> bool {
-    if (in.m_held_version == 0U || in.m_age >= in.m_max_load_delay) {
+    if (in.m_held_version == 0U || in.m_version_age >= in.m_max_load_delay) {
         return false;
     }
     const auto own = own_position(in);
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -154,6 +154,10 @@
 /*! @brief Returns the newest wanted version of a model. @return 1 if no target names the model. */
 [[nodiscard]] auto wanted_version(const core& self, std::string_view model) -> std::uint64_t;
 
+/*! @brief Returns the time since a version was written. @return None if it is not known exactly. */
+[[nodiscard]] auto write_age(const core& self, std::string_view model, std::uint64_t version, time_point now)
+    -> std::optional<duration>;
+
 /*! @brief Time before a version's time limit from which requests start on that version or a newer one. Covers the wait
  * at a runner whose slots have just been filled. */
 inline constexpr duration version_margin = std::chrono::milliseconds{1'500};
--- a/src/node/targets.cpp
+++ b/src/node/targets.cpp
@@ -74,6 +74,14 @@
     return newest;
 }
 
+auto write_age(const core& self, const std::string_view model, const std::uint64_t version, const time_point now)
+    -> std::optional<duration> {
+    const auto found = std::ranges::find_if(self.m_weights_targets, [&](const auto& each) {
+        return each.m_model == model && each.m_version == version && each.m_has_exact_write_time;
+    });
+    return found == self.m_weights_targets.end() ? std::nullopt : std::optional{now - found->m_written_at};
+}
+
 auto min_allowed_version(const core& self, const std::string_view model, const time_point now, const duration margin)
     -> std::uint64_t {
     const auto limit = std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms} - margin;
--- a/test/loader/plan.cpp
+++ b/test/loader/plan.cpp
@@ -237,6 +237,7 @@
     constexpr auto version = std::uint64_t{3U};
     std::vector<std::uint64_t> held(loaders, 2U);
     std::vector<bool> loading(loaders, false);
+    // No loader has known the version for long, however old it is.
     const auto defers = [&](const std::size_t self, const duration age) {
         std::vector<peer> peers{};
         for (std::size_t index = 0U; index < loaders; ++index) {
@@ -252,7 +253,7 @@
         in.m_version = version;
         in.m_held_version = held[self];
         in.m_peers = peers;
-        in.m_age = age;
+        in.m_version_age = age;
         in.m_max_load_delay = std::chrono::seconds{5};
         return defers_load(in);
     };
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -73,6 +73,16 @@
     CHECK(min_allowed_version(self, "m", now, duration::zero()) == 2U);
 }
 
+TEST_CASE("the age of a version is known if the time of its write is exact") {
+    core self{make_settings("loader"), false};
+    const auto now = steady_now();
+    CHECK_FALSE(write_age(self, "m", 2U, now));
+    accept_weights_target(self, {"m", 2U, now - hour, false}, "listing");
+    CHECK_FALSE(write_age(self, "m", 2U, now));
+    accept_weights_target(self, make_target(2U, now - hour / 2), "peer");
+    CHECK(write_age(self, "m", 2U, now) == hour / 2);
+}
+
 TEST_CASE("an exact time from a peer replaces the estimated time of a listing") {
     core self{make_settings("gateway"), true};
     const auto now = steady_now();
