--- a/include/rhubarbwharf/core/digest.hpp
+++ b/include/rhubarbwharf/core/digest.hpp
@@ -34,6 +34,9 @@
 /*! @copydoc sha256(std::span<const std::byte>) */
 [[nodiscard]] auto sha256(std::string_view bytes) -> digest;
 
+/*! @brief Returns the first 64 bits of the SHA-256 digest, for tables that are bounded anyway. */
+[[nodiscard]] auto short_digest(std::string_view bytes) -> std::uint64_t;
+
 /**
  * @brief Writes a digest as 64 lower-case hexadecimal digits.
  * @param value The digest.
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 
 #include <openssl/evp.h>
@@ -39,6 +40,13 @@
     return sha256(std::as_bytes(std::span{bytes.data(), bytes.size()}));
 }
 
+auto short_digest(const std::string_view bytes) -> std::uint64_t {
+    const auto whole = sha256(bytes);
+    std::uint64_t out{};
+    std::copy_n(whole.m_bytes.begin(), sizeof(out), reinterpret_cast<std::uint8_t*>(&out));
+    return out;
+}
+
 auto to_hex(const digest& value) -> std::string {
     std::string text{};
     text.reserve(2U * digest::size_bytes);
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -13,6 +13,7 @@
 #include <rhubarbwharf/dispatch/retry_budget.hpp>
 #include <rhubarbwharf/dispatch/wait_queue.hpp>
 #include <rhubarbwharf/net/http.hpp>
+#include <rhubarbwharf/routing/prompt_parts.hpp>
 #include <rhubarbwharf/routing/quarantine.hpp>
 
 #include <gateway/event_stream.hpp>
@@ -41,6 +42,8 @@
     /*! @brief Body received so far, if the response is buffered instead of streamed. */
     std::string m_body{};
     bool m_is_stream{false};
+    /*! @brief Times at which complete events arrived, up to `begun_deliveries`. */
+    unsigned m_deliveries{};
     /*! @brief Events received so far if this is a hedge; those of the other attempt go to the exchange's. */
     event_stream m_events{};
 };
@@ -70,6 +73,8 @@
     std::string m_model{};
     /*! @brief Digest of content and organisation; identifies requests that crash backend servers. */
     std::uint64_t m_content_digest{};
+    /*! @brief Parts of the prompt that other requests may share. */
+    std::vector<routing::part_id> m_parts{};
 
     /*! @brief Ids of the backend servers tried so far, in order. */
     std::vector<std::string> m_tried_servers{};
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -2,7 +2,7 @@
 #include <charconv>
 #include <utility>
 
-#include <gateway/daemon.hpp>
+#include <gateway/parts.hpp>
 #include <platform/names.hpp>
 
 namespace rhubarbwharf::gateway::internal {
@@ -107,6 +107,7 @@
     if (events.empty()) {
         return;
     }
+    current->m_deliveries = std::min(current->m_deliveries + 1U, begun_deliveries);
     keep_attempt(self, item, current);
     forward_events(self, *item, *current, events);
 }
@@ -202,6 +203,7 @@
         self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
     }
     if (sent && end.m_code != code::timed_out) {
+        on_server_crash(self, ended->m_backend);
         attribute_crash(self, *item);
     }
     retry_or_end(self, item, ended,
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -2,7 +2,7 @@
 #include <array>
 #include <charconv>
 
-#include <gateway/daemon.hpp>
+#include <gateway/parts.hpp>
 #include <platform/decode.hpp>
 #include <platform/names.hpp>
 #include <rhubarbwharf/core/digest.hpp>
@@ -122,10 +122,7 @@
     -> std::uint64_t {
     std::string text{organisation};
     text.append("\n").append(incoming.m_method).append(incoming.m_target).append("\n").append(incoming.m_body);
-    const auto content_digest = sha256(text);
-    std::uint64_t out{};
-    std::copy_n(content_digest.m_bytes.begin(), sizeof(out), reinterpret_cast<std::uint8_t*>(&out));
-    return out;
+    return short_digest(text);
 }
 
 /*! @brief Reason to reject a request before it is scheduled; `code::ok` if it is accepted. */
@@ -184,6 +181,7 @@
     item.m_model = net::find(incoming.m_headers, adapter::field::model);
     set_deadlines(self, item, incoming.m_headers);
     item.m_content_digest = digest_content(incoming, item.m_organisation);
+    item.m_parts = shared_parts(item.m_model, net::find(incoming.m_headers, adapter::field::prompt_parts));
     item.m_request.m_method = std::move(incoming.m_method);
     item.m_request.m_target = std::move(incoming.m_target);
     item.m_request.m_host = net::find(incoming.m_headers, "Host");
--- a/test/adapter/decode.cpp
+++ b/test/adapter/decode.cpp
@@ -129,4 +129,17 @@
     CHECK_FALSE(decode_member("{}"));
 }
 
+TEST_CASE("the parts of a prompt are read in order, whatever their counts") {
+    using parts = std::vector<std::string_view>;
+    CHECK(decode_prompt_parts("5c1e07a2:800,91bd3f06:410, e4402b7d:250") == parts{"5c1e07a2", "91bd3f06", "e4402b7d"});
+    CHECK(decode_prompt_parts("5c1e07a2") == parts{"5c1e07a2"});
+    CHECK(decode_prompt_parts("").empty());
+    CHECK(decode_prompt_parts(",:3, ,a:,b:x:y") == parts{"a", "b"});
+    std::string many{};
+    for (auto index = 0; index < 200; ++index) {
+        many += std::to_string(index) + ":1,";
+    }
+    CHECK(decode_prompt_parts(many).size() == max_prompt_parts);
+}
+
 } // namespace rhubarbwharf::adapter
