--- a/include/rhubarbwharf/routing/fwd.hpp
+++ b/include/rhubarbwharf/routing/fwd.hpp
@@ -20,5 +20,9 @@
 struct request_progress;
 struct attempt_decision;
 struct quarantine;
+struct server_crash;
+struct held_parts;
+struct part_table;
+struct part_admission;
 
 } // namespace rhubarbwharf::routing
