Let requests with a given part of a prompt crash runners of the stand-in site

A runner of the stand-in site now ends when it is about to send the first event of a stream whose prompt prefix holds a given part in any entry but the last. The site records the crashes with what the server held, the arrivals of requests with prompts, and the first events of their streams.

--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -58,6 +58,7 @@
     unsigned m_next_event{1};
     /*! @brief Event in the middle of which the connection is closed; beyond the last event for an intact stream. */
     unsigned m_cut_event{};
+    prompt_event m_prompt{};
     /*! @brief Status and headers, which are sent with the first event. */
     net::http_response m_head{};
     bool m_started{false};
@@ -79,6 +80,7 @@
     if (m_server->listen({"127.0.0.1", port}) != code::ok) {
         return false;
     }
+    m_port = m_server->port();
     for (std::size_t piece = 0U; m_options.m_version != 0U && piece < m_options.m_piece_count; ++piece) {
         m_staged_pieces[piece] = piece_bytes(m_options.m_version, piece);
     }
@@ -87,7 +89,7 @@
 }
 
 auto server::address() const -> net::endpoint {
-    return {"127.0.0.1", m_server->port()};
+    return {"127.0.0.1", m_port};
 }
 
 auto server::drain() -> void {
@@ -169,7 +171,9 @@
 }
 
 auto server::publish_entry() -> void {
-    m_store.put("servers/" + m_options.m_id, boost::json::serialize(make_entry()));
+    if (m_server != nullptr) {
+        m_store.put("servers/" + m_options.m_id, boost::json::serialize(make_entry()));
+    }
 }
 
 auto server::on_control(const net::http_request& request, const responder_ptr& responder) -> bool {
@@ -268,7 +272,11 @@
     auto stay = std::make_shared<arrival>();
     stay->m_server = m_options.m_id;
     stay->m_arrived_at = steady_now();
-    m_observations.m_stays[attempt].push_back(stay);
+    auto& stays = m_observations.m_stays[attempt];
+    stays.push_back(stay);
+    if (auto prompt = make_prompt_event(request, stays.size() == 1U); !prompt.m_parts.empty()) {
+        m_observations.m_prompts.m_arrivals.push_back(std::move(prompt));
+    }
     handle_request(request, record_stay(responder, stay, m_alive), stay->m_arrived_at);
 }
 
@@ -368,6 +376,7 @@
     auto output = std::make_shared<stream>();
     output->m_responder = responder;
     output->m_request_body = request.m_body;
+    output->m_prompt = make_prompt_event(request, m_observations.m_stays[attempt].size() == 1U);
     output->m_head = {internal::ok,
                       {{"Content-Type", "text/event-stream"},
                        {std::string{adapter::field::attempt}, attempt},
@@ -413,6 +422,9 @@
         --m_running_requests;
         return;
     }
+    if (!output->m_started && !begin_answer(output->m_prompt)) {
+        return;
+    }
     if (!std::exchange(output->m_started, true)) {
         add_server_headers(output->m_head);
         output->m_responder->start(output->m_head);
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "arrivals.hpp"
+#include "crash.hpp"
 #include "store.hpp"
 
 namespace rhubarbwharf::standin_site {
@@ -38,6 +39,9 @@
     time_point m_store_reachable_since{};
     /*! @brief API keys of the organisations; none of them may be forwarded to a server. */
     std::set<std::string> m_api_keys{};
+    /*! @brief Crashes that requests cause at every runner. */
+    crash_faults m_crash_faults{};
+    crash_observations m_prompts{};
     violations m_violations{};
 };
 
@@ -111,6 +115,10 @@
     /*! @brief Sends and handles nothing for a while, then continues; connections stay open. */
     auto pause(duration length) -> void;
 
+    /*! @brief Resets all connections and stops listening; the server is back later, as `crash_faults` says.
+     * @param part Part of a prompt that caused it; empty if no request did. */
+    auto crash(const std::string& part) -> void;
+
     /*! @brief Replaces the injected faults; aborts unanswered requests unless the server stays unresponsive. */
     auto set_faults(const server_faults& faults) -> void;
 
@@ -152,13 +160,19 @@
     auto refuse(const responder_ptr& responder) -> void;
     auto check_request(const net::http_request& request, time_point arrived_at) -> void;
     auto publish_entry() -> void;
+    /*! @brief Records that an answer begins. @return False if the request crashes the server instead. */
+    [[nodiscard]] auto begin_answer(prompt_event request) -> bool;
+    /*! @brief Starts a crashed server as a new incarnation that holds only the staged pieces. */
+    auto come_back() -> void;
     [[nodiscard]] auto make_entry() const -> boost::json::object;
 
     net::loop& m_loop;
     store& m_store;
     site_observations& m_observations;
     server_options m_options{};
+    /*! @brief Null while the server is down after a crash. */
     std::unique_ptr<net::http_server> m_server{};
+    std::uint16_t m_port{};
     std::map<std::size_t, std::string> m_staged_pieces{};
     server_faults m_faults{};
     std::vector<responder_ptr> m_unanswered{};
--- a/test/soak/site_fixture.hpp
+++ b/test/soak/site_fixture.hpp
@@ -16,7 +16,8 @@
 /*! @brief Stand-in site with real daemons and one HTTP client; waits on construction until requests succeed. */
 class site_fixture {
 public:
-    explicit site_fixture(const std::size_t gateways) : m_fleet{m_site, gateways} {
+    explicit site_fixture(const std::size_t gateways, const standin_site::site_options& options = {})
+        : m_site{options}, m_fleet{m_site, gateways} {
         REQUIRE(process::wait_until(
             [this] { return send_request("a1", standin_site::lookup_path, "a").m_status == 200U; }));
         REQUIRE(
@@ -26,6 +27,30 @@
     /*! @brief Sends a request to one of the gateways, by index. */
     auto start_request(const std::string& attempt, const std::string_view path, const std::string& key,
                        const std::size_t gateway = 0U) -> std::future<process::call_result> {
+        return m_client.start(m_fleet.daemons()[gateway].m_caller_address, make_request(attempt, path, key));
+    }
+
+    /*! @brief Sends a request for an answer to a prompt, with a body of its own.
+     * @param parts Shared parts of the prompt; a part of the request's own follows them. */
+    auto start_prompt(const std::string& attempt, const std::string& key, const std::vector<std::string>& parts,
+                      const std::size_t gateway) -> std::future<process::call_result> {
+        auto request = make_request(attempt, standin_site::model_path, key);
+        request.m_body = "prompt of " + attempt;
+        std::string prefix{};
+        for (const auto& each : parts) {
+            prefix += each + ":100,";
+        }
+        std::ostringstream own_part{};
+        own_part << std::hex << std::hash<std::string>{}(attempt);
+        request.m_headers.push_back({std::string{adapter::field::prompt_prefix}, prefix + own_part.str() + ":50"});
+        request.m_headers.push_back(
+            {std::string{adapter::field::tokens},
+             std::to_string(50U + 100U * parts.size()) + "," + std::to_string(standin_site::events_per_stream)});
+        return m_client.start(m_fleet.daemons()[gateway].m_caller_address, std::move(request));
+    }
+
+    [[nodiscard]] static auto make_request(const std::string& attempt, const std::string_view path,
+                                           const std::string& key) -> net::http_request {
         net::http_request request{};
         request.m_method = "POST";
         request.m_target = std::string{path} + "x";
@@ -35,7 +60,7 @@
                              {"Authorization", "Bearer key-of-" + key},
                              {std::string{adapter::field::model}, std::string{standin_site::model_name}},
                              {std::string{adapter::field::deadline}, "3000"}};
-        return m_client.start(m_fleet.daemons()[gateway].m_caller_address, std::move(request));
+        return request;
     }
 
     [[nodiscard]] auto send_request(const std::string& attempt, const std::string_view path, const std::string& key)
@@ -88,7 +113,7 @@
         return out;
     }
 
-    standin_site::site m_site{standin_site::site_options{}};
+    standin_site::site m_site;
     fleet m_fleet;
     process::threaded_http_client m_client{};
 };
