Hold back a part of a prompt under which servers end

Cause: crashes were counted by a digest of the whole request. Requests that share only a part are no two alike, so no count reached the threshold, and each gateway repeated them on the next runner. Sound requests beside them got the same counts.

Change: gateways collect the parts of the requests that had not begun their answers when a server's connections break, and tell each other at once. With routing/prompt_parts.hpp they try a suspect part with one request at a time, on the server with the fewest requests, and refuse the others, also when they wait in the queue or are to be repeated. If the trial's server ends, all gateways refuse the part at once, with the time until the next trial. A gateway that starts gets the verdicts from its peers. Requests with a part under evidence are not hedged. The first pause before a new trial is 15 s here, then six times as long, so that three trials take over ten minutes.

Why it works: a guilty part never gets past its first event and a sound one does, on whatever server, so evidence against sound parts vanishes within an answer's time and that against the guilty one only grows.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -92,8 +92,15 @@
     /*! @brief Upper bound of the random time added to each prediction, so that gateways with the same reports choose
      * differently, in ms. */
     double m_jitter_ms{8.0};
+    /*! @brief Whether the backend server with the fewest requests is preferred whatever the prediction, as the request
+     * may end it. */
+    bool m_prefers_idle{false};
 };
 
+/*! @brief Added to the predicted time for each request at a backend server if idle ones are preferred, in ms: more than
+ * any other term. */
+inline constexpr double busy_penalty_ms_per_request = 10'000.0;
+
 /*! @brief Age from which a report is stale: three reports were missed, and the backend server may be unreachable. */
 inline constexpr duration stale_report_age = std::chrono::milliseconds{1'400};
 /*! @brief Added to the predicted time of a backend server whose last report is stale, in ms. */
--- a/include/rhubarbwharf/routing/prompt_parts.hpp
+++ b/include/rhubarbwharf/routing/prompt_parts.hpp
@@ -37,8 +37,8 @@
 /*! @brief Time after which a trial without an outcome no longer keeps others from trying. */
 inline constexpr duration trial_timeout = std::chrono::seconds{3};
 /*! @brief Time for which parts are held back first; each further time is longer by `hold_time_factor`. */
-inline constexpr duration first_hold_time = std::chrono::seconds{30};
-inline constexpr int hold_time_factor = 3;
+inline constexpr duration first_hold_time = std::chrono::seconds{15};
+inline constexpr int hold_time_factor = 6;
 inline constexpr duration max_hold_time = std::chrono::minutes{10};
 /*! @brief `Retry-After` of a request whose part is on trial: the time of a usual first event. */
 inline constexpr duration trial_retry_after = std::chrono::milliseconds{500};
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -98,7 +98,9 @@
     std::optional<choice> best{};
     double best_score{};
     auto best_sampled = false;
-    const auto sampled_fraction = options.m_sample_size / static_cast<double>(std::max<std::size_t>(1U, rows.size()));
+    const auto sampled_fraction =
+        options.m_prefers_idle ? 1.0
+                               : options.m_sample_size / static_cast<double>(std::max<std::size_t>(1U, rows.size()));
     for (std::size_t index = 0U; index < rows.size(); ++index) {
         const auto& row = *rows[index];
         // A linear congruential step derives different bits for each candidate from the one random number.
@@ -118,8 +120,9 @@
                 : 0.0;
         const auto quota_penalty_ms =
             row.m_own_requests < row.m_quota || engine == nullptr ? 0.0 : over_quota_penalty_ms;
-        const auto score =
-            first_byte_ms + load_penalty_ms + remote_penalty_ms + jitter_ms + stale_penalty_ms + quota_penalty_ms;
+        const auto busy_penalty_ms = options.m_prefers_idle ? estimate_load(row) * busy_penalty_ms_per_request : 0.0;
+        const auto score = busy_penalty_ms + first_byte_ms + load_penalty_ms + remote_penalty_ms + jitter_ms +
+                           stale_penalty_ms + quota_penalty_ms;
         const auto sampled = static_cast<double>(random >> (64U - random_step_bits)) / random_steps < sampled_fraction;
         if (!best || (sampled && !best_sampled) || (sampled == best_sampled && score < best_score)) {
             best_sampled = sampled;
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -2,7 +2,7 @@
 #include <functional>
 
 #include <fleet.pb.h>
-#include <gateway/daemon.hpp>
+#include <gateway/parts.hpp>
 #include <node/wire.hpp>
 #include <platform/decode.hpp>
 #include <platform/names.hpp>
@@ -177,6 +177,8 @@
 auto on_frame(daemon& self, const std::string_view peer, const wire::fleet::Frame& frame) -> void {
     if (frame.has_load()) {
         internal::on_load(self, peer, frame.load());
+    } else if (frame.has_parts()) {
+        on_part_news(self, peer, frame.parts());
     } else if (frame.has_blame()) {
         internal::on_crash_report(self, peer, frame.blame());
     }
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include <fleet.pb.h>
-#include <gateway/daemon.hpp>
+#include <gateway/parts.hpp>
 #include <rhubarbwharf/dispatch/hedge.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -276,6 +276,7 @@
             each->m_call->cancel();
         }
     }
+    end_trial(self, *item);
     dispatch::erase(self.m_services[service].m_queue, item->m_id);
     self.m_exchanges.erase(item->m_id);
     item->m_responder = nullptr;
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -75,6 +75,8 @@
     std::uint64_t m_content_digest{};
     /*! @brief Parts of the prompt that other requests may share. */
     std::vector<routing::part_id> m_parts{};
+    /*! @brief Suspect parts for which this request is the trial; empty if it is none. */
+    std::vector<routing::part_id> m_trial_parts{};
 
     /*! @brief Ids of the backend servers tried so far, in order. */
     std::vector<std::string> m_tried_servers{};
@@ -151,6 +153,9 @@
     std::map<std::string, server_pause, std::less<>> m_pauses{};
     std::unordered_map<request_id, std::shared_ptr<exchange>> m_exchanges{};
     routing::quarantine m_quarantine{};
+    routing::part_table m_parts{};
+    /*! @brief When the verdicts on parts were last sent to all gateways. */
+    time_point m_last_parts_sent{};
     /*! @brief By name of the route. */
     std::map<std::string, caller_timeout, std::less<>> m_caller_timeouts{};
     std::uint64_t m_last_request_id{};
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -107,7 +107,7 @@
     if (events.empty()) {
         return;
     }
-    current->m_deliveries = std::min(current->m_deliveries + 1U, begun_deliveries);
+    on_delivery(self, *item, *current, false);
     keep_attempt(self, item, current);
     forward_events(self, *item, *current, events);
 }
@@ -118,6 +118,7 @@
         start_stream(*item, *item->m_attempt);
     }
     dispatch::record_success(item->m_attempt->m_backend->m_health);
+    on_delivery(self, *item, *item->m_attempt, true);
     routing::clear_crashes(self.m_quarantine, item->m_content_digest);
     const auto status = item->m_attempt->m_head->m_status;
     item->m_responder->finish();
@@ -182,6 +183,7 @@
         }
     } else {
         dispatch::record_success(health);
+        on_delivery(self, *item, current, true);
         routing::clear_crashes(self.m_quarantine, item->m_content_digest);
         record_first_byte(self, *item, current);
     }
@@ -203,7 +205,7 @@
         self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
     }
     if (sent && end.m_code != code::timed_out) {
-        on_server_crash(self, ended->m_backend);
+        on_server_crash(self, *item, *ended);
         attribute_crash(self, *item);
     }
     retry_or_end(self, item, ended,
@@ -237,12 +239,14 @@
     net::call_handlers out{};
     out.m_on_head = [&self, item, current, is_current](const net::http_response& head) {
         if (is_current()) {
+            on_server_alive(self, *current->m_backend);
             on_server_headers(self, *current->m_backend, head);
             on_head(*item, *current, head);
         }
     };
     out.m_on_part = [&self, item, current, is_current](const std::string_view part) {
         if (is_current()) {
+            on_server_alive(self, *current->m_backend);
             on_body_part(self, item, current, part);
         }
     };
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -2,7 +2,7 @@
 #include <utility>
 
 #include <fleet.pb.h>
-#include <gateway/daemon.hpp>
+#include <gateway/parts.hpp>
 #include <rhubarbwharf/gateway/run.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -167,6 +167,9 @@
     self.m_caller_server.on_connection_closed([&self](const net::close_reason reason) {
         self.m_core.m_counters.add("caller_connections_closed_total", 1.0, net::to_string(reason));
     });
+    handlers.m_on_gateway = [&self](const std::string& name) {
+        send_verdicts(self, name);
+    };
     handlers.m_on_frame = [&self](const std::string_view peer, const wire::fleet::Frame& frame) {
         on_frame(self, peer, frame);
     };
@@ -219,6 +222,7 @@
         internal::divide_retry_budget(self);
         assign_quotas(self);
         evict_unused_weights(self, steady_now());
+        refresh_parts(self, steady_now());
     });
     loop.on_stop_signal([&self](const int count) { internal::on_stop_signal(self, count); });
     loop.on_reload_signal([&self] { internal::reload(self); });
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include <gateway/daemon.hpp>
+#include <gateway/parts.hpp>
 #include <platform/names.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -57,6 +57,7 @@
     } else {
         out.m_gateway_count = self.m_gateway_count;
     }
+    out.m_prefers_idle = !item.m_trial_parts.empty();
     return out;
 }
 
@@ -265,6 +266,9 @@
 auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> bool {
     const auto now = steady_now();
     auto& state = self.m_services[item->m_service->m_name];
+    if (has_crashed_part(self, *item)) {
+        return false;
+    }
     const auto chosen = internal::choose_backend(self, *item, now);
     if (!chosen || !dispatch::try_acquire_retry(state.m_retry_budget, now)) {
         return false;
@@ -274,6 +278,9 @@
 }
 
 auto schedule(daemon& self, const std::shared_ptr<exchange>& item) -> void {
+    if (!admit_parts(self, item)) {
+        return;
+    }
     const auto now = steady_now();
     auto& state = self.m_services[item->m_service->m_name];
     const auto queue_was_empty = state.m_queue.m_waiting.empty();
@@ -331,6 +338,9 @@
             continue;
         }
         const auto queued = item->second;
+        if (!admit_parts(self, queued)) {
+            continue;
+        }
         const auto chosen = internal::choose_backend(self, *queued, now);
         if (chosen) {
             dispatch::erase(state.m_queue, each.m_request);
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -205,6 +205,9 @@
     // Gateways connect to each other in both directions; loaders are reached over the connections that they open.
     if (value.is_gateway()) {
         self.m_bus.connect(value.m_instance, value.m_bus_address);
+        if (is_new) {
+            self.m_handlers.m_on_gateway(value.m_instance);
+        }
     }
 }
 
