Look up whether any evidence names a part before searching the crashes

An answer to a request searched all remembered crashes for each of its parts, also if none names it. An index of the parts under evidence is kept with the counts.

--- a/include/rhubarbwharf/routing/prompt_parts.hpp
+++ b/include/rhubarbwharf/routing/prompt_parts.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <rhubarbwharf/core/id.hpp>
@@ -70,6 +71,8 @@
     std::unordered_map<incarnation_id, server_crash> m_crashes{};
     /*! @brief Ended servers by part that no other held part explains; derived from `m_crashes` and `m_held`. */
     std::unordered_map<part_id, std::uint32_t> m_counts{};
+    /*! @brief Parts of all crashes and verdicts; derived as well. */
+    std::unordered_set<part_id> m_recorded{};
     /*! @brief When each part was last answered. */
     std::unordered_map<part_id, time_point> m_served{};
     std::vector<held_parts> m_held{};
--- a/src/routing/prompt_parts.cpp
+++ b/src/routing/prompt_parts.cpp
@@ -29,10 +29,15 @@
 
 auto update_counts(part_table& table) -> void {
     table.m_counts.clear();
+    table.m_recorded.clear();
+    for (const auto& each : table.m_held) {
+        table.m_recorded.insert(each.m_parts.begin(), each.m_parts.end());
+    }
     for (const auto& [server, crash] : table.m_crashes) {
         const auto explained =
             std::ranges::find_if(table.m_held, [&crash](const auto& each) { return explains(each, crash); });
         for (const auto part : crash.m_parts) {
+            table.m_recorded.insert(part);
             if (explained == table.m_held.end() || contains(explained->m_parts, part)) {
                 ++table.m_counts[part];
             }
@@ -125,6 +130,9 @@
         }
         table.m_served[part] = now;
         table.m_trials.erase(part);
+        if (!table.m_recorded.contains(part)) {
+            continue;
+        }
         auto is_cleared = false;
         for (auto& [server, crash] : table.m_crashes) {
             is_cleared = std::erase(crash.m_parts, part) > 0U || is_cleared;
