Read staged pieces back again if the loader stood still meanwhile

What callers could see: tokens made with a layer whose piece had turned bad more than 3 s before the load, which no machine's state excuses.

Cause: pieces are read back one after the other, and the load is ordered when the last one is handled, whatever has passed since the first was read. A loader that stands still in between orders the load of data that it read seconds ago, and the runner loads what is staged by then.

Evidence: the new test lets a piece turn bad after it was read and the machine stand still for 3.2 s.

Change: pieces that were found intact are read again if more than 2 s of the boot-time clock, which counts suspensions, have passed since the first was requested; four times at most, so that a runner that is always slow gets its order.

Why it works: a second is left of the 3 s for the runner to accept the order. A runner that reads all pieces back in more than 2 s four times in a row, or accepts the order later than a second after it was sent, is not covered.

--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -147,6 +147,17 @@
 /*! @brief Share of a version's time limit after which the version is loaded regardless of the other loaders. */
 inline constexpr double max_load_delay_share = 0.625;
 
+/*! @brief Age of the first piece that was read back from which all are read again before the load is ordered: staged
+ * data may become corrupt, and the load takes it as it is then. Leaves a second for the runner to accept the order. */
+inline constexpr duration max_verification_age = std::chrono::seconds{2};
+/*! @brief Times that pieces are read back for one order, so that a runner that is always slow gets its order. */
+inline constexpr unsigned max_verifications = 4U;
+
+/*! @brief Checks whether staged pieces that were found intact have to be read back again, as the process stood still or
+ * the runner was slow meanwhile. @param age Elapsed time, suspensions included, since the first one was requested.
+ * @param verifications Times that the pieces were read back, this one included. */
+[[nodiscard]] auto must_verify_again(duration age, unsigned verifications) noexcept -> bool;
+
 /**
  * @brief Checks whether a loader lets others of its region load a version first. A runner that has been ordered to load
  * accepts no requests until its running ones have ended; if all runners were ordered at once, none would accept any.
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -83,6 +83,8 @@
     /*! @brief Whether the event that all pieces are staged has been logged. */
     bool m_complete_logged{false};
     time_point m_load_ordered_at{};
+    /*! @brief Times that the staged pieces were read back since the last order. */
+    unsigned m_verifications{};
 };
 
 /*! @brief State of a loader; accessed only on the loop's thread. */
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -238,6 +238,10 @@
     });
 }
 
+auto must_verify_again(const duration age, const unsigned verifications) noexcept -> bool {
+    return age > max_verification_age && verifications < max_verifications;
+}
+
 auto defers_load(const plan_input& in) -> bool {
     if (in.m_held_version == 0U || in.m_version_age >= in.m_max_load_delay) {
         return false;
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -3,6 +3,7 @@
 
 #include <loader/daemon.hpp>
 #include <loader/transfer.hpp>
+#include <node/boot_clock.hpp>
 #include <platform/encode.hpp>
 #include <rhubarbwharf/core/digest.hpp>
 
@@ -64,6 +65,7 @@
 
 auto order_load(daemon& self, model_state& model) -> void {
     model.m_phase = load_phase::loading;
+    model.m_verifications = 0U;
     model.m_load_ordered_at = steady_now();
     self.m_report.m_order_in_progress = true;
     report_to_gateways(self, true);
@@ -138,12 +140,13 @@
 
 auto verify_and_order_load(daemon& self, model_state& model) -> void {
     model.m_phase = load_phase::verifying;
+    ++model.m_verifications;
     std::vector<std::size_t> all(model.m_pieces.size());
     for (std::size_t index = 0U; index < all.size(); ++index) {
         all[index] = index;
     }
     internal::read_back_pieces(self, model, std::move(all),
-                               [&self, name = model.m_name, version = model.m_version](
+                               [&self, name = model.m_name, version = model.m_version, began = node::boot_now()](
                                    const std::vector<std::size_t>& valid, const std::vector<std::size_t>& corrupt) {
                                    auto* const current = find_model(self, name, version);
                                    if (current == nullptr || current->m_phase != load_phase::verifying) {
@@ -154,7 +157,11 @@
                                        return;
                                    }
                                    if (corrupt.empty() && valid.size() == current->m_pieces.size()) {
-                                       internal::order_load(self, *current);
+                                       if (must_verify_again(node::boot_now() - began, current->m_verifications)) {
+                                           verify_and_order_load(self, *current);
+                                       } else {
+                                           internal::order_load(self, *current);
+                                       }
                                        return;
                                    }
                                    for (const auto piece : corrupt) {
@@ -162,6 +169,7 @@
                                        internal::record_corrupt_piece(self, *current, piece, "staged");
                                    }
                                    current->m_phase = load_phase::fetching;
+                                   current->m_verifications = 0U;
                                });
 }
 
--- a/src/node/targets.cpp
+++ b/src/node/targets.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
-#include <ctime>
 #include <utility>
 
 #include <fleet.pb.h>
+#include <node/boot_clock.hpp>
 #include <node/targets.hpp>
 
 namespace rhubarbwharf::node {
@@ -154,12 +154,8 @@
 }
 
 auto note_running(core& self) -> void {
-    timespec boot_clock{};
-    clock_gettime(CLOCK_BOOTTIME, &boot_clock);
-    const duration since_boot = std::chrono::seconds{boot_clock.tv_sec} +
-                                std::chrono::duration_cast<duration>(std::chrono::nanoseconds{boot_clock.tv_nsec});
     const auto now = steady_now();
-    const auto found = fleet::check_running(self.m_stalls, now, since_boot - now.time_since_epoch());
+    const auto found = fleet::check_running(self.m_stalls, now, boot_now() - now);
     if (found.m_length == duration::zero()) {
         return;
     }
--- a/test/loader/plan.cpp
+++ b/test/loader/plan.cpp
@@ -287,4 +287,11 @@
     CHECK_FALSE(defers(0U, std::chrono::seconds{2}));
 }
 
+TEST_CASE("pieces that were read back too long ago are read again, but not without end") {
+    CHECK_FALSE(must_verify_again(max_verification_age, 1U));
+    CHECK(must_verify_again(max_verification_age + duration{1}, 1U));
+    CHECK(must_verify_again(max_verification_age + duration{1}, max_verifications - 1U));
+    CHECK_FALSE(must_verify_again(max_verification_age + duration{1}, max_verifications));
+}
+
 } // namespace rhubarbwharf::loader
--- /dev/null
+++ b/test/loader/staging.cpp
@@ -0,0 +1,117 @@
+#include <set>
+#include <thread>
+
+#include <doctest/doctest.h>
+
+#include <loader/daemon.hpp>
+#include <net/fixture.hpp>
+#include <rhubarbwharf/core/digest.hpp>
+
+namespace rhubarbwharf::loader {
+
+namespace {
+
+constexpr std::uint64_t version = 2U;
+constexpr std::size_t pieces = 3U;
+/*! @brief Longer than the users' rules let a piece be corrupt unnoticed. */
+constexpr duration standstill = std::chrono::milliseconds{3'200};
+
+[[nodiscard]] auto settings() -> config::node_settings {
+    config::node_settings out{};
+    out.m_role = "loader";
+    out.m_instance = "loader-1";
+    out.m_listen.m_bus = "127.0.0.1:0";
+    out.m_store.m_address = "127.0.0.1:1";
+    return out;
+}
+
+[[nodiscard]] auto bytes_of(const std::size_t piece) -> std::string {
+    return "bytes of piece " + std::to_string(piece);
+}
+
+/*! @brief A loader whose pieces are all staged at a runner on the same thread. */
+struct fixture {
+    daemon m_loader{settings(), {}};
+    net::http_server m_runner;
+    std::set<std::size_t> m_corrupt{};
+    /*! @brief Called before a piece is read back. */
+    std::function<void(std::size_t)> m_on_read{};
+    unsigned m_reads{};
+    unsigned m_orders{};
+    /*! @brief Whether a load was ordered while a piece was corrupt. */
+    bool m_loaded_corrupt{false};
+
+    fixture()
+        : m_runner{m_loader.m_core.m_loop, net::http_limits{},
+                   [this](const net::http_request& request, const std::shared_ptr<net::responder>& responder) {
+                       on_request(request, responder);
+                   }} {
+        net::ensure_listening(m_runner);
+        m_loader.m_runner = net::local(m_runner.port());
+        auto& model = m_loader.m_models["m"];
+        model.m_name = "m";
+        model.m_version = version;
+        model.m_phase = load_phase::fetching;
+        model.m_staged_scanned = true;
+        model.m_pieces.assign(pieces, piece_state::held);
+        model.m_manifest.emplace();
+        for (std::size_t index = 0U; index < pieces; ++index) {
+            model.m_manifest->m_digests.push_back(sha256(bytes_of(index)));
+        }
+    }
+
+    auto on_request(const net::http_request& request, const std::shared_ptr<net::responder>& responder) -> void {
+        if (request.m_target.starts_with("/api/order")) {
+            ++m_orders;
+            m_loaded_corrupt = m_loaded_corrupt || !m_corrupt.empty();
+            responder->respond({202U, {}, {}});
+            return;
+        }
+        const auto piece = std::stoul(request.m_target.substr(request.m_target.find('=') + 1U));
+        ++m_reads;
+        if (m_on_read) {
+            m_on_read(piece);
+        }
+        responder->respond({200U, {}, m_corrupt.contains(piece) ? "other bytes" : bytes_of(piece)});
+    }
+
+    [[nodiscard]] auto model() -> model_state& { return m_loader.m_models.at("m"); }
+
+    [[nodiscard]] auto wait_until(const std::function<bool()>& condition) -> bool {
+        return net::run_until(m_loader.m_core.m_loop, condition);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a load is ordered once all staged pieces have been read back") {
+    fixture fixture{};
+    verify_and_order_load(fixture.m_loader, fixture.model());
+    REQUIRE(fixture.wait_until([&] { return fixture.m_orders == 1U; }));
+    CHECK(fixture.m_reads == pieces);
+    CHECK(fixture.model().m_phase == load_phase::loading);
+}
+
+TEST_CASE("pieces that were read back before the machine stood still are read again before the load") {
+    for (const auto turns_corrupt : {false, true}) {
+        CAPTURE(turns_corrupt);
+        fixture fixture{};
+        fixture.m_on_read = [&](const std::size_t piece) {
+            if (piece == 0U && fixture.m_reads == pieces) {
+                if (turns_corrupt) {
+                    fixture.m_corrupt.insert(pieces - 1U);
+                }
+                std::this_thread::sleep_for(standstill);
+            }
+        };
+        verify_and_order_load(fixture.m_loader, fixture.model());
+        REQUIRE(fixture.wait_until(
+            [&] { return fixture.m_orders > 0U || fixture.model().m_phase == load_phase::fetching; }));
+        CHECK_FALSE(fixture.m_loaded_corrupt);
+        CHECK(fixture.m_reads == 2U * pieces);
+        CHECK(fixture.m_orders == (turns_corrupt ? 0U : 1U));
+        CHECK(fixture.model().m_pieces.back() == (turns_corrupt ? piece_state::missing : piece_state::held));
+    }
+}
+
+} // namespace rhubarbwharf::loader
