Let a short stall not hide what arrived during a long one

Cause: only the last stall was kept. A gateway that goes on after 4 s has the requests of 4 s to read; if they take it 0.2 s between two checks, that is a stall of its own, and a version whose event is read after them counts from the wake-up instead of from the beginning of the freeze. A suspension right after a stall did not move the stall's beginning back either.

Change: each stall is kept for the time in which data of it may still be handled, without the time in which the process stands still again; the earliest of them bounds the arrival. Each period ends by itself, so that a process that stalls for 0.2 s again and again takes arrivals for older by a bounded time only, which the third new test checks.

--- a/include/rhubarbwharf/fleet/stall.hpp
+++ b/include/rhubarbwharf/fleet/stall.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include <rhubarbwharf/core/time.hpp>
 
 namespace rhubarbwharf::fleet {
@@ -10,16 +12,22 @@
  * peer repeats what was not acknowledged at intervals of at most the time that has passed. */
 inline constexpr duration stall_aftermath = std::chrono::milliseconds{500};
 
-/*! @brief Last time in which this process stood still. All times are of the steady clock. */
+/*! @brief Time in which this process stood still. */
+struct stall_period {
+    /*! @brief Last check before the stall. A suspension, which the steady clock does not count, moves it back. */
+    time_point m_began{};
+    /*! @brief Time up to which data that is handled may have arrived during the stall. */
+    time_point m_handled_until{};
+};
+
+/*! @brief Times in which this process stood still recently. All times are of the steady clock. */
 struct stall_record {
     /*! @brief Last check; the epoch before the first one. */
     time_point m_checked_at{};
     /*! @brief Lead of the boot-time clock, which counts suspensions of the machine, over the steady clock. */
     duration m_boot_clock_lead{};
-    /*! @brief Last check before the stall. A suspension, which the steady clock does not count, moves it back. */
-    time_point m_began{};
-    /*! @brief First check after the stall; the epoch if there was none. */
-    time_point m_ended{};
+    /*! @brief In order. Time in which the process stands still again does not count towards the end of a former one. */
+    std::vector<stall_period> m_periods{};
 };
 
 /*! @brief Length of a stall that a check has found. */
@@ -32,7 +40,7 @@
 
 /*! @brief Records that the process runs.
  * @param boot_clock_lead Lead of the boot-time clock over the steady clock at `now`. */
-[[nodiscard]] auto check_running(stall_record& record, time_point now, duration boot_clock_lead) noexcept -> stall;
+[[nodiscard]] auto check_running(stall_record& record, time_point now, duration boot_clock_lead) -> stall;
 
 /*! @brief When something that is handled now reached this machine. */
 struct arrival_time {
--- a/test/fleet/stall.cpp
+++ b/test/fleet/stall.cpp
@@ -61,4 +61,45 @@
     CHECK(suspended == 30 * tick);
 }
 
+TEST_CASE("a short stall right after a long one does not hide what arrived during the long one") {
+    constexpr duration pause = 2 * min_stall;
+    stall_record record{};
+    REQUIRE(check_running(record, start, lead).m_length == duration::zero());
+    const auto woken = start + length;
+    REQUIRE(check_running(record, woken, lead).m_length == length);
+    auto now = woken;
+    for (auto step = 0; step < 4; ++step) {
+        now += pause;
+        REQUIRE(check_running(record, now, lead).m_length == pause);
+        CHECK(arrival_of(record, now).m_earliest == start);
+        CHECK_FALSE(arrival_of(record, now).m_is_exact);
+    }
+    const auto trusted_again = woken + length + stall_aftermath + 4 * pause;
+    CHECK(arrival_of(record, trusted_again - tick).m_earliest == start);
+    CHECK(arrival_of(record, trusted_again + tick).m_is_exact);
+}
+
+TEST_CASE("a suspension after a stall moves the beginning of the stall back") {
+    stall_record record{};
+    REQUIRE(check_running(record, start, lead).m_length == duration::zero());
+    const auto woken = start + length;
+    REQUIRE(check_running(record, woken, lead).m_length == length);
+    REQUIRE(check_running(record, woken + tick, lead + length).m_suspended == length);
+    CHECK(arrival_of(record, woken + tick).m_earliest == start - length);
+}
+
+TEST_CASE("short stalls in a row let arrivals count as old by a bounded time only") {
+    constexpr duration pause = min_stall + tick;
+    stall_record record{};
+    REQUIRE(check_running(record, start, lead).m_length == duration::zero());
+    auto now = start;
+    while (now < start + 100 * length) {
+        now += pause;
+        REQUIRE(check_running(record, now, lead).m_length == pause);
+        now += tick;
+        REQUIRE(check_running(record, now, lead).m_length == duration::zero());
+        CHECK(now - arrival_of(record, now).m_earliest <= (pause + tick) * ((pause + stall_aftermath) / tick + 1));
+    }
+}
+
 } // namespace rhubarbwharf::fleet
