Count a change from before its connection was found dead

Cause: a watch whose connection fails was taken to have delivered all changes up to the failure. A connection that goes silent fails only after the kernel's probes, up to 4 s later; a version written meanwhile counted from the failure, and so its older one was allowed for up to 4 s too long. Besides, the follower's own times were not moved back after a suspension, as those of the targets are.

Change: a failed connection tells of changes up to 4 s before its failure, a refused watch still up to the refusal. Suspensions move the follower's times. The bound stays at most 4 s early for changes that come with the first response after a failure; all others are not affected.

--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -82,6 +82,12 @@
     list({});
 }
 
+auto follower::note_suspension(const duration suspended) noexcept -> void {
+    m_known_until -= suspended;
+    m_listing_requested_at -= suspended;
+    m_watch_requested_at -= suspended;
+}
+
 auto follower::update_contact(const bool reachable) -> void {
     if (!m_contact_known || m_reachable != reachable) {
         m_contact_known = true;
@@ -149,6 +155,8 @@
     }
     m_failures = 0U;
     m_version = m_listing_version;
+    // A suspension is noted before the known times are used.
+    static_cast<void>(m_handlers.m_arrival());
     m_write_time = {m_known_until, false};
     m_known_until = m_listing_requested_at;
     m_handlers.m_on_list(std::exchange(m_listed_items, {}), m_version);
@@ -176,10 +184,12 @@
     const auto arrival = m_handlers.m_arrival();
     const auto was_waiting = m_failures == 0U;
     if (page.m_reply != adapter::reply::ok) {
-        // A watch that the store ended would have delivered all changes until then; one that timed out may have been
-        // disconnected since it began.
-        if (was_waiting && steady_now() - m_watch_requested_at < m_watch_timeout) {
-            m_known_until = arrival.m_earliest;
+        // A watch that the store refuses would have delivered all changes until then. A connection that fails may have
+        // been dead for a while, and one whose watch timed out since the watch began.
+        const auto is_refused = page.m_reply == adapter::reply::refused;
+        if (was_waiting && (is_refused || steady_now() - m_watch_requested_at < m_watch_timeout)) {
+            const auto dead_for = is_refused ? duration::zero() : max_dead_connection_time;
+            m_known_until = std::max(m_known_until, arrival.m_earliest - dead_for);
         }
         update_contact(false);
         schedule_retry(false);
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -15,6 +15,10 @@
 
 namespace rhubarbwharf::node {
 
+/*! @brief Longest time for which a connection to the store may be dead before its watch fails: the kernel probes it
+ * after a second, and gives up after three without an answer. */
+inline constexpr duration max_dead_connection_time = std::chrono::seconds{4};
+
 /*! @brief Callbacks of a follower; all run on the loop's thread. */
 struct follower_handlers {
     /*! @brief Called after a listing with all keys and a version; the listing is at least as new as that version. */
@@ -65,6 +69,9 @@
     /*! @brief Continues after `pause` with a new listing. */
     auto resume() -> void;
 
+    /*! @brief Moves the known times back after a suspension of the machine, which the steady clock does not count. */
+    auto note_suspension(duration suspended) noexcept -> void;
+
     /*! @brief Stops for good; no callback runs afterwards. */
     auto stop() -> void;
 
--- a/src/node/targets.cpp
+++ b/src/node/targets.cpp
@@ -162,6 +162,11 @@
     for (auto& each : self.m_weights_targets) {
         each.m_written_at -= found.m_suspended;
     }
+    for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
+        if (each) {
+            each->note_suspension(found.m_suspended);
+        }
+    }
     self.m_events.write("process.stalled", {{"stalled_ms", internal::to_ms(found.m_length)},
                                             {"suspended_ms", internal::to_ms(found.m_suspended)}});
     self.m_counters.add("process_stalls_total");
--- a/test/node/follower.cpp
+++ b/test/node/follower.cpp
@@ -273,4 +273,98 @@
     CHECK(fixture.m_follower->write_time().m_earliest <= second);
 }
 
+namespace {
+
+/*! @brief A store that answers a listing at once, and holds watches. */
+struct held_watch {
+    net::loop m_loop{};
+    net::http_client m_http{m_loop};
+    net::http_server m_platform_store;
+    std::vector<std::shared_ptr<net::responder>> m_watches{};
+    bool m_item_received{false};
+    std::shared_ptr<follower> m_follower{};
+
+    explicit held_watch(const duration watch_limit)
+        : m_platform_store{
+              m_loop, net::http_limits{},
+              [this](const net::http_request& request, const std::shared_ptr<net::responder>& responder) {
+                  if (request.m_target.starts_with("/api/kv-watch")) {
+                      m_watches.push_back(responder);
+                  } else {
+                      responder->respond({200U, {}, R"({"store-revision":1,"has-more":false,"items":[]})"});
+                  }
+              }} {
+        net::ensure_listening(m_platform_store);
+        m_store.set_address(net::local(m_platform_store.port()));
+        follower_handlers handlers{};
+        handlers.m_on_list = [](const std::vector<adapter::key_value>&, fleet::store_version) {
+        };
+        handlers.m_on_change = [this](const adapter::key_value&) {
+            m_item_received = true;
+        };
+        handlers.m_on_reachability = [](bool) {
+        };
+        m_follower = std::make_shared<follower>(m_loop, m_store, "op/", watch_limit, duration::zero(), 7U, handlers);
+        m_follower->start();
+        REQUIRE(wait_for_watches(1U));
+    }
+
+    ~held_watch() { m_follower->stop(); }
+
+    held_watch(const held_watch&) = delete;
+    held_watch(held_watch&&) = delete;
+    auto operator=(const held_watch&) -> held_watch& = delete;
+    auto operator=(held_watch&&) -> held_watch& = delete;
+
+    [[nodiscard]] auto wait_for_watches(const std::size_t count) -> bool {
+        return net::run_until(m_loop, [&] { return m_watches.size() >= count; });
+    }
+
+    auto let_pass(const duration time) -> void {
+        const auto end = steady_now() + time;
+        REQUIRE(net::run_until(m_loop, [end] { return steady_now() >= end; }));
+    }
+
+    auto deliver_item() -> void {
+        m_watches.back()->respond(
+            {200U, {}, R"({"store-revision":2,"events":[{"key":"op/a","value":"eA==","revision":2}]})"});
+        REQUIRE(net::run_until(m_loop, [&] { return m_item_received; }));
+    }
+
+    adapter::store m_store{m_http, {}, call_timeout};
+};
+
+} // namespace
+
+TEST_CASE("a change that a dead connection did not deliver counts from before the time at which it was found dead") {
+    for (const auto alive_for : {watch_timeout / 2, max_dead_connection_time + watch_timeout}) {
+        CAPTURE(alive_for.count());
+        held_watch fixture{hour};
+        const auto watched_since = steady_now();
+        fixture.let_pass(alive_for);
+        const auto written = steady_now();
+        fixture.let_pass(watch_timeout);
+        const auto found_dead = steady_now();
+        fixture.m_watches.back()->abort();
+        REQUIRE(fixture.wait_for_watches(2U));
+        fixture.deliver_item();
+        CHECK_FALSE(fixture.m_follower->write_time().m_is_exact);
+        CHECK(fixture.m_follower->write_time().m_earliest <= written);
+        CHECK(fixture.m_follower->write_time().m_earliest >= found_dead - max_dead_connection_time);
+        CHECK((fixture.m_follower->write_time().m_earliest > watched_since) == (alive_for > max_dead_connection_time));
+    }
+}
+
+TEST_CASE("a suspension moves the time back up to which a follower knows all changes") {
+    constexpr duration suspended = std::chrono::seconds{5};
+    held_watch fixture{hour};
+    fixture.m_watches.back()->respond({503U, {}, {}});
+    REQUIRE(fixture.wait_for_watches(2U));
+    const auto resumed = steady_now();
+    fixture.m_follower->note_suspension(suspended);
+    fixture.deliver_item();
+    CHECK_FALSE(fixture.m_follower->write_time().m_is_exact);
+    CHECK(fixture.m_follower->write_time().m_earliest <= resumed - suspended);
+}
+
 } // namespace rhubarbwharf::node
