Take the age in an answer from the request that it answers

Causes, in the request by which the time of a write is confirmed: - The machine is suspended between request and answer: the steady clock does not show it, so that an age of seconds ago counted as exact and confirmed. - An answer to a request before the last one counted as unasked, with its age taken from its arrival, exact and confirmed. - The numbers of a restarted process began at 1 again, so that an answer to its predecessor counted as its own. - An answer that took 0.2 s or more was not used at all for a known version. A process that is that slow kept a bound of seconds or hours, and refused the older version at once; a time that was too late stayed, too.

Change: requests begin at a random number and are remembered with their times of the boot-time clock, 16 of them; the weights of an answer to another one are left out. An exact report in a slow answer bounds the write from both sides: it moves a bound forward, and an exact time only if that is too late.

--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -80,6 +80,13 @@
  * earlier of two before the later, as a report can only be late. */
 auto merge_report(weights_target& known, const weights_target& reported) noexcept -> void;
 
+/*! @brief Combines what is known of one write with an exact report whose own age is uncertain.
+ * @param earliest Time of the write if the report was made when it was requested.
+ * @param latest Time of the write if the report was made when it arrived.
+ * @param is_independent Whether the report does not depend on the same links. */
+auto merge_delayed_report(weights_target& known, time_point earliest, time_point latest, bool is_independent) noexcept
+    -> void;
+
 /*! @brief Checks whether a peer should be asked for the time of a write.
  * @param limit Time for which older versions may begin requests; the time of the write no longer matters after it. */
 [[nodiscard]] auto needs_confirmation(const weights_target& target, time_point now, duration limit) noexcept -> bool;
--- a/src/fleet/server.cpp
+++ b/src/fleet/server.cpp
@@ -148,6 +148,18 @@
     known.m_is_confirmed = known.m_is_confirmed || reported.m_is_confirmed;
 }
 
+auto merge_delayed_report(weights_target& known, const time_point earliest, const time_point latest,
+                          const bool is_independent) noexcept -> void {
+    if (known.m_written_at > latest) {
+        known.m_written_at = earliest;
+        known.m_has_exact_write_time = false;
+    } else if (known.m_has_exact_write_time) {
+        known.m_is_confirmed = known.m_is_confirmed || is_independent;
+    } else {
+        known.m_written_at = std::max(known.m_written_at, earliest);
+    }
+}
+
 auto needs_confirmation(const weights_target& target, const time_point now, const duration limit) noexcept -> bool {
     return !target.m_is_confirmed && target.m_confirmation_requests < max_confirmation_requests &&
            now - target.m_learned_at < limit;
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -118,8 +118,10 @@
     bool m_push_scheduled{false};
     /*! @brief When a full state was last requested from a peer. */
     time_point m_last_state_pull{};
-    /*! @brief Number of the last request for a state. */
+    /*! @brief Number of the last request for a state; begins at random, as an answer to a former process may come. */
     std::uint64_t m_state_pulls{};
+    /*! @brief When the last requests for a state were sent, by number; of the boot-time clock. */
+    std::map<std::uint64_t, time_point> m_state_pull_times{};
 
     core_handlers m_handlers{};
     std::shared_ptr<follower> m_operator_follower{};
@@ -194,7 +196,7 @@
 
 /*! @brief Merges the state of a peer; newer versions replace older ones.
  * @param source Sender, for the log.
- * @param requested_at When the state was requested; none if it came unasked. */
+ * @param requested_at When the state was requested, of the boot-time clock; none if it came unasked. */
 auto accept_state(core& self, const wire::fleet::State& state, std::string_view source,
                   std::optional<time_point> requested_at = std::nullopt) -> void;
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include <fleet.pb.h>
+#include <node/boot_clock.hpp>
 #include <node/core.hpp>
 #include <node/targets.hpp>
 #include <node/wire.hpp>
@@ -10,6 +11,8 @@
 
 namespace internal {
 
+/*! @brief Requests for a state whose times are kept for their answers: those of a few seconds. */
+constexpr std::size_t max_remembered_pulls = 16U;
 /*! @brief Minimum time between two requests for a full state, so that one change is not requested from every peer. */
 constexpr duration min_pull_interval = std::chrono::milliseconds{250};
 /*! @brief Time after the start in which every gateway watches the store, as it may not know the other gateways yet. */
@@ -115,10 +118,14 @@
         return;
     }
     self.m_last_state_pull = now;
+    self.m_state_pull_times.emplace(++self.m_state_pulls, boot_now());
+    if (self.m_state_pull_times.size() > max_remembered_pulls) {
+        self.m_state_pull_times.erase(self.m_state_pull_times.begin());
+    }
     wire::fleet::Frame request{};
     request.mutable_pull()->set_configuration(configuration_version(self));
     request.mutable_pull()->set_servers(behind && self.m_follows_servers);
-    request.mutable_pull()->set_number(++self.m_state_pulls);
+    request.mutable_pull()->set_number(self.m_state_pulls);
     send(self, from, request);
 }
 
@@ -366,6 +373,27 @@
     }
 }
 
+namespace internal {
+
+namespace {
+
+auto on_state(core& self, const std::string_view from, wire::fleet::State& state) -> void {
+    const auto request = self.m_state_pull_times.find(state.answers());
+    if (request != self.m_state_pull_times.end()) {
+        accept_state(self, state, from, request->second);
+        return;
+    }
+    if (state.answers() != 0U) {
+        // The ages of an answer to a forgotten request, or to that of a former process, are of an unknown time.
+        state.clear_weights();
+    }
+    accept_state(self, state, from);
+}
+
+} // namespace
+
+} // namespace internal
+
 auto on_message(core& self, const std::string_view from, const std::string_view bytes) -> void {
     wire::fleet::Frame frame{};
     const auto parsed = frame.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
@@ -380,11 +408,9 @@
     case wire::fleet::Frame::kPull:
         internal::on_pull(self, from, frame.pull());
         break;
-    case wire::fleet::Frame::kState: {
-        const auto is_answer = frame.state().answers() != 0U && frame.state().answers() == self.m_state_pulls;
-        accept_state(self, frame.state(), from, is_answer ? std::optional{self.m_last_state_pull} : std::nullopt);
+    case wire::fleet::Frame::kState:
+        internal::on_state(self, from, *frame.mutable_state());
         break;
-    }
     default:
         self.m_handlers.m_on_frame(from, frame);
     }
@@ -426,7 +452,7 @@
     net::http_request request{};
     request.m_target = "/state";
     self.m_http.fetch(*seed, std::move(request), limits,
-                      [&self, requested_at = steady_now()](const net::call_end&, const net::http_response& response) {
+                      [&self, requested_at = boot_now()](const net::call_end&, const net::http_response& response) {
                           constexpr std::uint16_t ok = 200U;
                           wire::fleet::State state{};
                           if (response.m_status == ok && state.ParseFromString(response.m_body)) {
--- a/src/node/targets.cpp
+++ b/src/node/targets.cpp
@@ -28,13 +28,30 @@
                                 {"source", source}});
 }
 
+[[nodiscard]] auto find_target(core& self, const std::string_view model, const std::uint64_t version)
+    -> fleet::weights_target* {
+    const auto found = std::ranges::find_if(
+        self.m_weights_targets, [&](const auto& each) { return each.m_model == model && each.m_version == version; });
+    return found == self.m_weights_targets.end() ? nullptr : &*found;
+}
+
+/*! @brief Merges a report into a known target, and reports a correction of its time. */
+auto retime(core& self, const fleet::weights_target& known, const std::string_view source, const auto& merge) -> void {
+    const auto former = known.m_written_at;
+    merge();
+    if (std::chrono::abs(known.m_written_at - former) >= min_logged_correction) {
+        log_target(self, "weights.retimed", known, source);
+    }
+}
+
 /*! @brief Returns when a state was sent. The answer to a request was sent after it, whatever has delayed it. */
 [[nodiscard]] auto sending_time(core& self, const std::optional<time_point> requested_at) -> fleet::arrival_time {
     const auto arrival = arrival_now(self);
     if (!requested_at) {
         return arrival;
     }
-    return {*requested_at, steady_now() - *requested_at < fleet::min_stall};
+    const auto elapsed = boot_now() - *requested_at;
+    return {steady_now() - elapsed, elapsed < fleet::min_stall};
 }
 
 } // namespace
@@ -45,16 +62,8 @@
     if (target.m_written_at == time_point{}) {
         target.m_written_at = steady_now();
     }
-    const auto is_same = [&target](const fleet::weights_target& each) {
-        return each.m_model == target.m_model && each.m_version == target.m_version;
-    };
-    if (const auto known = std::ranges::find_if(self.m_weights_targets, is_same);
-        known != self.m_weights_targets.end()) {
-        const auto former = known->m_written_at;
-        fleet::merge_report(*known, target);
-        if (std::chrono::abs(known->m_written_at - former) >= internal::min_logged_correction) {
-            internal::log_target(self, "weights.retimed", *known, source);
-        }
+    if (auto* const known = internal::find_target(self, target.m_model, target.m_version)) {
+        internal::retime(self, *known, source, [&] { fleet::merge_report(*known, target); });
         return;
     }
     if (target.m_version <= wanted_version(self, target.m_model)) {
@@ -127,16 +136,24 @@
                     const std::optional<time_point> requested_at) -> void {
     const auto sent = internal::sending_time(self, requested_at);
     const auto sender = self.m_members.find(source);
-    const auto is_confirmed =
-        sender != self.m_members.end() && is_independent(self, sender->second.m_member.m_region, steady_now());
+    const auto now = steady_now();
+    const auto is_independent_sender =
+        sender != self.m_members.end() && is_independent(self, sender->second.m_member.m_region, now);
     for (const auto& each : state.weights()) {
+        const std::chrono::milliseconds age{each.age_ms()};
         if (!sent.m_is_exact && each.version() <= wanted_version(self, each.model())) {
+            auto* const known = internal::find_target(self, each.model(), each.version());
+            if (known != nullptr && requested_at && each.exact()) {
+                internal::retime(self, *known, source, [&] {
+                    fleet::merge_delayed_report(*known, sent.m_earliest - age, now - age, is_independent_sender);
+                });
+            }
             continue;
         }
         fleet::weights_target target{each.model(), each.version()};
-        target.m_written_at = sent.m_earliest - std::chrono::milliseconds{each.age_ms()};
+        target.m_written_at = sent.m_earliest - age;
         target.m_has_exact_write_time = each.exact() && sent.m_is_exact;
-        target.m_is_confirmed = target.m_has_exact_write_time && is_confirmed;
+        target.m_is_confirmed = target.m_has_exact_write_time && is_independent_sender;
         accept_weights_target(self, std::move(target), source);
     }
 }
--- a/src/node/targets.hpp
+++ b/src/node/targets.hpp
@@ -8,7 +8,7 @@
 namespace rhubarbwharf::node {
 
 /*! @brief Merges the weights targets of a peer's state. @param source Sender. @param requested_at When the state was
- * requested; none if it came unasked. */
+ * requested, of the boot-time clock; none if it came unasked. */
 auto accept_targets(core& self, const wire::fleet::State& state, std::string_view source,
                     std::optional<time_point> requested_at) -> void;
 
--- a/test/fleet/server.cpp
+++ b/test/fleet/server.cpp
@@ -149,4 +149,30 @@
     CHECK_FALSE(needs_confirmation(target, learned, limit));
 }
 
+TEST_CASE("a report of uncertain age moves a known write only as far as it shows that the known time is wrong") {
+    const time_point earliest{std::chrono::hours{1}};
+    constexpr duration second = std::chrono::seconds{1};
+    const auto latest = earliest + second;
+    weights_target exact{"m", 2U, earliest + second / 2, true};
+    merge_delayed_report(exact, earliest, latest, true);
+    CHECK(exact.m_written_at == earliest + second / 2);
+    CHECK(exact.m_has_exact_write_time);
+    CHECK(exact.m_is_confirmed);
+    weights_target early{"m", 2U, earliest - second, true};
+    merge_delayed_report(early, earliest, latest, false);
+    CHECK(early.m_written_at == earliest - second);
+    CHECK_FALSE(early.m_is_confirmed);
+    weights_target late{"m", 2U, latest + second, true};
+    merge_delayed_report(late, earliest, latest, true);
+    CHECK(late.m_written_at == earliest);
+    CHECK_FALSE(late.m_has_exact_write_time);
+    CHECK_FALSE(late.m_is_confirmed);
+    weights_target bound{"m", 2U, earliest - second, false};
+    merge_delayed_report(bound, earliest, latest, true);
+    CHECK(bound.m_written_at == earliest);
+    CHECK_FALSE(bound.m_has_exact_write_time);
+    merge_delayed_report(bound, earliest - second, latest, true);
+    CHECK(bound.m_written_at == earliest);
+}
+
 } // namespace rhubarbwharf::fleet
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -5,6 +5,7 @@
 
 #include <fleet.pb.h>
 #include <net/fixture.hpp>
+#include <node/boot_clock.hpp>
 #include <node/core.hpp>
 #include <node/targets.hpp>
 #include <standin-site/store.hpp>
@@ -132,7 +133,7 @@
     REQUIRE(self.m_weights_targets.size() == 1U);
     CHECK_FALSE(self.m_weights_targets.front().m_has_exact_write_time);
     CHECK(min_allowed_version(self, "m", now, duration::zero()) == 2U);
-    accept_state(self, full_state(peer, 0U, false), "peer", steady_now());
+    accept_state(self, full_state(peer, 0U, false), "peer", boot_now());
     CHECK(self.m_weights_targets.front().m_has_exact_write_time);
     CHECK(min_allowed_version(self, "m", now, duration::zero()) == 0U);
     CHECK(min_allowed_version(self, "m", now + limit / 2, duration::zero()) == 2U);
@@ -167,6 +168,62 @@
     CHECK(request_confirmation(loader, "here", now));
 }
 
+TEST_CASE("a slow answer to a request does not make an early time late, and corrects a late one") {
+    core self{make_settings("gateway"), true};
+    core peer{make_settings("gateway"), true};
+    constexpr duration second = std::chrono::seconds{1};
+    const auto now = steady_now();
+    const auto requested = boot_now() - second;
+    accept_weights_target(peer, make_target(2U, now - 3 * second), "test");
+    accept_weights_target(self, {"m", 2U, now - hour, false}, "listing");
+    accept_state(self, full_state(peer, 0U, false), "peer", requested);
+    CHECK(self.m_weights_targets.front().m_written_at <= now - 4 * second + second / 2);
+    CHECK(self.m_weights_targets.front().m_written_at >= now - 4 * second - second / 2);
+    CHECK_FALSE(self.m_weights_targets.front().m_has_exact_write_time);
+    self.m_weights_targets.front().m_written_at = now;
+    self.m_weights_targets.front().m_has_exact_write_time = true;
+    accept_state(self, full_state(peer, 0U, false), "peer", requested);
+    CHECK(self.m_weights_targets.front().m_written_at <= now - 3 * second);
+}
+
+TEST_CASE("an answer counts from the request that it names, also if a later one has been sent since") {
+    core self{make_settings("gateway"), true};
+    core peer{make_settings("gateway"), true};
+    constexpr duration delay = std::chrono::milliseconds{600};
+    wire::fleet::Frame pulse{};
+    pulse.set_protocol(frame_protocol_version);
+    pulse.mutable_pulse()->mutable_self()->set_instance("gateway-2");
+    pulse.mutable_pulse()->set_weights(9U);
+    accept_weights_target(peer, make_target(2U, steady_now()), "test");
+    on_message(self, "gateway-2", pulse.SerializeAsString());
+    wire::fleet::Frame answer{};
+    answer.set_protocol(frame_protocol_version);
+    *answer.mutable_state() = full_state(peer, 0U, false);
+    answer.mutable_state()->set_answers(self.m_state_pulls);
+    const auto sent = steady_now();
+    std::this_thread::sleep_for(delay);
+    on_message(self, "gateway-2", pulse.SerializeAsString());
+    REQUIRE(self.m_state_pulls != answer.state().answers());
+    SUBCASE("a request that is remembered") {
+        on_message(self, "gateway-2", answer.SerializeAsString());
+        REQUIRE(self.m_weights_targets.size() == 1U);
+        CHECK(self.m_weights_targets.front().m_written_at <= sent);
+        CHECK(self.m_weights_targets.front().m_written_at >= sent - delay);
+    }
+    SUBCASE("a request of a former process") {
+        answer.mutable_state()->set_answers(self.m_state_pulls + 1U);
+        on_message(self, "gateway-2", answer.SerializeAsString());
+        CHECK(self.m_weights_targets.empty());
+    }
+}
+
+TEST_CASE("two processes of the same name number their requests differently") {
+    core first{make_settings("gateway"), true};
+    core second{make_settings("gateway"), true};
+    CHECK(first.m_state_pulls != second.m_state_pulls);
+    CHECK(first.m_state_pulls != 0U);
+}
+
 TEST_CASE("the weights of a received state are known before its configuration is applied") {
     core sender{make_settings("gateway"), true};
     accept_configuration(sender, R"({"version":1,"routes":[],"services":[],"limits":{},"tenants":[]})", "test");
