Let callers' time pass while the machine is suspended

What callers could see: no final answer at their route's timeout, but later by the length of a suspension; requests sent once more with more time than is left; a stop that ends after its grace period.

Cause: a suspension is not counted by the steady clock, by which deadlines are kept. Only the times of weights were moved back. A request of 10 s that is in hand when its machine is suspended for 2 s is answered up to 2 s late, more than 3 s after the machine went on, when it is judged again.

Change: after a suspension, the deadlines of exchanges and of waiting requests and the begin of a stop are moved back. The silence of servers is not, as their bytes wait in the sockets. A suspension is noted before a request is read, so that it does not count against one that came after it.

--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -252,6 +252,11 @@
 /*! @brief Enforces deadlines, hedges requests whose backend servers are silent, then dispatches queued requests. */
 auto check_timeouts(daemon& self, time_point now) -> void;
 
+/*! @brief Moves the times back that bound exchanges and a stop, after a suspension of the machine: callers' time has
+ * passed, although the steady clock did not count it. The silence of servers, which is no time of the callers, stays.
+ */
+auto note_suspension(daemon& self, duration suspended) -> void;
+
 /*! @brief Updates the load entry of one backend server from its registration; removes it if it is not registered. */
 auto refresh_backend(daemon& self, const std::string& id) -> void;
 
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -167,6 +167,9 @@
     self.m_caller_server.on_connection_closed([&self](const net::close_reason reason) {
         self.m_core.m_counters.add("caller_connections_closed_total", 1.0, net::to_string(reason));
     });
+    handlers.m_on_suspension = [&self](const duration suspended) {
+        note_suspension(self, suspended);
+    };
     handlers.m_on_frame = [&self](const std::string_view peer, const wire::fleet::Frame& frame) {
         on_frame(self, peer, frame);
     };
@@ -180,6 +183,8 @@
     : m_settings_file{std::move(file)}, m_core{settings, true},
       m_caller_server{m_core.m_loop, net::http_limits{},
                       [this](net::http_request incoming, std::shared_ptr<net::responder> responder) {
+                          // A suspension is noted first, so that it does not count against this request.
+                          node::note_running(m_core);
                           on_caller_request(*this, std::move(incoming), std::move(responder));
                       }},
       m_readiness_server{m_core.m_loop, internal::small_request_limits(),
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -265,6 +265,8 @@
     };
     m_handlers.m_on_server = [](const std::string&) {
     };
+    m_handlers.m_on_suspension = [](duration) {
+    };
     m_handlers.m_on_frame = [](std::string_view, const wire::fleet::Frame&) {
     };
 }
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -41,6 +41,8 @@
     std::function<void()> m_on_weights{};
     /*! @brief Called with the id of a backend server after it has been added, changed or removed. */
     std::function<void(const std::string&)> m_on_server{};
+    /*! @brief Called with the length of a suspension of the machine, which the steady clock did not count. */
+    std::function<void(duration)> m_on_suspension{};
     /*! @brief Called with the sender and each frame that the core does not handle. */
     std::function<void(std::string_view, const wire::fleet::Frame&)> m_on_frame{};
 };
--- a/src/node/targets.cpp
+++ b/src/node/targets.cpp
@@ -184,6 +184,9 @@
             each->note_suspension(found.m_suspended);
         }
     }
+    if (found.m_suspended > duration::zero()) {
+        self.m_handlers.m_on_suspension(found.m_suspended);
+    }
     self.m_events.write("process.stalled", {{"stalled_ms", internal::to_ms(found.m_length)},
                                             {"suspended_ms", internal::to_ms(found.m_suspended)}});
     self.m_counters.add("process_stalls_total");
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -224,6 +224,27 @@
     CHECK(first.m_state_pulls != 0U);
 }
 
+TEST_CASE("a suspension of the machine is told to the role, and moves the times of writes back") {
+    core self{make_settings("gateway"), true};
+    constexpr duration suspended = std::chrono::seconds{4};
+    duration told{};
+    self.m_handlers.m_on_suspension = [&told](const duration length) {
+        told += length;
+    };
+    note_running(self);
+    const auto written = steady_now();
+    accept_weights_target(self, make_target(2U, written), "test");
+    note_running(self);
+    CHECK(told == duration::zero());
+    self.m_stalls.m_boot_clock_lead -= suspended;
+    note_running(self);
+    CHECK(told >= suspended);
+    CHECK(told < suspended + fleet::min_stall);
+    CHECK(self.m_weights_targets.front().m_written_at == written - told);
+    note_running(self);
+    CHECK(told < suspended + fleet::min_stall);
+}
+
 TEST_CASE("the weights of a received state are known before its configuration is applied") {
     core sender{make_settings("gateway"), true};
     accept_configuration(sender, R"({"version":1,"routes":[],"services":[],"limits":{},"tenants":[]})", "test");
