Leave members out of an answer that only confirms the time of a write

Each gateway requests the state of another region once a version is named, and a process that starts, up to eight times: after a power cut of all machines, all processes do within seconds. The answer held the whole list of members.

Measured: 125,183 bytes for 2,870 members of short entries (computed from the message; real entries are longer), under 100 now. The new test fails on the code before. A process that does not know the new field sends its whole state as before, which is handled as before.

Measured: the tests of node pass (39 cases).

--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -28,6 +28,7 @@
 
 namespace rhubarbwharf::wire::fleet {
 class Frame;
+class Pull;
 class State;
 } // namespace rhubarbwharf::wire::fleet
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -126,13 +126,13 @@
     request.mutable_pull()->set_configuration(configuration_version(self));
     request.mutable_pull()->set_servers(behind && self.m_follows_servers);
     request.mutable_pull()->set_number(self.m_state_pulls);
+    request.mutable_pull()->set_weights_only(!behind);
     send(self, from, request);
 }
 
 auto on_pull(core& self, const std::string_view from, const wire::fleet::Pull& request) -> void {
     wire::fleet::Frame reply{};
-    *reply.mutable_state() = full_state(self, request.configuration(), request.servers());
-    reply.mutable_state()->set_answers(request.number());
+    *reply.mutable_state() = answer_to(self, request);
     send(self, from, reply);
 }
 
@@ -340,6 +340,17 @@
     return out;
 }
 
+auto answer_to(const core& self, const wire::fleet::Pull& request) -> wire::fleet::State {
+    wire::fleet::State out{};
+    if (request.weights_only()) {
+        add_targets(self, out);
+    } else {
+        out = full_state(self, request.configuration(), request.servers());
+    }
+    out.set_answers(request.number());
+    return out;
+}
+
 auto accept_state(core& self, const wire::fleet::State& state, const std::string_view source,
                   const std::optional<time_point> requested_at) -> void {
     // Weights are applied first, so that a loader that learns its models starts with the wanted version.
--- a/src/node/targets.hpp
+++ b/src/node/targets.hpp
@@ -15,6 +15,9 @@
 /*! @brief Adds the own weights targets to a state for a peer. */
 auto add_targets(const core& self, wire::fleet::State& out) -> void;
 
+/*! @brief Returns what a peer requests of the own state. */
+[[nodiscard]] auto answer_to(const core& self, const wire::fleet::Pull& request) -> wire::fleet::State;
+
 /*! @brief Counts a request to a gateway for the times of writes. @param region Region of the gateway.
  * @return Whether to send it: this process knows of a write whose time no independent gateway has confirmed yet. */
 [[nodiscard]] auto request_confirmation(core& self, std::string_view region, time_point now) -> bool;
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -217,6 +217,29 @@
     }
 }
 
+TEST_CASE("an answer that only confirms the time of a write does not grow with the fleet") {
+    constexpr auto processes = 2'870;
+    constexpr std::size_t max_bytes = 100U;
+    core self{make_settings("gateway"), true};
+    accept_weights_target(self, make_target(2U, steady_now()), "test");
+    for (auto index = 0; index < processes; ++index) {
+        const auto name = "process-of-region-a-" + std::to_string(index);
+        auto& row = self.m_members[name];
+        row.m_listed = true;
+        row.m_member.m_instance = name;
+        row.m_member.m_bus_address = {"10.1.0.40", 7700U};
+    }
+    wire::fleet::Pull request{};
+    request.set_number(7U);
+    CHECK(answer_to(self, request).members_size() == processes);
+    CHECK(answer_to(self, request).answers() == 7U);
+    MESSAGE("bytes of the whole state: ", answer_to(self, request).ByteSizeLong());
+    request.set_weights_only(true);
+    CHECK(answer_to(self, request).weights_size() == 1);
+    CHECK(answer_to(self, request).answers() == 7U);
+    CHECK(answer_to(self, request).ByteSizeLong() <= max_bytes);
+}
+
 TEST_CASE("two processes of the same name number their requests differently") {
     core first{make_settings("gateway"), true};
     core second{make_settings("gateway"), true};
