Keep a loader's request for a configuration apart from one for a time

A loader asks for newer configurations at most every 10 s. The requests that confirm the time of a write counted towards that, so that a configuration was fetched up to 10 s later, and since their answers hold the weights only, not by them either. The new test fails on the code before (2 assertions): no request is sent. A first form of the test, whose gateway counted as a loader, failed before and after.

Measured: the tests of node pass (40 cases).

--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -119,8 +119,10 @@
     /*! @brief Whether the store's list of members has been read. */
     bool m_members_read{false};
     bool m_push_scheduled{false};
-    /*! @brief When a full state was last requested from a peer. */
+    /*! @brief When a state, or its weights targets only, was last requested from a peer. */
     time_point m_last_state_pull{};
+    /*! @brief When a full state was last requested from a peer. */
+    time_point m_last_full_pull{};
     /*! @brief Number of the last request for a state; begins at random, as an answer to a former process may come. */
     std::uint64_t m_state_pulls{};
     /*! @brief When the last requests for a state were sent, by number; of the boot-time clock. */
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -59,7 +59,7 @@
 [[nodiscard]] auto is_behind(const core& self, const peer_status& status, const time_point now) -> bool {
     // Loaders fetch configurations at a low rate, as the parts that they use seldom change.
     const auto is_throttled =
-        self.m_configuration && !self.m_follows_servers && now - self.m_last_state_pull < min_loader_pull_interval;
+        self.m_configuration && !self.m_follows_servers && now - self.m_last_full_pull < min_loader_pull_interval;
     const auto newer = status.m_configuration_version > configuration_version(self) && !is_throttled;
     return newer || status.m_weights_version_sum > weights_version_sum(self) || status.m_servers_differ ||
            status.m_loaders_differ;
@@ -118,6 +118,7 @@
         return;
     }
     self.m_last_state_pull = now;
+    self.m_last_full_pull = behind ? now : self.m_last_full_pull;
     self.m_state_pull_times.emplace(++self.m_state_pulls, boot_now());
     if (self.m_state_pull_times.size() > max_remembered_pulls) {
         self.m_state_pull_times.erase(self.m_state_pull_times.begin());
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -240,6 +240,30 @@
     CHECK(answer_to(self, request).ByteSizeLong() <= max_bytes);
 }
 
+TEST_CASE("a loader that has asked for the time of a write still requests a newer configuration at once") {
+    core self{make_settings("loader"), false};
+    accept_configuration(self, R"({"version":1,"routes":[],"services":[],"limits":{},"tenants":[]})", "test");
+    accept_weights_target(self, make_target(2U, steady_now()), "test");
+    wire::fleet::Frame pulse{};
+    pulse.set_protocol(frame_protocol_version);
+    pulse.mutable_pulse()->mutable_self()->set_instance("gateway-1");
+    pulse.mutable_pulse()->mutable_self()->set_callers("127.0.0.1:1");
+    pulse.mutable_pulse()->mutable_self()->set_incarnation(1U);
+    pulse.mutable_pulse()->set_weights(2U);
+    pulse.mutable_pulse()->set_configuration(1U);
+    const auto former_pulls = self.m_state_pulls;
+    on_message(self, "gateway-1", pulse.SerializeAsString());
+    REQUIRE(self.m_state_pulls == former_pulls + 1U);
+    self.m_weights_targets.front().m_is_confirmed = true;
+    self.m_last_state_pull -= std::chrono::seconds{1};
+    pulse.mutable_pulse()->set_configuration(2U);
+    on_message(self, "gateway-1", pulse.SerializeAsString());
+    CHECK(self.m_state_pulls == former_pulls + 2U);
+    self.m_last_state_pull -= std::chrono::seconds{1};
+    on_message(self, "gateway-1", pulse.SerializeAsString());
+    CHECK(self.m_state_pulls == former_pulls + 2U);
+}
+
 TEST_CASE("two processes of the same name number their requests differently") {
     core first{make_settings("gateway"), true};
     core second{make_settings("gateway"), true};
