--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -28,6 +28,7 @@
 
 namespace rhubarbwharf::wire::fleet {
 class Frame;
+class Pull;
 class State;
 } // namespace rhubarbwharf::wire::fleet
 
@@ -43,6 +44,8 @@
     std::function<void(const std::string&)> m_on_server{};
     /*! @brief Called with the name of a gateway whose process is new to this one. */
     std::function<void(const std::string&)> m_on_gateway{};
+    /*! @brief Called with the length of a suspension of the machine, which the steady clock did not count. */
+    std::function<void(duration)> m_on_suspension{};
     /*! @brief Called with the sender and each frame that the core does not handle. */
     std::function<void(std::string_view, const wire::fleet::Frame&)> m_on_frame{};
 };
@@ -118,10 +121,14 @@
     /*! @brief Whether the store's list of members has been read. */
     bool m_members_read{false};
     bool m_push_scheduled{false};
-    /*! @brief When a full state was last requested from a peer. */
+    /*! @brief When a state, or its weights targets only, was last requested from a peer. */
     time_point m_last_state_pull{};
-    /*! @brief Number of the last request for a state. */
+    /*! @brief When a full state was last requested from a peer. */
+    time_point m_last_full_pull{};
+    /*! @brief Number of the last request for a state; begins at random, as an answer to a former process may come. */
     std::uint64_t m_state_pulls{};
+    /*! @brief When the last requests for a state were sent, by number; of the boot-time clock. */
+    std::map<std::uint64_t, time_point> m_state_pull_times{};
 
     core_handlers m_handlers{};
     std::shared_ptr<follower> m_operator_follower{};
@@ -196,7 +203,7 @@
 
 /*! @brief Merges the state of a peer; newer versions replace older ones.
  * @param source Sender, for the log.
- * @param requested_at When the state was requested; none if it came unasked. */
+ * @param requested_at When the state was requested, of the boot-time clock; none if it came unasked. */
 auto accept_state(core& self, const wire::fleet::State& state, std::string_view source,
                   std::optional<time_point> requested_at = std::nullopt) -> void;
 
