Add the missing test of a hedge that resumes without an event

Cause: a hedge resumed the stream without an event, so a flag said that nothing was missing; the first server then went on and broke off, and the flag was still set.

The new case of site.hedges: the first server pauses before event 2 and breaks off in event 4, the hedge's resumption is empty, and all servers are sound when the first one breaks off. The stream may be cut or complete, not ended before its last event.

No logic is changed here.

--- a/test/soak/hedges.cpp
+++ b/test/soak/hedges.cpp
@@ -92,6 +92,25 @@
     CHECK(result.m_response.m_body == complete_stream());
 }
 
+TEST_CASE("a stream whose server breaks off after a resumption without an event is not ended as complete") {
+    site_fixture fixture{1U};
+    auto faults = pause_before_event(2U);
+    faults.m_cut_every = 1U;
+    fixture.set_server_faults(faults);
+    auto running = fixture.start_request("b8", standin_site::model_path, "b");
+    REQUIRE(process::wait_until([&] { return fixture.count_executions("b8") == 1U; }));
+    faults.m_cut_every = 0U;
+    faults.m_resume_empty = true;
+    fixture.set_server_faults(faults);
+    REQUIRE(process::wait_until([&] { return fixture.count_executions("b8") == 2U; }));
+    fixture.set_server_faults({});
+    const auto result = running.get();
+    CAPTURE(result.m_response.m_body);
+    CHECK((result.m_end.m_code != code::ok || result.m_response.m_body == complete_stream()));
+    CHECK(result.m_response.m_body.find(standin_site::event_text("content", 3U)) != std::string::npos);
+    CHECK(was_hedged(fixture, "b8"));
+}
+
 TEST_CASE("servers whose responses still come first are not ejected for their silence") {
     constexpr auto lookups = 6U;
     site_fixture fixture{1U};
