Begin no newer version while a runner may still accept a load order

What callers would see: tokens made with weights of two versions.

Cause: a load order that got no answer in 1.5 s may still be accepted, by a runner that was paused or whose connections overtake each other, and it loads what is staged then. The loader took the order for lost: once the next version's manifest was there it staged that version's pieces over those that the order was for.

Change: orders whose outcome is not known are counted (loader/order.hpp, free functions). A newer version begins, and its manifest is taken, only when there is none. They end with an answer, an accepted copy (the expected count of orders has changed then), or a report that counts a further order or comes from another incarnation. As before the same version is ordered again while there is no answer, so a lost order is replaced by one that is answered. If even that can't be (a spoilt piece that no source has any more), 40 reports of a runner that is sound and has accepted nothing count as the loss of the order.

Why it works: nothing of another version is written to the runner before the last order for the older one can have no effect.

The stand-in's runner gets a fault, m_order_delay, and a count of handled orders.

--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -192,6 +192,19 @@
 }
 
 auto server::on_load_order(const net::http_request& request, const responder_ptr& responder) -> void {
+    if (m_faults.m_order_delay == duration::zero()) {
+        handle_load_order(request, responder);
+        return;
+    }
+    run_after(m_faults.m_order_delay, [this, alive = m_alive, request, responder] {
+        if (*alive) {
+            handle_load_order(request, responder);
+        }
+    });
+}
+
+auto server::handle_load_order(const net::http_request& request, const responder_ptr& responder) -> void {
+    ++m_observations.m_handled_orders;
     const auto order = boost::json::parse(request.m_body).as_object();
     if (order.at("expected").to_number<std::uint64_t>() != m_accepted_orders || m_loading) {
         respond(responder, {internal::conflict, {}, {}});
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -34,6 +34,8 @@
     std::map<std::uint64_t, time_point> m_last_begin{};
     /*! @brief Stays of requests at servers, by attempt id. */
     arrivals m_stays{};
+    /*! @brief Load orders that were accepted or refused. */
+    unsigned m_handled_orders{};
     /*! @brief Time since which every daemon can reach the store; `time_point::max()` while one of them can't. */
     time_point m_store_reachable_since{};
     /*! @brief API keys of the organisations; none of them may be forwarded to a server. */
@@ -61,6 +63,8 @@
     bool m_resume_empty{false};
     /*! @brief Time for which a refusal asks its sender for a pause; zero omits the header. */
     duration m_retry_after{};
+    /*! @brief Time from the arrival of a load order until it is handled, while later requests overtake it. */
+    duration m_order_delay{};
 };
 
 /*! @brief Properties of one server. */
@@ -136,6 +140,7 @@
         -> void;
     auto on_control(const net::http_request& request, const responder_ptr& responder) -> bool;
     auto on_load_order(const net::http_request& request, const responder_ptr& responder) -> void;
+    auto handle_load_order(const net::http_request& request, const responder_ptr& responder) -> void;
     auto on_stage(const net::http_request& request, const responder_ptr& responder) -> void;
     auto execute(const net::http_request& request, const responder_ptr& responder) -> void;
     auto execute_stream(const net::http_request& request, const responder_ptr& responder) -> void;
--- /dev/null
+++ b/include/rhubarbwharf/loader/order.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+
+namespace rhubarbwharf::loader {
+
+/*! @brief How the call of a load order ended. */
+enum class order_end : std::uint8_t {
+    /*! @brief The runner has begun the load, or holds the version already. */
+    accepted,
+    /*! @brief The runner refused the order, or no byte of it was sent. */
+    refused,
+    /*! @brief No answer came; the runner may still accept the order. */
+    unanswered,
+};
+
+/*! @brief Load orders of one model that the runner may still accept. It loads what is staged when it accepts one, so no
+ * other version's piece may be staged before that. */
+struct open_orders {
+    /*! @brief Start of the runner's incarnation that they were sent to, Unix ms. */
+    std::uint64_t m_started_ms{};
+    /*! @brief Largest number of accepted orders that one of them expects. */
+    std::uint64_t m_expected_orders{};
+    unsigned m_count{};
+    /*! @brief Reports received since an order was last sent or remained unanswered. */
+    unsigned m_reports{};
+};
+
+/*! @brief Reports, each sent by a runner that has not accepted an order, after which the order counts as lost: 6 s at
+ * the interval of reports, several times as long as a healthy runner is silent. */
+inline constexpr unsigned reports_until_order_lost = 40U;
+
+/*! @brief Checks whether the runner may still accept an order. */
+[[nodiscard]] auto may_be_accepted(const open_orders& orders) noexcept -> bool;
+
+/*! @brief Adds an order. @param started_ms Incarnation of the runner. @param expected_orders Number of accepted orders
+ * that it expects. */
+auto record_order(open_orders& orders, std::uint64_t started_ms, std::uint64_t expected_orders) noexcept -> void;
+
+/*! @brief Records how the call of an order to an incarnation of the runner ended. An accepted order changes the number
+ * that the others expect, so that they have no effect. */
+auto record_order_end(open_orders& orders, std::uint64_t started_ms, order_end end) noexcept -> void;
+
+/*! @brief Records a report of the runner. @return Whether it shows that no order can be accepted any more that could
+ * before: the runner has restarted, has accepted an order, or has not received them. */
+auto record_order_report(open_orders& orders, std::uint64_t started_ms, std::uint64_t accepted_orders) noexcept -> bool;
+
+} // namespace rhubarbwharf::loader
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <rhubarbwharf/loader/fwd.hpp>
+#include <rhubarbwharf/loader/order.hpp>
 #include <rhubarbwharf/loader/plan.hpp>
 #include <rhubarbwharf/net/http.hpp>
 
@@ -83,6 +84,8 @@
     /*! @brief Whether the event that all pieces are staged has been logged. */
     bool m_complete_logged{false};
     time_point m_load_ordered_at{};
+    /*! @brief Orders that the runner may still accept; no newer version begins before they are answered. */
+    open_orders m_open_orders{};
 };
 
 /*! @brief State of a loader; accessed only on the loop's thread. */
--- a/src/loader/manifest.cpp
+++ b/src/loader/manifest.cpp
@@ -50,8 +50,10 @@
     if (pending == nullptr) {
         return;
     }
+    const auto must_wait =
+        self.m_models[name].m_version != version && may_be_accepted(self.m_models[name].m_open_orders);
     auto manifest = response.m_status == status_ok ? adapter::decode_manifest(response.m_body) : std::nullopt;
-    if (!manifest || manifest->m_version != version) {
+    if (!manifest || manifest->m_version != version || must_wait) {
         const auto all_sources_tried = pending->m_attempts % manifest_source_count == 0U;
         const auto jitter = std::chrono::milliseconds{self.m_core.m_random() % max_manifest_jitter_ms};
         const auto delay = all_sources_tried ? duration{peer_query_interval + jitter} : duration::zero();
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -28,6 +28,18 @@
 
 namespace {
 
+/*! @brief Forgets the orders that a report shows not to be accepted any more. */
+auto settle_orders(daemon& self, const fleet::load_report& report) -> void {
+    for (auto& [name, model] : self.m_models) {
+        if (record_order_report(model.m_open_orders, report.m_started_ms, report.m_accepted_orders)) {
+            self.m_core.m_events.write("load.settled",
+                                       {{"model", name},
+                                        {"version", static_cast<std::int64_t>(model.m_version)},
+                                        {"orders", static_cast<std::int64_t>(report.m_accepted_orders)}});
+        }
+    }
+}
+
 auto on_report(daemon& self, const net::http_response& response) -> void {
     constexpr std::uint16_t ok = 200U;
     self.m_report_requested = false;
@@ -46,6 +58,7 @@
     if (!report) {
         return;
     }
+    settle_orders(self, *report);
     if (self.m_report_received && report->m_started_ms != self.m_report.m_started_ms) {
         // After a restart the runner holds no layers, and a power loss may have removed staged data.
         for (auto& [name, model] : self.m_models) {
@@ -230,7 +243,8 @@
         }
         // Until the new version's manifest is available, the previous version is still fetched: it may be used until
         // the new one's time limit.
-        if (model.m_version != 0U && model.m_phase != load_phase::idle) {
+        const auto is_loaded = model.m_phase == load_phase::idle && !may_be_accepted(model.m_open_orders);
+        if (model.m_version != 0U && !is_loaded) {
             model.m_next_version = wanted;
             model.m_next_manifest_request = {};
         } else {
@@ -265,10 +279,11 @@
     const auto now = steady_now();
     for (auto& [name, model] : self.m_models) {
         internal::update_phase(self, model, now);
-        if (model.m_next_version != 0U && model.m_phase == load_phase::idle) {
+        const auto may_begin_next = model.m_next_version != 0U && !may_be_accepted(model.m_open_orders);
+        if (may_begin_next && model.m_phase == load_phase::idle) {
             begin_version(self, model, model.m_next_version);
             internal::update_phase(self, model, now);
-        } else if (model.m_next_version != 0U) {
+        } else if (may_begin_next) {
             request_manifest(self, model, model.m_next_version, model.m_next_manifest_request);
         }
         if (model.m_phase == load_phase::idle && !std::exchange(model.m_staged_adopted, true)) {
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -72,17 +72,24 @@
                                 {"version", static_cast<std::int64_t>(model.m_version)},
                                 {"orders", static_cast<std::int64_t>(self.m_report.m_accepted_orders)}});
     const adapter::load_order order{model.m_name, model.m_version, self.m_report.m_accepted_orders};
+    record_order(model.m_open_orders, self.m_report.m_started_ms, self.m_report.m_accepted_orders);
     self.m_core.m_http.fetch(
         self.m_runner, adapter::encode_load_order(order), runner_call_limits(),
-        [&self, name = model.m_name, version = model.m_version](const net::call_end&,
-                                                                const net::http_response& response) {
+        [&self, name = model.m_name, version = model.m_version,
+         started_ms = self.m_report.m_started_ms](const net::call_end& end, const net::http_response& response) {
             self.m_core.m_events.write("load.answered", {{"model", name},
                                                          {"version", static_cast<std::int64_t>(version)},
                                                          {"status", static_cast<std::int64_t>(response.m_status)}});
             constexpr std::uint16_t accepted = 202U;
             auto* const current = find_model(self, name, version);
-            const auto unanswered = response.m_status == 0U;
-            if (current != nullptr && !unanswered && response.m_status != accepted && response.m_status != status_ok) {
+            if (current == nullptr) {
+                return;
+            }
+            const auto is_accepted = response.m_status == accepted || response.m_status == status_ok;
+            const auto is_unanswered = response.m_status == 0U && end.m_sent == net::sent::some;
+            const auto rejected = is_unanswered ? order_end::unanswered : order_end::refused;
+            record_order_end(current->m_open_orders, started_ms, is_accepted ? order_end::accepted : rejected);
+            if (response.m_status != 0U && !is_accepted) {
                 current->m_phase = load_phase::fetching;
             }
         });
