Keep a runner that asks for a pause alive for gateways

What callers would see: fewer places than there are. A runner that answers its report with 503 and Retry-After counted as not alive, and its loader sent gateways nothing until the pause was over, so that they fell back to the store's older entry of it, or closed it to requests where an order made the loader report. A value that can't be read was dropped without a line in the log.

Cause: on_report treated the answer as none, and poll_runner returned before anything was reported.

Change: a pause leaves the runner's state as it was, the load last reported is repeated meanwhile at the usual interval, and a pause and a malformed value are logged as at gateways (runner.paused, runner.pause_malformed).

Why it works: an answer shows that the runner lives; only silence and other failures say that it does not.

The stand-in's runner gets a fault, m_report_retry_after, and a count.

--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -174,7 +174,12 @@
 
 auto server::on_control(const net::http_request& request, const responder_ptr& responder) -> bool {
     const std::string_view target{request.m_target};
-    if (target.starts_with("/api/report")) {
+    if (target.starts_with("/api/report") && !m_faults.m_report_retry_after.empty()) {
+        ++m_observations.m_refused_reports;
+        respond(
+            responder,
+            {internal::unavailable, {{std::string{adapter::field::retry_after}, m_faults.m_report_retry_after}}, {}});
+    } else if (target.starts_with("/api/report")) {
         auto body = make_entry();
         body["busy"] = m_loading;
         body["waiting"] = 0;
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -34,6 +34,8 @@
     std::map<std::uint64_t, time_point> m_last_begin{};
     /*! @brief Stays of requests at servers, by attempt id. */
     arrivals m_stays{};
+    /*! @brief Requests for reports that were refused. */
+    unsigned m_refused_reports{};
     /*! @brief Load orders that were accepted or refused. */
     unsigned m_handled_orders{};
     /*! @brief Time since which every daemon can reach the store; `time_point::max()` while one of them can't. */
@@ -67,6 +69,8 @@
     duration m_order_delay{};
     /*! @brief Number of reads of staged pieces that get no response. */
     unsigned m_unanswered_reads{};
+    /*! @brief Value of the header with which reports are refused for a while; empty disables the fault. */
+    std::string m_report_retry_after{};
 };
 
 /*! @brief Properties of one server. */
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -40,13 +40,30 @@
     }
 }
 
+/*! @brief Applies the pause that the runner asks for instead of a report. A runner that answers so is alive, if it was
+ * before. @return Whether it asks for one. */
+auto apply_pause(daemon& self, const net::http_response& response) -> bool {
+    constexpr std::uint16_t unavailable = 503U;
+    const auto text = net::find(response.m_headers, adapter::field::retry_after);
+    if (response.m_status != unavailable || text.empty()) {
+        return false;
+    }
+    const auto pause = adapter::decode_retry_after(text);
+    if (!pause) {
+        self.m_core.m_events.write("runner.pause_malformed", {{"value", text.substr(0U, 40U)}});
+        return false;
+    }
+    self.m_core.m_events.write("runner.paused",
+                               {{"pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*pause).count()}});
+    self.m_runner_paused_until = steady_now() + *pause;
+    return true;
+}
+
 auto on_report(daemon& self, const net::http_response& response) -> void {
     constexpr std::uint16_t ok = 200U;
     self.m_report_requested = false;
-    constexpr std::uint16_t unavailable = 503U;
-    if (response.m_status == unavailable) {
-        const auto pause = adapter::decode_retry_after(net::find(response.m_headers, adapter::field::retry_after));
-        self.m_runner_paused_until = steady_now() + pause.value_or(duration::zero());
+    if (apply_pause(self, response)) {
+        return;
     }
     const auto report = response.m_status == ok ? adapter::decode_load_report(response.m_body) : std::nullopt;
     const auto was_alive = std::exchange(self.m_runner_alive, report.has_value());
@@ -189,7 +206,11 @@
 }
 
 auto poll_runner(daemon& self) -> void {
-    if (steady_now() < self.m_runner_paused_until || std::exchange(self.m_report_requested, true)) {
+    if (steady_now() < self.m_runner_paused_until) {
+        report_to_gateways(self, false);
+        return;
+    }
+    if (std::exchange(self.m_report_requested, true)) {
         return;
     }
     self.m_core.m_http.fetch(
--- a/test/soak/loader.cpp
+++ b/test/soak/loader.cpp
@@ -25,6 +25,29 @@
     return out;
 }
 
+/*! @brief Has all runners refuse reports; returns once each has done so. */
+auto refuse_reports(site_fixture& fixture, const std::string& retry_after) -> void {
+    standin_site::server_faults faults{};
+    faults.m_report_retry_after = retry_after;
+    fixture.set_server_faults(faults);
+    REQUIRE(process::wait_until([&] {
+        auto refused = false;
+        fixture.m_site.run_in_loop([&](standin_site::site& site) {
+            refused = site.observations().m_refused_reports >= site.options().m_runner_count;
+        });
+        return refused;
+    }));
+}
+
+/*! @brief Returns the age of the server's last report when an attempt was sent; -1 if there is none. */
+[[nodiscard]] auto reported_age_ms(site_fixture& fixture, const std::string& attempt) -> long {
+    const std::string name = "\"report_age_ms\":";
+    const auto logs = fixture.m_fleet.logs();
+    const auto sent = logs.find("\"event\":\"request.sent\",\"id\":\"" + attempt + '"');
+    const auto found = sent == std::string::npos ? sent : logs.find(name, sent);
+    return found == std::string::npos ? -1L : std::strtol(logs.c_str() + found + name.size(), nullptr, 10);
+}
+
 auto check_violations(site_fixture& fixture) -> void {
     fixture.m_site.run_in_loop([](standin_site::site& site) {
         for (const auto& each : site.observations().m_violations.m_lines) {
@@ -68,4 +91,29 @@
     CHECK(count_fetched(fixture) == runners * pieces);
 }
 
+TEST_CASE("a runner that answers its report with a pause still counts as alive, with the load that it last reported") {
+    site_fixture fixture{1U};
+    auto requests = 0U;
+    REQUIRE(process::wait_until([&] {
+        const auto attempt = "c" + std::to_string(++requests);
+        return fixture.send_request(attempt, standin_site::model_path, "c").m_status == 200U &&
+               reported_age_ms(fixture, attempt) >= 0;
+    }));
+    refuse_reports(fixture, "3");
+    std::this_thread::sleep_for(std::chrono::milliseconds{1'500});
+    CHECK(fixture.send_request("b1", standin_site::model_path, "b").m_status == 200U);
+    REQUIRE(process::wait_until([&] { return reported_age_ms(fixture, "b1") >= 0; }));
+    CHECK(reported_age_ms(fixture, "b1") < 1'000);
+    CHECK_FALSE(is_logged(fixture, "\"event\":\"runner.seen\",\"alive\":false"));
+    fixture.m_site.run_in_loop([](standin_site::site& site) {
+        CHECK(site.observations().m_refused_reports == site.options().m_runner_count);
+    });
+}
+
+TEST_CASE("a pause that can't be read is logged") {
+    site_fixture fixture{1U};
+    refuse_reports(fixture, "soon");
+    CHECK(process::wait_until([&] { return is_logged(fixture, "\"event\":\"runner.pause_malformed\""); }));
+}
+
 } // namespace rhubarbwharf::soak
