Let no request without a server left hold back those behind it

What callers would see: requests that wait, or are refused, beside free servers.

Cause: dispatch_queued ends after four waiting requests that it could not send. A stream whose last server has gone while it waits counted as one, and stands before later requests until its caller would give up, 2 s or more.

Change: a request that no server could run, even with capacity, doesn't count.

Why it works: such a request says nothing of the servers' capacity, which is what the count is for.

--- a/include/rhubarbwharf/dispatch/wait_queue.hpp
+++ b/include/rhubarbwharf/dispatch/wait_queue.hpp
@@ -34,6 +34,28 @@
     time_point m_send_rate_updated{};
 };
 
+/*! @brief What came of the try to send one waiting request. */
+enum class send_result : std::uint8_t {
+    /*! @brief It was sent or refused, and waits no longer. */
+    ended,
+    /*! @brief No backend server that could run it has capacity now. */
+    no_capacity,
+    /*! @brief No backend server is left that could run it. */
+    no_server,
+};
+
+/*! @brief Requests in a row of a queue that may lack capacity before the others are not tried; the servers that they
+ * lack are mostly the same. */
+inline constexpr unsigned max_send_misses = 4U;
+
+/*! @brief Tries to send the waiting requests one after the other. */
+struct send_scan {
+    unsigned m_misses{};
+};
+
+/*! @brief Records a try. @return Whether the requests behind it are tried as well. */
+[[nodiscard]] auto continues_after(send_scan& scan, send_result result) noexcept -> bool;
+
 /*! @brief Records that a request was sent, which raises the send rate. */
 auto record_sent(wait_queue& queue, time_point now) noexcept -> void;
 
--- a/src/dispatch/wait_queue.cpp
+++ b/src/dispatch/wait_queue.cpp
@@ -69,6 +69,11 @@
     return out;
 }
 
+auto continues_after(send_scan& scan, const send_result result) noexcept -> bool {
+    scan.m_misses += result == send_result::no_capacity ? 1U : 0U;
+    return scan.m_misses < max_send_misses;
+}
+
 auto erase(wait_queue& queue, const request_id request) -> bool {
     return std::erase_if(queue.m_waiting,
                          [request](const waiting_request& each) { return each.m_request == request; }) > 0U;
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -196,6 +196,21 @@
     return retry_after.has_value();
 }
 
+/*! @brief Sends or refuses a waiting request if possible. */
+[[nodiscard]] auto send_queued(daemon& self, service_state& state, const std::shared_ptr<exchange>& item,
+                               const time_point now) -> dispatch::send_result {
+    if (const auto chosen = choose_backend(self, *item, now)) {
+        dispatch::erase(state.m_queue, item->m_id);
+        dispatch_to(self, item, state.m_backends[chosen->m_index], *chosen);
+        return dispatch::send_result::ended;
+    }
+    if (refuse_if_paused(self, item)) {
+        return dispatch::send_result::ended;
+    }
+    return has_eligible_backend(self, *item, now) ? dispatch::send_result::no_capacity
+                                                  : dispatch::send_result::no_server;
+}
+
 } // namespace
 
 /*! @brief Creates the handlers that forward the response of an attempt to the caller; defined in relay.cpp. */
@@ -321,9 +336,7 @@
                              "no place came free in time");
         }
     }
-    // A request that has no backend server left to try must not block the requests queued behind it.
-    constexpr int max_misses = 4;
-    auto misses = 0;
+    dispatch::send_scan scan{};
     for (const auto& each : dispatch::send_order(state.m_queue, now)) {
         const auto item = self.m_exchanges.find(each.m_request);
         if (item == self.m_exchanges.end()) {
@@ -331,11 +344,7 @@
             continue;
         }
         const auto queued = item->second;
-        const auto chosen = internal::choose_backend(self, *queued, now);
-        if (chosen) {
-            dispatch::erase(state.m_queue, each.m_request);
-            dispatch_to(self, queued, state.m_backends[chosen->m_index], *chosen);
-        } else if (!internal::refuse_if_paused(self, queued) && ++misses >= max_misses) {
+        if (!dispatch::continues_after(scan, internal::send_queued(self, state, queued, now))) {
             return;
         }
     }
