Let a refusal of a server without reports count for 450 ms

What callers would see: waits and refusals beside free servers of a plain service.

Cause: a refusal for lack of capacity sets the requests of others at that server above its places until a report comes. Servers of plain services send none, nor do runners whose loader is gone, so that one refusal left a gateway two requests at a time there for good.

Read, not seen in a run with daemons.

Change: the refusal counts for 450 ms, the longest interval of reports, unless a report or a further refusal comes; then the load from before applies again.

Why it works: what a refusal says is as old as itself, like a report.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -50,6 +50,10 @@
     time_point m_last_reported{};
     /*! @brief When it last refused a request for lack of capacity. */
     time_point m_last_refused{};
+    /*! @brief `m_other_requests` before a refusal raised it. */
+    double m_other_requests_before{};
+    /*! @brief Whether a refusal has raised `m_other_requests` and no report has come since. */
+    bool m_counts_as_full{false};
     /*! @brief Whether it is loading weights; no new request starts while it does. */
     bool m_loading{false};
     /*! @brief Ratio of its processing times to the normal ones. */
@@ -159,6 +163,16 @@
 [[nodiscard]] auto is_eligible(const server_load& row, const request_requirements& required, time_point now) noexcept
     -> bool;
 
+/*! @brief Time for which a backend server that refused a request for lack of capacity counts as full, unless a report
+ * comes before: as long as the interval of reports at most is. */
+inline constexpr duration refusal_memory = std::chrono::milliseconds{450};
+
+/*! @brief Records that a backend server refused a request for lack of capacity: it counts as full for a while. */
+auto record_refusal(server_load& row, time_point now) noexcept -> void;
+
+/*! @brief Restores the load of the backend servers that have not refused a request for `refusal_memory`. */
+auto expire_refusals(std::span<const std::shared_ptr<server_load>> rows, time_point now) noexcept -> void;
+
 /*! @brief Tells whether this gateway may send a backend server one more request. */
 [[nodiscard]] auto has_capacity(const server_load& row, const placement_options& options) noexcept -> bool;
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <rhubarbwharf/dispatch/placement.hpp>
 
@@ -84,6 +85,23 @@
     return any_paused && first ? std::optional{*first - now} : std::nullopt;
 }
 
+auto record_refusal(server_load& row, const time_point now) noexcept -> void {
+    if (!std::exchange(row.m_counts_as_full, true)) {
+        row.m_other_requests_before = row.m_other_requests;
+    }
+    row.m_other_requests = std::max(row.m_other_requests, static_cast<double>(row.m_slots) + 1.0);
+    row.m_last_refused = now;
+}
+
+auto expire_refusals(const std::span<const std::shared_ptr<server_load>> rows, const time_point now) noexcept -> void {
+    for (const auto& row : rows) {
+        if (row->m_counts_as_full && now - row->m_last_refused >= refusal_memory) {
+            row->m_counts_as_full = false;
+            row->m_other_requests = row->m_other_requests_before;
+        }
+    }
+}
+
 auto has_capacity(const server_load& row, const placement_options& options) noexcept -> bool {
     const auto slots = static_cast<double>(row.m_slots);
     const auto requests = estimate_load(row);
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -59,6 +59,7 @@
     }
     backend.m_slowdown = update.pace();
     backend.m_last_reported = steady_now();
+    backend.m_counts_as_full = false;
     dispatch_queued(self, backend.m_service);
 }
 
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -315,6 +315,7 @@
         }
     }
     for (const auto& [name, state] : self.m_services) {
+        dispatch::expire_refusals(state.m_backends, now);
         dispatch_queued(self, name);
     }
 }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -123,14 +123,12 @@
     close_exchange(self, item, status, "answered");
 }
 
-/*! @brief Updates the load entry from a refusal: the model is not held, or there is no capacity until the next report.
- */
+/*! @brief Updates the load entry from a refusal: the model is not held, or there is no capacity for a while. */
 auto apply_refusal(dispatch::server_load& backend, const std::uint16_t status) -> void {
     if (status == status_misdirected) {
         backend.m_models.clear();
     } else {
-        backend.m_other_requests = std::max(backend.m_other_requests, static_cast<double>(backend.m_slots) + 1.0);
-        backend.m_last_refused = steady_now();
+        dispatch::record_refusal(backend, steady_now());
     }
 }
 
