Let a request that is withdrawn for its version wait as long as time is left

What callers saw: 502 after a part of their time limit, beside a change of the weights. The users' rules allow no such end, and 502 promises nothing, so a caller of a request that may run once can't repeat it.

Cause: when the attempt is withdrawn from a runner with outdated weights and no place is free, the request is scheduled like a new one. Past its on-time start that means a refusal, and as the attempt may have run the refusal becomes 502.

Change: such a request waits until a response can't come before its deadline any more, and is not refused for the wait that is expected. 503 is still not sent: nothing shows that a withdrawn attempt has not run.

Why it works: the runners load the newer version at that time, so that places come back within the time limit of most requests.

Not changed: where pauses alone keep it from being sent it gets 502 at once, and the new attempt counts towards neither the retry budget nor max-attempts.

--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -79,6 +79,7 @@
     for (const auto& each : {item->m_hedge, item->m_attempt}) {
         if (each && is_outdated(self, *item, *each, now)) {
             item->m_may_have_run = true;
+            item->m_withdrawn = true;
             cancel_attempt(self, item, each, "the version may no longer begin a request");
         }
     }
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -81,6 +81,9 @@
     std::size_t m_unsent_attempts{};
     /*! @brief Whether an earlier attempt may have run the request. */
     bool m_may_have_run{false};
+    /*! @brief Whether an attempt was withdrawn from a server with outdated weights. Its caller gets no refusal that
+     * states that it did not run, so it waits for a place as long as time is left. */
+    bool m_withdrawn{false};
     /*! @brief Error response that a backend server gave to an attempt after which others were tried. */
     std::optional<net::http_response> m_server_error{};
     bool m_ended{false};
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -110,6 +110,9 @@
     const auto late_until =
         std::min<time_point>(item.m_deadline - response_time, item.m_arrived_at + dispatch::max_late_wait);
     out.m_send_deadline = out.m_on_time_deadline > item.m_arrived_at ? out.m_on_time_deadline : late_until;
+    if (item.m_withdrawn) {
+        out.m_send_deadline = item.m_deadline - response_time;
+    }
     if (item.m_route->m_streaming) {
         const auto max_wait = max_stream_wait(*item.m_route);
         out.m_send_deadline = std::min<time_point>(out.m_send_deadline, item.m_arrived_at + max_wait - first_byte_time);
@@ -312,7 +315,7 @@
         return;
     }
     const auto expected = dispatch::refusal_retry_after(state.m_queue, entry, now);
-    if (expected && !item->m_stream_started) {
+    if (expected && !item->m_stream_started && !item->m_withdrawn) {
         internal::refuse(self, item, *expected, "no place is expected in time");
         return;
     }
--- a/test/soak/version_limit.cpp
+++ b/test/soak/version_limit.cpp
@@ -87,4 +87,23 @@
     CHECK(last <= version_limit);
 }
 
+TEST_CASE("a request that is withdrawn from an outdated runner waits for one with the newer version") {
+    constexpr duration sent_before_limit = std::chrono::milliseconds{900};
+    site_fixture fixture{1U};
+    withhold_newer_weights(fixture);
+    const auto named_at = name_newer_weights(fixture);
+    std::this_thread::sleep_for(named_at + version_limit - sent_before_limit - steady_now());
+    fixture.set_server_faults(pause_before_event(1U));
+    auto running = fixture.start_request("b1", standin_site::model_path, "b");
+    REQUIRE(process::wait_until([&] { return fixture.count_executions("b1") == 1U; }));
+    fixture.set_server_faults({});
+    REQUIRE(process::wait_until(
+        [&] { return fixture.m_fleet.logs().find("the version may no longer begin a request") != std::string::npos; }));
+    fixture.m_site.run_in_loop([](standin_site::site& site) { site.set_origin_faults({}); });
+    const auto result = running.get();
+    CHECK(result.m_response.m_status == 200U);
+    CHECK(result.m_response.m_body == complete_stream());
+    CHECK(last_begin_after(fixture, 1U, named_at) <= version_limit);
+}
+
 } // namespace rhubarbwharf::soak
