--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -178,7 +178,12 @@
 
 auto server::on_control(const net::http_request& request, const responder_ptr& responder) -> bool {
     const std::string_view target{request.m_target};
-    if (target.starts_with("/api/report")) {
+    if (target.starts_with("/api/report") && !m_faults.m_report_retry_after.empty()) {
+        ++m_observations.m_refused_reports;
+        respond(
+            responder,
+            {internal::unavailable, {{std::string{adapter::field::retry_after}, m_faults.m_report_retry_after}}, {}});
+    } else if (target.starts_with("/api/report")) {
         auto body = make_entry();
         body["busy"] = m_loading;
         body["waiting"] = 0;
@@ -196,6 +201,19 @@
 }
 
 auto server::on_load_order(const net::http_request& request, const responder_ptr& responder) -> void {
+    if (m_faults.m_order_delay == duration::zero()) {
+        handle_load_order(request, responder);
+        return;
+    }
+    run_after(m_faults.m_order_delay, [this, alive = m_alive, request, responder] {
+        if (*alive) {
+            handle_load_order(request, responder);
+        }
+    });
+}
+
+auto server::handle_load_order(const net::http_request& request, const responder_ptr& responder) -> void {
+    ++m_observations.m_handled_orders;
     const auto order = boost::json::parse(request.m_body).as_object();
     if (order.at("expected").to_number<std::uint64_t>() != m_accepted_orders || m_loading) {
         respond(responder, {internal::conflict, {}, {}});
@@ -234,6 +252,9 @@
     if (request.m_method == "PUT") {
         m_staged_pieces[piece] = request.m_body;
         respond(responder, {internal::ok, {}, {}});
+    } else if (m_faults.m_unanswered_reads > 0U) {
+        --m_faults.m_unanswered_reads;
+        m_unanswered.push_back(responder);
     } else if (const auto found = m_staged_pieces.find(piece); found != m_staged_pieces.end()) {
         respond(responder, {internal::ok, {}, found->second});
     } else {
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <rhubarbwharf/loader/fwd.hpp>
+#include <rhubarbwharf/loader/order.hpp>
 #include <rhubarbwharf/loader/plan.hpp>
 #include <rhubarbwharf/net/http.hpp>
 
@@ -85,6 +86,8 @@
     time_point m_load_ordered_at{};
     /*! @brief Times that the staged pieces were read back since the last order. */
     unsigned m_verifications{};
+    /*! @brief Orders that the runner may still accept; no newer version begins before they are answered. */
+    open_orders m_open_orders{};
 };
 
 /*! @brief State of a loader; accessed only on the loop's thread. */
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -28,13 +28,42 @@
 
 namespace {
 
+/*! @brief Forgets the orders that a report shows not to be accepted any more. */
+auto settle_orders(daemon& self, const fleet::load_report& report) -> void {
+    for (auto& [name, model] : self.m_models) {
+        if (record_order_report(model.m_open_orders, report.m_started_ms, report.m_accepted_orders)) {
+            self.m_core.m_events.write("load.settled",
+                                       {{"model", name},
+                                        {"version", static_cast<std::int64_t>(model.m_version)},
+                                        {"orders", static_cast<std::int64_t>(report.m_accepted_orders)}});
+        }
+    }
+}
+
+/*! @brief Applies the pause that the runner asks for instead of a report. A runner that answers so is alive, if it was
+ * before. @return Whether it asks for one. */
+auto apply_pause(daemon& self, const net::http_response& response) -> bool {
+    constexpr std::uint16_t unavailable = 503U;
+    const auto text = net::find(response.m_headers, adapter::field::retry_after);
+    if (response.m_status != unavailable || text.empty()) {
+        return false;
+    }
+    const auto pause = adapter::decode_retry_after(text);
+    if (!pause) {
+        self.m_core.m_events.write("runner.pause_malformed", {{"value", text.substr(0U, 40U)}});
+        return false;
+    }
+    self.m_core.m_events.write("runner.paused",
+                               {{"pause_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*pause).count()}});
+    self.m_runner_paused_until = steady_now() + *pause;
+    return true;
+}
+
 auto on_report(daemon& self, const net::http_response& response) -> void {
     constexpr std::uint16_t ok = 200U;
     self.m_report_requested = false;
-    constexpr std::uint16_t unavailable = 503U;
-    if (response.m_status == unavailable) {
-        const auto pause = adapter::decode_retry_after(net::find(response.m_headers, adapter::field::retry_after));
-        self.m_runner_paused_until = steady_now() + pause.value_or(duration::zero());
+    if (apply_pause(self, response)) {
+        return;
     }
     const auto report = response.m_status == ok ? adapter::decode_load_report(response.m_body) : std::nullopt;
     const auto was_alive = std::exchange(self.m_runner_alive, report.has_value());
@@ -46,6 +75,7 @@
     if (!report) {
         return;
     }
+    settle_orders(self, *report);
     if (self.m_report_received && report->m_started_ms != self.m_report.m_started_ms) {
         // After a restart the runner holds no layers, and a power loss may have removed staged data.
         for (auto& [name, model] : self.m_models) {
@@ -176,7 +206,11 @@
 }
 
 auto poll_runner(daemon& self) -> void {
-    if (steady_now() < self.m_runner_paused_until || std::exchange(self.m_report_requested, true)) {
+    if (steady_now() < self.m_runner_paused_until) {
+        report_to_gateways(self, false);
+        return;
+    }
+    if (std::exchange(self.m_report_requested, true)) {
         return;
     }
     self.m_core.m_http.fetch(
@@ -230,7 +264,8 @@
         }
         // Until the new version's manifest is available, the previous version is still fetched: it may be used until
         // the new one's time limit.
-        if (model.m_version != 0U && model.m_phase != load_phase::idle) {
+        const auto is_loaded = model.m_phase == load_phase::idle && !may_be_accepted(model.m_open_orders);
+        if (model.m_version != 0U && !is_loaded) {
             model.m_next_version = wanted;
             model.m_next_manifest_request = {};
         } else {
@@ -265,10 +300,11 @@
     const auto now = steady_now();
     for (auto& [name, model] : self.m_models) {
         internal::update_phase(self, model, now);
-        if (model.m_next_version != 0U && model.m_phase == load_phase::idle) {
+        const auto may_begin_next = model.m_next_version != 0U && !may_be_accepted(model.m_open_orders);
+        if (may_begin_next && model.m_phase == load_phase::idle) {
             begin_version(self, model, model.m_next_version);
             internal::update_phase(self, model, now);
-        } else if (model.m_next_version != 0U) {
+        } else if (may_begin_next) {
             request_manifest(self, model, model.m_next_version, model.m_next_manifest_request);
         }
         if (model.m_phase == load_phase::idle && !std::exchange(model.m_staged_adopted, true)) {
