--- a/src/routing/prompt_parts.cpp
+++ b/src/routing/prompt_parts.cpp
@@ -33,7 +33,8 @@
     for (const auto& each : table.m_held) {
         table.m_recorded.insert(each.m_parts.begin(), each.m_parts.end());
     }
-    for (const auto& [server, crash] : table.m_crashes) {
+    for (const auto& row : table.m_crashes) {
+        const auto& crash = row.second;
         const auto explained =
             std::ranges::find_if(table.m_held, [&crash](const auto& each) { return explains(each, crash); });
         for (const auto part : crash.m_parts) {
