Bound what a server may send outside of a body, and collected bodies

Seen: a server that sends interim responses, chunk extensions, a chunk size or trailers without end is read until the time limit of its call, and what the parser cannot use yet stays in memory. A collected body is bounded at 256 MiB for every kind of call. A response beyond a limit ends like a broken connection, without a word in the log.

Cause: the parser's header limit holds for one head only, its body limit is off, and it has no limit for the lines of chunk framing.

Change: call_limits has m_head_bytes (64 KiB as before) and m_body_bytes. The bytes before the head, the bytes held back by the parser and the extensions of chunks count against the first; the second is set as the parser's own body limit and bounds skipped responses too. A response beyond ends its call with too_large, the name of the limit, and an event response.too_large in the log of the process, which registers with its loop. fetch no longer cancels its own call.

Why it works: each byte that is taken off a connection before a response is whole is body, extension, or waits in the input; each has a limit.

--- a/include/rhubarbwharf/net/fwd.hpp
+++ b/include/rhubarbwharf/net/fwd.hpp
@@ -12,6 +12,7 @@
 class call;
 class bus;
 class counters;
+class event_log;
 
 struct endpoint;
 struct header;
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -205,9 +205,12 @@
 
 /*! @brief How a call of an HTTP client ended. */
 struct call_end {
-    /*! @brief `ok` if the response came whole; else `connection_failed`, `timed_out`, `cut_stream` or `cancelled`. */
+    /*! @brief `ok` if the response came whole; else `connection_failed`, `timed_out`, `cut_stream`, `too_large` or
+     * `cancelled`. */
     code m_code{code::ok};
     sent m_sent{sent::some};
+    /*! @brief With `too_large`, the limit that the response exceeds: `head_bytes` or `body_bytes`. */
+    std::string_view m_limit{};
 };
 
 /*! @brief What an HTTP client calls as the response to one call comes; any may be empty. */
@@ -220,6 +223,10 @@
     std::function<void(const call_end&)> m_on_end{};
 };
 
+/*! @brief Bytes of a collected or skipped response body where the call sets no limit: those of the largest chunk of
+ * weights. */
+inline constexpr std::size_t max_collected_bytes = std::size_t{64} * 1024U * 1024U;
+
 /*! @brief Limits of one call of an HTTP client. */
 struct call_limits {
     /*! @brief Time until the response has ended. */
@@ -231,6 +238,12 @@
     duration m_kept_time{std::chrono::seconds{20}};
     /*! @brief Whether the connection is kept for later calls. */
     bool m_keep{true};
+    /*! @brief Bytes of a response outside of its body: interim responses, status line and headers together, each line
+     * of chunk framing, the trailers; and what chunk extensions may take in addition to the bytes of the body. */
+    std::size_t m_head_bytes{std::size_t{64} * 1024U};
+    /*! @brief Bytes of the body. Without a value `send` hands on a body of any length, while a collected or skipped one
+     * is bounded by `max_collected_bytes`. */
+    std::optional<std::size_t> m_body_bytes{};
     /*! @brief Field that the response must repeat unchanged if it has it; a response with another value answers an
      * earlier request and is skipped. An empty name checks nothing. */
     header m_echo{};
--- a/include/rhubarbwharf/net/loop.hpp
+++ b/include/rhubarbwharf/net/loop.hpp
@@ -66,6 +66,12 @@
     /*! @brief Calls a handler on each SIGHUP. @param handler The handler. */
     auto on_reload_signal(std::function<void()> handler) -> void;
 
+    /*! @brief Sets the log of the process, which registers itself. @param log The log, or null. */
+    auto set_event_log(event_log* log) noexcept -> void;
+
+    /*! @brief Returns the log of the process. @return The log, or null. */
+    [[nodiscard]] auto find_event_log() const noexcept -> event_log*;
+
     /*! @brief Returns the Asio context, for the sources of this module. @return The context. */
     [[nodiscard]] auto context() noexcept -> boost::asio::io_context&;
 
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 
+#include <rhubarbwharf/net/events.hpp>
+
 #include "net/client.hpp"
 
 namespace rhubarbwharf::net::internal {
@@ -16,7 +18,6 @@
 namespace http = beast::http;
 
 constexpr unsigned http_1_1 = 11U;
-constexpr std::uint32_t most_header_bytes = 64U * 1024U;
 
 namespace {
 
@@ -27,6 +28,8 @@
 constexpr duration keep_alive_margin = std::chrono::milliseconds{300};
 /*! @brief Time after which the kernel gives up on bytes that the server does not acknowledge. */
 constexpr unsigned unacknowledged_ms = 3'000;
+constexpr std::string_view head_bytes_limit = "head_bytes";
+constexpr std::string_view body_bytes_limit = "body_bytes";
 
 /*! @brief Sends parts at once, and has the kernel find out about a server that has gone silently. */
 auto prepare(tcp_socket& socket) -> void {
@@ -121,8 +124,12 @@
     m_parser.emplace(*this);
     m_parser->eager(true);
     m_parser->skip(m_is_head_request);
-    m_parser->header_limit(most_header_bytes);
-    m_parser->body_limit(boost::none);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.m_head_bytes));
+    if (m_limits.m_body_bytes) {
+        m_parser->body_limit(*m_limits.m_body_bytes);
+    } else {
+        m_parser->body_limit(boost::none);
+    }
 }
 
 auto client_call::write() -> void {
@@ -202,7 +209,9 @@
         if (m_parser->is_done()) {
             break;
         }
-        on->m_input.consume(m_parser->put(on->m_input.data(), failure));
+        const auto taken = m_parser->put(on->m_input.data(), failure);
+        on->m_input.consume(taken);
+        m_bytes_ahead += m_head_seen ? 0U : taken;
     }
     m_parsing = false;
     if (m_ended) {
@@ -210,6 +219,8 @@
     }
     if (m_parser->is_done() && !m_parser->is_interim() && !m_skipping) {
         finish();
+    } else if (const auto limit = exceeded_limit(failure); !limit.empty()) {
+        end_too_large(limit);
     } else if (failure && failure != http::error::need_more) {
         fail();
     } else {
@@ -217,6 +228,32 @@
     }
 }
 
+auto client_call::most_body_bytes() const noexcept -> std::size_t {
+    return m_limits.m_body_bytes.value_or(max_collected_bytes);
+}
+
+auto client_call::exceeded_limit(const boost::system::error_code failure) const noexcept -> std::string_view {
+    const auto most_bytes_ahead = m_limits.m_head_bytes + (m_has_skipped ? most_body_bytes() : 0U);
+    if (failure == http::error::body_limit || (m_skipping && m_body_bytes > most_body_bytes())) {
+        return body_bytes_limit;
+    }
+    const auto is_line_too_long =
+        failure == http::error::need_more && m_connection->m_input.size() > m_limits.m_head_bytes;
+    if (failure == http::error::header_limit || is_line_too_long || m_bytes_ahead > most_bytes_ahead) {
+        return head_bytes_limit;
+    }
+    return {};
+}
+
+auto client_call::end_too_large(const std::string_view limit) -> void {
+    if (auto* const log = m_owner->m_loop.find_event_log()) {
+        const auto bytes = limit == body_bytes_limit ? most_body_bytes() : m_limits.m_head_bytes;
+        log->write("response.too_large",
+                   {{"server", to_string(m_server)}, {"limit", limit}, {"bytes", static_cast<std::int64_t>(bytes)}});
+    }
+    end(code::too_large, limit);
+}
+
 auto client_call::fail() -> void {
     end(m_head_seen ? code::cut_stream : code::connection_failed);
 }
@@ -236,9 +273,12 @@
         m_limits.m_echo.m_name.empty() ? std::string_view{} : find(head.m_headers, m_limits.m_echo.m_name);
     if (!echoed.empty() && echoed != m_limits.m_echo.m_value) {
         m_skipping = true;
+        m_has_skipped = true;
         return;
     }
     m_head_seen = true;
+    m_body_bytes = 0U;
+    m_extension_bytes = 0U;
     note_keep_alive(head);
     if (!m_ended && m_handlers.m_on_head) {
         m_handlers.m_on_head(head);
@@ -260,11 +300,17 @@
 }
 
 auto client_call::on_part(const std::string_view part) -> void {
+    m_body_bytes += part.size();
     if (!m_ended && !m_skipping && m_handlers.m_on_part) {
         m_handlers.m_on_part(part);
     }
 }
 
+auto client_call::on_extensions(const std::size_t bytes) noexcept -> bool {
+    m_extension_bytes += bytes;
+    return m_extension_bytes <= m_limits.m_head_bytes + m_body_bytes;
+}
+
 auto client_call::cancel() -> void {
     if (!m_ended) {
         end_later(code::cancelled);
@@ -300,14 +346,14 @@
     }
 }
 
-auto client_call::end(const code value) -> void {
+auto client_call::end(const code value, const std::string_view limit) -> void {
     const auto self = shared_from_this();
     m_ended = true;
     release();
     m_owner->m_calls.erase(self);
     const auto handlers = std::exchange(m_handlers, {});
     if (handlers.m_on_end) {
-        handlers.m_on_end({value, m_sent});
+        handlers.m_on_end({value, m_sent, limit});
     }
 }
 
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -9,7 +9,6 @@
 constexpr auto sweep_period = std::chrono::milliseconds{20};
 constexpr auto quiet_sweep_period = std::chrono::seconds{1};
 constexpr std::size_t most_kept_connections = 256U;
-constexpr std::size_t most_fetched_bytes = std::size_t{256} * 1024U * 1024U;
 
 namespace {
 
@@ -93,7 +92,7 @@
     using client_state::client_state;
 };
 
-http_client::http_client(loop& owner) : m_state{std::make_shared<state>(owner.context())} {}
+http_client::http_client(loop& owner) : m_state{std::make_shared<state>(owner)} {}
 
 http_client::~http_client() {
     m_state->m_closed = true;
@@ -116,32 +115,23 @@
 
 auto http_client::fetch(const endpoint& server, http_request request, const call_limits& limits, fetched done)
     -> std::shared_ptr<call> {
-    struct collected {
-        http_response m_response{};
-        std::weak_ptr<call> m_call{};
-    };
-
-    auto into = std::make_shared<collected>();
+    auto bounded = limits;
+    bounded.m_body_bytes = limits.m_body_bytes.value_or(max_collected_bytes);
+    auto into = std::make_shared<http_response>();
     call_handlers handlers{};
     handlers.m_on_head = [into](const http_response& head) {
-        into->m_response = head;
+        *into = head;
     };
     handlers.m_on_part = [into](const std::string_view part) {
-        if (into->m_response.m_body.size() + part.size() <= internal::most_fetched_bytes) {
-            into->m_response.m_body.append(part);
-        } else if (const auto running = into->m_call.lock()) {
-            running->cancel();
-        }
+        into->m_body.append(part);
     };
     handlers.m_on_end = [into, done = std::move(done)](const call_end& end) {
         if (end.m_code != code::ok) {
-            into->m_response.m_status = 0;
+            into->m_status = 0;
         }
-        done(end, std::move(into->m_response));
+        done(end, std::move(*into));
     };
-    auto made = send(server, std::move(request), limits, std::move(handlers));
-    into->m_call = made;
-    return made;
+    return send(server, std::move(request), bounded, std::move(handlers));
 }
 
 } // namespace rhubarbwharf::net
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <rhubarbwharf/net/http.hpp>
+#include <rhubarbwharf/net/loop.hpp>
 
 #include "net/socket.hpp"
 
@@ -37,8 +38,9 @@
 struct client_state : std::enable_shared_from_this<client_state> {
     using server_key = std::pair<std::string, std::uint16_t>;
 
-    explicit client_state(asio::io_context& context) : m_context{context}, m_sweep{context} {}
+    explicit client_state(loop& owner) : m_loop{owner}, m_context{owner.context()}, m_sweep{m_context} {}
 
+    loop& m_loop;
     asio::io_context& m_context;
     asio::steady_timer m_sweep;
     std::map<server_key, std::vector<std::shared_ptr<connection>>> m_idle{};
@@ -132,6 +134,10 @@
     /*! @brief Hands a part on. @param part Its bytes. */
     auto on_part(std::string_view part) -> void;
 
+    /*! @brief Counts the bytes of the extensions of a chunk. @param bytes The count. @return Whether they are within
+     * the limit. */
+    [[nodiscard]] auto on_extensions(std::size_t bytes) noexcept -> bool;
+
 private:
     using shared_connection = std::shared_ptr<connection>;
 
@@ -144,9 +150,15 @@
     auto on_read(const shared_connection& on, boost::system::error_code failure, std::size_t count) -> void;
     auto parse() -> void;
     auto note_keep_alive(const http_response& head) -> void;
+    /*! @brief Bounds the bytes of the body of a response that is collected or skipped. */
+    [[nodiscard]] auto most_body_bytes() const noexcept -> std::size_t;
+    /*! @brief Names the limit that the bytes so far exceed. @return The name, or an empty view. */
+    [[nodiscard]] auto exceeded_limit(boost::system::error_code failure) const noexcept -> std::string_view;
+    /*! @brief Logs which limit the response exceeds, and ends the call. */
+    auto end_too_large(std::string_view limit) -> void;
     auto fail() -> void;
     auto finish() -> void;
-    auto end(code value) -> void;
+    auto end(code value, std::string_view limit = {}) -> void;
     auto end_later(code value) -> void;
     auto release() -> void;
 
@@ -169,6 +181,12 @@
     bool m_parsing{};
     bool m_head_seen{};
     bool m_skipping{};
+    bool m_has_skipped{};
+    /*! @brief Bytes taken before the head of the response to this call. */
+    std::size_t m_bytes_ahead{};
+    /*! @brief Bytes of the bodies of the response and of skipped ones. */
+    std::size_t m_body_bytes{};
+    std::size_t m_extension_bytes{};
     duration m_kept_time{most_kept_time};
     bool m_paused{};
     bool m_ended{};
--- a/src/net/events.cpp
+++ b/src/net/events.cpp
@@ -50,9 +50,13 @@
     if (flags >= 0) {
         fcntl(m_descriptor, F_SETFL, flags | O_NONBLOCK);
     }
+    m_loop.set_event_log(this);
 }
 
 event_log::~event_log() {
+    if (m_loop.find_event_log() == this) {
+        m_loop.set_event_log(nullptr);
+    }
     flush();
 }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -47,6 +47,7 @@
     std::function<void()> m_on_reload{};
     std::function<void(int)> m_on_signal{};
     int m_signal_count{};
+    event_log* m_event_log{};
     asio::thread_pool m_worker{internal::one_thread};
 
     auto wait_for_signal() -> void {
@@ -132,6 +133,14 @@
     }
 }
 
+auto loop::set_event_log(event_log* const log) noexcept -> void {
+    m_state->m_event_log = log;
+}
+
+auto loop::find_event_log() const noexcept -> event_log* {
+    return m_state->m_event_log;
+}
+
 auto loop::context() noexcept -> asio::io_context& {
     return m_state->m_context;
 }
--- a/src/net/response.cpp
+++ b/src/net/response.cpp
@@ -42,8 +42,11 @@
     return part.size();
 }
 
-auto response_parser::on_chunk_header_impl(std::uint64_t, text, error_code& failure) -> void {
+auto response_parser::on_chunk_header_impl(std::uint64_t, const text extensions, error_code& failure) -> void {
     failure = {};
+    if (!m_owner.on_extensions(extensions.size())) {
+        failure = beast::http::error::header_limit;
+    }
 }
 
 auto response_parser::on_chunk_body_impl(std::uint64_t, const text part, error_code& failure) -> std::size_t {
