End an attempt whose server sends bytes without an end

Seen: a plain response without an end is read and thrown away until the deadline of its caller, who gets 504 although another server could have answered; the place at the server stays taken and its health record says nothing. An event without an end fills the gateway's memory, and is searched from its start at each part.

Cause: the body of a plain response was cut at 8 MiB and read on; the buffer of a stream had no bound.

Change: the attempt ends as an incomplete response at the first byte beyond max_buffered_bytes, or once max_event_bytes (1 MiB, what may wait for a caller) have come since the last complete event. Comments are no events. It counts as a failure of the server, not as a crash laid to the request. Blank lines are searched for in new bytes only.

Why it works: the limits count bytes, so that a silent server and a long stream of events reach neither.

--- a/app/standin-site/site.hpp
+++ b/app/standin-site/site.hpp
@@ -84,6 +84,9 @@
 
     [[nodiscard]] auto key_value_store() -> store& { return *m_store; }
 
+    /*! @brief Returns the loop of the site, for further servers of a test. */
+    [[nodiscard]] auto loop() noexcept -> net::loop& { return m_loop; }
+
     [[nodiscard]] auto options() const noexcept -> const site_options& { return m_options; }
 
 private:
--- a/src/gateway/event_stream.hpp
+++ b/src/gateway/event_stream.hpp
@@ -7,6 +7,10 @@
 
 namespace rhubarbwharf::gateway {
 
+/*! @brief Bytes that a response may contain without completing an event: those that may wait for a caller, as an event
+ * is written at once. Comments do not count as events. */
+inline constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024U;
+
 /*! @brief Buffers a body of server-sent events, so that only complete events are forwarded. */
 class event_stream {
 public:
@@ -20,8 +24,13 @@
     /*! @brief Checks whether the buffer holds an incomplete event. */
     [[nodiscard]] auto has_partial_event() const noexcept -> bool { return !m_buffer.empty(); }
 
+    /*! @brief Checks whether more than `max_event_bytes` have come since the last event was complete. */
+    [[nodiscard]] auto is_event_too_large() const noexcept -> bool {
+        return m_bytes_since_event + m_buffer.size() > max_event_bytes;
+    }
+
     /*! @brief Discards an incomplete event, as when the stream is resumed on another backend server. */
-    auto drop_partial_event() noexcept -> void { m_buffer.clear(); }
+    auto drop_partial_event() noexcept -> void { continue_with({}); }
 
     /*! @brief Continues with another response to the same request: its buffer replaces this one's, and its last id too
      * if it has one. */
@@ -32,6 +41,10 @@
 
 private:
     std::string m_buffer{};
+    /*! @brief Bytes at the start of the buffer in which no blank line ends. */
+    std::size_t m_searched_bytes{};
+    /*! @brief Bytes taken since the last event that was complete. */
+    std::size_t m_bytes_since_event{};
     std::string m_last_event_id{};
 };
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -94,21 +94,38 @@
     item.m_responder->write(events);
 }
 
+auto on_incomplete_response(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& ended,
+                            const net::call_end& end) -> void;
+
+/*! @brief Ends an attempt whose response exceeds a limit of the gateway. */
+auto on_too_large(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& ended,
+                  const std::string_view limit) -> void {
+    self.m_core.m_events.write("response.too_large",
+                               {{"server", ended->m_backend->m_id}, {"id", item->m_attempt_id}, {"limit", limit}});
+    on_incomplete_response(self, item, ended, {code::too_large, net::sent::some, limit});
+}
+
 auto on_body_part(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& current,
                   const std::string_view part) -> void {
     if (!current->m_is_stream) {
-        current->m_body.append(
-            part.substr(0U, max_buffered_bytes - std::min(current->m_body.size(), max_buffered_bytes)));
+        if (current->m_body.size() + part.size() > max_buffered_bytes) {
+            on_too_large(self, item, current, "buffered_bytes");
+        } else {
+            current->m_body.append(part);
+        }
         return;
     }
     auto& received = current == item->m_hedge ? current->m_events : item->m_events;
     received.append(part);
     const auto events = received.take_complete_events();
-    if (events.empty()) {
-        return;
+    const auto is_too_large = received.is_event_too_large();
+    if (!events.empty()) {
+        keep_attempt(self, item, current);
+        forward_events(self, *item, *current, events);
+    }
+    if (is_too_large) {
+        on_too_large(self, item, current, "event_bytes");
     }
-    keep_attempt(self, item, current);
-    forward_events(self, *item, *current, events);
 }
 
 /*! @brief Ends a stream that has been received completely. */
@@ -201,11 +218,12 @@
     } else if (dispatch::record_failure(backend.m_health, service_failure_rate(self, backend), now)) {
         self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
     }
-    if (sent && end.m_code != code::timed_out) {
+    const auto is_too_large = end.m_code == code::too_large;
+    if (sent && end.m_code != code::timed_out && !is_too_large) {
         attribute_crash(self, *item);
     }
-    retry_or_end(self, item, ended,
-                 {!sent, sent, end.m_code == code::timed_out ? "no answer in time" : "the connection broke"});
+    const auto* const reason = end.m_code == code::timed_out ? "no answer in time" : "the connection broke";
+    retry_or_end(self, item, ended, {!sent, sent, is_too_large ? "the answer exceeds a limit" : reason});
 }
 
 auto on_call_end(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& ended,
--- a/test/gateway/event_stream.cpp
+++ b/test/gateway/event_stream.cpp
@@ -36,6 +36,40 @@
     CHECK(stream.last_event_id() == "3");
 }
 
+TEST_CASE("bytes without a complete event are counted, comments among them, and events end the count") {
+    const std::string part(max_event_bytes / 8U, 'x');
+    event_stream stream{};
+    stream.append("id: 1\ndata: ");
+    for (auto index = 0; index < 7; ++index) {
+        stream.append(part);
+        CHECK(stream.take_complete_events().empty());
+    }
+    CHECK_FALSE(stream.is_event_too_large());
+    stream.append("\n\n: ");
+    CHECK(stream.take_complete_events().size() > 7U * part.size());
+    for (auto index = 0; index < 7; ++index) {
+        stream.append(part + "\n\n: ");
+        CHECK_FALSE(stream.take_complete_events().empty());
+        CHECK_FALSE(stream.is_event_too_large());
+    }
+    stream.append("\n\nid:2\ndata: y\n\n");
+    CHECK_FALSE(stream.take_complete_events().empty());
+    CHECK_FALSE(stream.is_event_too_large());
+    for (auto index = 0; index < 9; ++index) {
+        stream.append(": " + part + "\r\n\r\n");
+        CHECK_FALSE(stream.take_complete_events().empty());
+    }
+    CHECK(stream.is_event_too_large());
+    stream.append("data: z\n\n");
+    CHECK_FALSE(stream.take_complete_events().empty());
+    CHECK_FALSE(stream.is_event_too_large());
+    stream.append(std::string(max_event_bytes + 1U, 'x'));
+    CHECK(stream.take_complete_events().empty());
+    CHECK(stream.is_event_too_large());
+    stream.continue_with({});
+    CHECK_FALSE(stream.is_event_too_large());
+}
+
 TEST_CASE("the returned events do not depend on how the bytes are split") {
     CHECK(rc::check([] {
         std::string text{};
