Bound parts of the weights, reports and staged pieces

Seen: a piece, manifest, report or staged piece without an end is collected up to 64 MiB, the bound of all fetches, several at a time.

Cause: the calls of loaders and of the relay set no limit for the body.

Change: a piece is bounded by the configuration's piece size, or by 16 MiB if it has none, from the origin, gateways, loaders and the runner's stage; a manifest by the digests of 65,536 pieces; reports, lists of staged pieces and responses to orders by 1 MiB; what a peer holds by 64 KiB. The origin of the stand-in site can send bodies without an end.

Only the origin has been tried with an endless response; the other calls use the same field and have no test of their own.

Why it works: pieces have exactly the configured size, the last one less. A call beyond its bound counts as unanswered, which every caller of these handles already.

--- a/app/standin-site/site.cpp
+++ b/app/standin-site/site.cpp
@@ -1,5 +1,7 @@
 #include "site.hpp"
 
+#include <algorithm>
+
 #include <boost/json/serialize.hpp>
 
 #include <platform/decode.hpp>
@@ -145,12 +147,36 @@
                  boost::json::serialize(boost::json::object{{"model", model_name}, {"version", version}}));
 }
 
+auto site::send_endless(const std::shared_ptr<net::responder>& responder, const std::shared_ptr<bool>& left,
+                        const std::size_t sent_bytes) -> void {
+    constexpr std::size_t part_bytes = std::size_t{256} * 1024U;
+    constexpr std::size_t most_sent_bytes = std::size_t{128} * 1024U * 1024U;
+    const auto room = responder->pending() < part_bytes && sent_bytes < most_sent_bytes;
+    if (room) {
+        responder->write(std::string(part_bytes, 'x'));
+    }
+    const auto now_sent = sent_bytes + (room ? part_bytes : 0U);
+    m_most_endless_bytes = std::max(m_most_endless_bytes, now_sent - std::min(now_sent, responder->pending()));
+    m_loop.after(std::chrono::milliseconds{1}, [this, responder, left, now_sent] {
+        if (m_origin_faults.m_endless && !*left) {
+            send_endless(responder, left, now_sent);
+        }
+    });
+}
+
 auto site::on_origin(const net::http_request& request, const std::shared_ptr<net::responder>& responder) -> void {
     const auto version = std::strtoull(adapter::query_value(request.m_target, "version").c_str(), nullptr, 10);
     if (version > m_origin_faults.m_newest_version) {
         responder->respond(json_response(503U, {}));
         return;
     }
+    if (m_origin_faults.m_endless) {
+        responder->start({200U, {}, {}});
+        auto left = std::make_shared<bool>(false);
+        responder->on_close([left](net::close_reason) { *left = true; });
+        send_endless(responder, left, 0U);
+        return;
+    }
     if (request.m_target.starts_with("/api/manifest/")) {
         boost::json::array digests{};
         for (std::size_t piece = 0U; piece < m_options.m_piece_count; ++piece) {
--- a/app/standin-site/site.hpp
+++ b/app/standin-site/site.hpp
@@ -35,6 +35,8 @@
     std::uint64_t m_newest_version{std::numeric_limits<std::uint64_t>::max()};
     /*! @brief Delay before the response to a request for a piece. */
     duration m_piece_delay{};
+    /*! @brief Sends a body without an end in each response. */
+    bool m_endless{false};
 };
 
 /*! @brief Properties of one version of the configuration. */
@@ -73,6 +75,9 @@
     /*! @brief Replaces the faults of the origin. */
     auto set_origin_faults(const origin_faults& faults) -> void { m_origin_faults = faults; }
 
+    /*! @brief Returns the most bytes of a body without an end that a caller of the origin has taken. */
+    [[nodiscard]] auto most_endless_bytes() const noexcept -> std::size_t { return m_most_endless_bytes; }
+
     /*! @brief Replaces a server by one at the same address with a new id and without weights. */
     auto restart_server(std::size_t index) -> void;
 
@@ -91,6 +96,9 @@
 
 private:
     auto make_server(std::size_t index, bool is_restart) -> std::unique_ptr<server>;
+    /*! @brief Continues a body without an end; stops, but leaves it open, after 128 MiB. */
+    auto send_endless(const std::shared_ptr<net::responder>& responder, const std::shared_ptr<bool>& left,
+                      std::size_t sent_bytes) -> void;
     auto on_origin(const net::http_request& request, const std::shared_ptr<net::responder>& responder) -> void;
 
     site_options m_options{};
@@ -104,6 +112,7 @@
     std::uint64_t m_weights_version{1U};
     unsigned m_incarnation_count{};
     origin_faults m_origin_faults{};
+    std::size_t m_most_endless_bytes{};
     std::thread m_thread{};
 };
 
--- a/src/gateway/weights.cpp
+++ b/src/gateway/weights.cpp
@@ -39,6 +39,8 @@
 constexpr std::size_t max_version_bytes = std::size_t{16} * 1024U * 1024U;
 /*! @brief Largest number of pieces of a version. */
 constexpr std::size_t max_pieces = 65'536U;
+/*! @brief Bytes of a manifest: a digest of each piece in hexadecimal, with quotes and comma, and the other members. */
+constexpr std::size_t max_manifest_bytes = max_pieces * 67U + std::size_t{64} * 1024U;
 
 namespace {
 
@@ -242,6 +244,19 @@
     start_queued_origin_calls(self);
 }
 
+/*! @brief Returns the bytes of a manifest, or of a piece by the configuration; those of the largest version that is
+ * relayed if it does not say. */
+[[nodiscard]] auto max_part_bytes(const daemon& self, const part_key& key) -> std::size_t {
+    if (key.m_index == fleet::manifest_index) {
+        return max_manifest_bytes;
+    }
+    std::size_t out{};
+    for (const auto& each : self.m_core.m_configuration->m_services) {
+        out = std::max(out, each.m_engine ? each.m_engine->m_piece_bytes : std::size_t{});
+    }
+    return out == 0U ? max_version_bytes : out;
+}
+
 /*! @brief Requests a part from a gateway, or from the origin if `upstream` is null. */
 auto request_part(daemon& self, const part_key& key, const unsigned hops, const fleet::member* const upstream) -> void {
     self.m_weights_relay.m_origin_calls += upstream == nullptr ? 1U : 0U;
@@ -250,6 +265,7 @@
     limits.m_idle_time = part_idle_timeout;
     limits.m_connect_time = part_connect_timeout;
     limits.m_keep = upstream != nullptr;
+    limits.m_body_bytes = max_part_bytes(self, key);
     const auto address =
         upstream == nullptr ? fleet::find_origin(*self.m_core.m_configuration)->m_address : upstream->m_bulk_address;
     self.m_core.m_http.fetch(address, upstream == nullptr ? origin_request(key) : gateway_request(key, hops), limits,
--- a/src/loader/manifest.cpp
+++ b/src/loader/manifest.cpp
@@ -95,6 +95,7 @@
     }
     pending.m_requested = true;
     auto limits = internal::origin_call_limits();
+    limits.m_body_bytes = internal::max_manifest_bytes;
     auto request = adapter::encode_manifest_request(model.m_name, version);
     auto address = origin == nullptr ? net::endpoint{} : origin->m_address;
     if (!name.empty()) {
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -87,6 +87,7 @@
     net::call_limits limits{};
     limits.m_total_time = peer_call_timeout;
     limits.m_connect_time = peer_call_timeout;
+    limits.m_body_bytes = max_answer_bytes;
     net::http_request request{};
     request.m_target = fleet::transfer_target("have", model.m_name, model.m_version);
     const auto address = self.m_core.m_members[name].m_member.m_bulk_address;
@@ -273,6 +274,7 @@
     model.m_pieces[piece] = piece_state::fetching;
     auto limits = origin_call_limits();
     limits.m_keep = !source.empty();
+    limits.m_body_bytes = max_piece_bytes(self);
     if (chosen.m_relay) {
         limits.m_total_time = relayed_piece_timeout;
     }
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -21,6 +21,8 @@
 constexpr duration announce_interval = std::chrono::seconds{2};
 /*! @brief Time limit of a call to the runner on this machine. */
 constexpr duration runner_call_timeout = std::chrono::milliseconds{1'500};
+/*! @brief Bytes of a report, of a list of 65,536 staged pieces, or of the response to an order. */
+constexpr std::size_t max_report_bytes = std::size_t{1024} * 1024U;
 /*! @brief Time after which an order counts as lost if the runner is not busy loading. */
 constexpr duration load_order_timeout = std::chrono::milliseconds{1'500};
 /*! @brief Time before the loop stops, in which the log is written and the lease is revoked. */
@@ -154,6 +156,7 @@
 auto runner_call_limits() -> net::call_limits {
     net::call_limits out{};
     out.m_total_time = internal::runner_call_timeout;
+    out.m_body_bytes = internal::max_report_bytes;
     return out;
 }
 
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -34,7 +34,7 @@
         const auto piece = m_remaining.back();
         m_remaining.pop_back();
         m_self.m_core.m_http.fetch(
-            m_self.m_runner, adapter::encode_stage_get(m_model, piece), runner_call_limits(),
+            m_self.m_runner, adapter::encode_stage_get(m_model, piece), staged_piece_limits(m_self),
             [self = shared_from_this(), piece](const net::call_end&, const net::http_response& response) {
                 self->on_piece(piece, response);
             });
@@ -208,7 +208,7 @@
         return;
     }
     self.m_core.m_http.fetch(
-        self.m_runner, adapter::encode_stage_get(name, piece), runner_call_limits(),
+        self.m_runner, adapter::encode_stage_get(name, piece), internal::staged_piece_limits(self),
         [&self, responder, headers, piece, name, version = model.m_version](const net::call_end&,
                                                                             net::http_response response) {
             auto* const current = find_model(self, name, version);
--- a/src/loader/transfer.cpp
+++ b/src/loader/transfer.cpp
@@ -6,6 +6,21 @@
 /*! @brief Characters of the piece states, indexed by `piece_state`. */
 constexpr std::string_view state_characters = "-f+";
 
+auto max_piece_bytes(const daemon& self) -> std::size_t {
+    constexpr std::size_t unknown_piece_bytes = std::size_t{16} * 1024U * 1024U;
+    const auto* const service = self.m_core.m_configuration
+                                    ? fleet::find_service(*self.m_core.m_configuration, self.m_core.m_self.m_service)
+                                    : nullptr;
+    const auto bytes = service != nullptr && service->m_engine ? service->m_engine->m_piece_bytes : std::size_t{};
+    return bytes == 0U ? unknown_piece_bytes : bytes;
+}
+
+auto staged_piece_limits(const daemon& self) -> net::call_limits {
+    auto out = runner_call_limits();
+    out.m_body_bytes = max_piece_bytes(self);
+    return out;
+}
+
 auto origin_call_limits() -> net::call_limits {
     net::call_limits out{};
     out.m_total_time = piece_fetch_timeout;
--- a/src/loader/transfer.hpp
+++ b/src/loader/transfer.hpp
@@ -26,6 +26,18 @@
 /*! @brief Time limit of a query or a manifest request to a peer. */
 inline constexpr duration peer_call_timeout = std::chrono::milliseconds{800};
 
+/*! @brief Bytes of the body of a response that states what a peer holds in its headers. */
+inline constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024U;
+/*! @brief Bytes of a manifest; the digests of 65,536 pieces in hexadecimal take 4.2 MiB. */
+inline constexpr std::size_t max_manifest_bytes = std::size_t{8} * 1024U * 1024U;
+
+/*! @brief Returns the bytes of a piece, by the configuration; of the largest version that gateways relay if it does not
+ * say. */
+[[nodiscard]] auto max_piece_bytes(const daemon& self) -> std::size_t;
+
+/*! @brief Returns the limits of a call that reads a staged piece from the runner. */
+[[nodiscard]] auto staged_piece_limits(const daemon& self) -> net::call_limits;
+
 /*! @brief Returns the limits of a call to the origin. No connection is kept open, as the origin accepts few. */
 [[nodiscard]] auto origin_call_limits() -> net::call_limits;
 
--- a/test/soak/endless.cpp
+++ b/test/soak/endless.cpp
@@ -348,4 +348,21 @@
     CHECK(server.most_bytes() <= refused_after_bytes);
 }
 
+TEST_CASE("a version of the weights is loaded after its origin has sent bytes without an end") {
+    site_fixture fixture{1U};
+    fixture.m_site.run_in_loop([](standin_site::site& site) {
+        standin_site::origin_faults faults{};
+        faults.m_endless = true;
+        site.set_origin_faults(faults);
+        site.set_weights_version(2U);
+    });
+    CHECK(process::wait_until(
+        [&] { return fixture.m_fleet.logs().find("\"event\":\"response.too_large\"") != std::string::npos; }));
+    fixture.m_site.run_in_loop([](standin_site::site& site) {
+        CHECK(site.most_endless_bytes() <= refused_after_bytes);
+        site.set_origin_faults({});
+    });
+    CHECK(fixture.wait_until_version_everywhere(2U));
+}
+
 } // namespace rhubarbwharf::soak
