Bound the state that a seed sends

Seen: the response of a seed is collected up to 64 MiB, the bound of all fetches.

Cause: the call sets no limit for the body.

Evidence: read from the code; no run with an endless seed.

Change: 8 MiB, four times a configuration of 1 MiB with 2,500 runners and 2,900 members.

--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -21,6 +21,9 @@
 constexpr unsigned max_seed_requests = 4U;
 /*! @brief Delay before the next request to a seed, and time limit of one request. */
 constexpr duration seed_retry_interval = std::chrono::milliseconds{600};
+/*! @brief Bytes of a state: a configuration of at most 1 MiB, and some 300 bytes for each of 2,500 runners and 2,900
+ * members, with room for four times as many. */
+constexpr std::size_t max_state_bytes = std::size_t{8} * 1024U * 1024U;
 
 namespace {
 
@@ -423,6 +426,7 @@
     net::call_limits limits{};
     limits.m_total_time = seed_retry_interval;
     limits.m_connect_time = seed_retry_interval;
+    limits.m_body_bytes = max_state_bytes;
     net::http_request request{};
     request.m_target = "/state";
     self.m_http.fetch(*seed, std::move(request), limits,
