--- a/test/net/framing.cpp
+++ b/test/net/framing.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <optional>
 
 #include <doctest/doctest.h>
 
@@ -49,6 +50,32 @@
     CHECK(cut.m_end.m_code == code::cut_stream);
 }
 
+TEST_CASE("a response without a length is cut where its connection is reset") {
+    namespace asio = boost::asio;
+    loop owner{};
+    asio::ip::tcp::acceptor acceptor{owner.context(), {asio::ip::make_address(local_address), 0U}};
+    asio::ip::tcp::socket peer{owner.context()};
+    acceptor.async_accept(peer, [&](const boost::system::error_code) {
+        asio::write(peer, asio::buffer("HTTP/1.1 200 OK\r\n\r\nabc", 22U));
+    });
+    http_client client{owner};
+    std::string body{};
+    std::optional<call_end> ended{};
+    call_handlers handlers{};
+    handlers.m_on_part = [&](const std::string_view part) {
+        body.append(part);
+        peer.set_option(asio::socket_base::linger{true, 0});
+        peer.close();
+    };
+    handlers.m_on_end = [&](const call_end& end) {
+        ended = end;
+    };
+    client.send(local(acceptor.local_endpoint().port()), {}, {}, std::move(handlers));
+    REQUIRE(run_until(owner, [&] { return ended.has_value(); }));
+    CHECK(ended->m_code == code::cut_stream);
+    CHECK(body == "abc");
+}
+
 TEST_CASE("a late response to an earlier request is skipped by its echo") {
     call_limits limits{};
     limits.m_echo = {"Attempt", "2"};
