--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -256,9 +256,8 @@
             }},
       m_store{m_http, internal::endpoint_or_empty(settings.m_store.m_address),
               std::chrono::milliseconds{settings.m_store.m_call_ms}},
-      m_self{internal::make_own_member(settings, m_incarnation)}, m_first_seed{m_random()}, m_follows_servers{
-                                                                                                follows_servers} {
-    m_state_pulls = m_random() >> 1U;
+      m_self{internal::make_own_member(settings, m_incarnation)}, m_first_seed{m_random()},
+      m_follows_servers{follows_servers}, m_state_pulls{m_random() >> 1U} {
     m_handlers.m_on_configuration = [] {
     };
     m_handlers.m_on_weights = [] {
