Wait for the peers' heartbeats after a stall before dividing the work anew

What callers could see: nothing but queues at the servers; the cost is two listings of the store for each gateway that was frozen.

Cause: the first heartbeat after a freeze runs before messages of the peers are read, and takes all of them for silent: the gateway watches the store, and its quota is that of the only gateway, until the next heartbeat.

Change: for two heartbeats after a stall that is long enough to make peers look silent, watch and quotas stay as they are.

--- a/include/rhubarbwharf/fleet/stall.hpp
+++ b/include/rhubarbwharf/fleet/stall.hpp
@@ -16,6 +16,8 @@
 struct stall_period {
     /*! @brief Last check before the stall. A suspension, which the steady clock does not count, moves it back. */
     time_point m_began{};
+    /*! @brief First check after it. */
+    time_point m_ended{};
     /*! @brief Time up to which data that is handled may have arrived during the stall. */
     time_point m_handled_until{};
 };
@@ -53,4 +55,9 @@
  * stall that has just ended. */
 [[nodiscard]] auto arrival_of(const stall_record& record, time_point now) noexcept -> arrival_time;
 
+/*! @brief Checks whether a stall has just ended, so that what others have sent since may not have been handled yet.
+ * @param length Shortest length of a stall that counts. @param within Time since its end. */
+[[nodiscard]] auto has_just_stalled(const stall_record& record, time_point now, duration length,
+                                    duration within) noexcept -> bool;
+
 } // namespace rhubarbwharf::fleet
--- a/src/fleet/stall.cpp
+++ b/src/fleet/stall.cpp
@@ -21,9 +21,10 @@
     std::erase_if(record.m_periods, [&](const auto& each) { return each.m_handled_until < checked_before; });
     for (auto& each : record.m_periods) {
         each.m_began -= suspended;
+        each.m_ended -= suspended;
         each.m_handled_until += now - checked_before;
     }
-    record.m_periods.push_back({began, now + length + stall_aftermath});
+    record.m_periods.push_back({began, now, now + length + stall_aftermath});
     return {length, suspended};
 }
 
@@ -37,4 +38,11 @@
     return out;
 }
 
+auto has_just_stalled(const stall_record& record, const time_point now, const duration length,
+                      const duration within) noexcept -> bool {
+    return std::ranges::any_of(record.m_periods, [&](const auto& each) {
+        return each.m_ended - each.m_began >= length && now - each.m_ended < within;
+    });
+}
+
 } // namespace rhubarbwharf::fleet
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -116,6 +116,21 @@
     }
 }
 
+/*! @brief Tells the peers of this gateway, and divides the work with those that it has heard. After a stall that makes
+ * all of them look silent it waits for their next heartbeats. */
+auto beat(daemon& self) -> void {
+    node::note_running(self.m_core);
+    measure_demand(self);
+    node::send_pulse(self.m_core);
+    divide_retry_budget(self);
+    evict_unused_weights(self, steady_now());
+    if (!fleet::has_just_stalled(self.m_core.m_stalls, steady_now(), fleet::heartbeat_timeout - 2 * heartbeat_interval,
+                                 2 * heartbeat_interval)) {
+        node::update_store_watch(self.m_core);
+        assign_quotas(self);
+    }
+}
+
 auto on_stop_signal(daemon& self, const int count) -> void {
     if (count > 1) {
         self.m_core.m_events.write("gateway.leaving", {{"requests", static_cast<std::int64_t>(self.m_exchanges.size())},
@@ -217,14 +232,7 @@
     }
     auto& loop = self.m_core.m_loop;
     loop.every(tick_interval, [&self] { internal::tick(self); });
-    loop.every(heartbeat_interval, [&self] {
-        internal::measure_demand(self);
-        node::send_pulse(self.m_core);
-        node::update_store_watch(self.m_core);
-        internal::divide_retry_budget(self);
-        assign_quotas(self);
-        evict_unused_weights(self, steady_now());
-    });
+    loop.every(heartbeat_interval, [&self] { internal::beat(self); });
     loop.on_stop_signal([&self](const int count) { internal::on_stop_signal(self, count); });
     loop.on_reload_signal([&self] { internal::reload(self); });
     self.m_core.m_events.write("gateway.started",
--- a/test/fleet/stall.cpp
+++ b/test/fleet/stall.cpp
@@ -102,4 +102,17 @@
     }
 }
 
+TEST_CASE("a stall has just ended for the given time, if it was long enough") {
+    stall_record record{};
+    REQUIRE(check_running(record, start, lead).m_length == duration::zero());
+    const auto woken = start + length;
+    REQUIRE(check_running(record, woken, lead).m_length == length);
+    CHECK(has_just_stalled(record, woken, length, tick));
+    CHECK_FALSE(has_just_stalled(record, woken, length + tick, tick));
+    CHECK_FALSE(has_just_stalled(record, woken + tick, length, tick));
+    REQUIRE(check_running(record, woken + min_stall, lead).m_length == min_stall);
+    CHECK(has_just_stalled(record, woken + min_stall, length, 2 * min_stall));
+    CHECK_FALSE(has_just_stalled(record, woken + 2 * min_stall, length, 2 * min_stall));
+}
+
 } // namespace rhubarbwharf::fleet
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -128,7 +128,7 @@
     core peer{make_settings("gateway"), true};
     const auto now = steady_now();
     accept_weights_target(peer, make_target(2U, now - limit / 2), "test");
-    self.m_stalls.m_periods.push_back({now - limit, now + limit});
+    self.m_stalls.m_periods.push_back({now - limit, now, now + limit});
     accept_state(self, full_state(peer, 0U, false), "peer");
     REQUIRE(self.m_weights_targets.size() == 1U);
     CHECK_FALSE(self.m_weights_targets.front().m_has_exact_write_time);
--- a/test/soak/version_limit.cpp
+++ b/test/soak/version_limit.cpp
@@ -87,4 +87,18 @@
     CHECK(last <= version_limit);
 }
 
+TEST_CASE("a gateway that stood still does not take itself for the only one of its region") {
+    constexpr std::size_t third = 2U;
+    constexpr std::string_view resumes = R"("event":"store.watch","watches":true)";
+    constexpr std::string_view pauses = R"("event":"store.watch","watches":false)";
+    site_fixture fixture{3U};
+    REQUIRE(process::wait_until([&] { return fixture.m_fleet.logs().find(pauses) != std::string::npos; }));
+    fixture.m_fleet.send_signal(third, SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::seconds{3});
+    fixture.m_fleet.send_signal(third, SIGCONT);
+    REQUIRE(process::wait_until([&] { return fixture.m_fleet.logs().find("process.stalled") != std::string::npos; }));
+    std::this_thread::sleep_for(std::chrono::seconds{2});
+    CHECK(fixture.m_fleet.logs().find(resumes) == std::string::npos);
+}
+
 } // namespace rhubarbwharf::soak
