Let the stand-in record on which version each answer begins

The soak is to find requests that begin on an older version after its limit, and needs to know which gateway sent them; the last time per version does not tell. An answer whose gateway had left before its runner got to it, as a paused runner does later, is not recorded.

--- a/app/standin-site/arrivals.hpp
+++ b/app/standin-site/arrivals.hpp
@@ -37,6 +37,16 @@
     auto end(stay_end value) -> void;
 };
 
+/*! @brief Begin of a streamed answer at a runner, while its gateway still waited for it. */
+struct version_begin {
+    time_point m_at{};
+    std::string m_attempt{};
+    std::string m_server{};
+    std::uint64_t m_version{};
+    /*! @brief Whether the answer continues one of which some events were sent. */
+    bool m_is_resumed{};
+};
+
 /*! @brief Stays of each request at servers in the order of arrival, by attempt id. */
 using arrivals = std::map<std::string, std::vector<std::shared_ptr<arrival>>>;
 
--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -400,9 +400,19 @@
     responder->on_close([output](net::close_reason) { output->m_disconnected = true; });
     ++m_running_requests;
     m_observations.m_last_begin[m_options.m_version] = steady_now();
+    record_version(attempt, !last_event.empty());
     schedule_event(output);
 }
 
+auto server::record_version(const std::string& attempt, const bool is_resumed) -> void {
+    if (std::ranges::any_of(m_observations.m_stays[attempt], [&](const auto& each) {
+            return each->m_server == m_options.m_id && each->m_end == stay_end::held;
+        })) {
+        m_observations.m_version_begins.push_back(
+            {steady_now(), attempt, m_options.m_id, m_options.m_version, is_resumed});
+    }
+}
+
 auto server::schedule_event(const std::shared_ptr<stream>& output) -> void {
     run_after(delay_before(output->m_next_event), [this, alive = m_alive, output] {
         if (*alive) {
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -33,6 +33,8 @@
     time_point m_last_arrival_when_leaving{};
     /*! @brief When a request last began, by the version of the weights that it began on. */
     std::map<std::uint64_t, time_point> m_last_begin{};
+    /*! @brief Begins of streamed answers, in the order of time. */
+    std::vector<version_begin> m_version_begins{};
     /*! @brief Stays of requests at servers, by attempt id. */
     arrivals m_stays{};
     /*! @brief Time since which every daemon can reach the store; `time_point::max()` while one of them can't. */
@@ -162,6 +164,8 @@
     auto publish_entry() -> void;
     /*! @brief Records that an answer begins. @return False if the request crashes the server instead. */
     [[nodiscard]] auto begin_answer(prompt_event request) -> bool;
+    /*! @brief Records the version on which an answer begins, unless the gateway has left. */
+    auto record_version(const std::string& attempt, bool is_resumed) -> void;
     /*! @brief Starts a crashed server as a new incarnation that holds only the staged pieces. */
     auto come_back() -> void;
     [[nodiscard]] auto make_entry() const -> boost::json::object;
