Add guilty parts of prompts and versions named unseen to the soak

Two troubles are chosen by a generator of their own, so that a seed keeps its other faults and requests. A part of prompts crashes each runner that begins to answer it for 7 to 12 s, beside the other faults or, in runs of 27 s and more, in a calm time of 14 s in which the service beside it is measured. A version is named while a gateway is frozen or its link to the store is silent, and the origin keeps it back for 9 s, so that runners of the older one are left at the limit.

--- a/test/soak/clients.cpp
+++ b/test/soak/clients.cpp
@@ -1,5 +1,7 @@
 #include <soak/clients.hpp>
 
+#include <sstream>
+
 #include <boost/json/parse.hpp>
 
 #include <platform/names.hpp>
@@ -29,10 +31,33 @@
     std::string m_path{};
     net::endpoint m_gateway{};
     time_point m_sent_at{};
+    /*! @brief Parts of the prompt that other requests have as well. */
+    std::vector<std::string> m_parts{};
 };
 
+namespace {
+
+constexpr unsigned tokens_per_part = 100U;
+constexpr unsigned tokens_of_own_part = 50U;
+
+/*! @brief Adds the headers of a prompt that consists of shared parts and one part of its own. */
+auto add_prompt_headers(net::http_request& request, const std::vector<std::string>& parts, const std::uint64_t own_part)
+    -> void {
+    std::ostringstream text{};
+    for (const auto& each : parts) {
+        text << each << ':' << tokens_per_part << ',';
+    }
+    text << "f0" << own_part << ':' << tokens_of_own_part;
+    request.m_headers.push_back({std::string{adapter::field::prompt_parts}, text.str()});
+    request.m_headers.push_back(
+        {std::string{adapter::field::tokens}, std::to_string(tokens_of_own_part + tokens_per_part * parts.size()) +
+                                                  ',' + std::to_string(standin_site::events_per_stream)});
+}
+
+} // namespace
+
 clients::clients(fleet& daemons, const std::uint64_t seed, const std::size_t count)
-    : m_fleet{daemons}, m_random{seed}, m_active_clients{count} {
+    : m_fleet{daemons}, m_random{seed}, m_part_random{seed + 1U}, m_active_clients{count} {
     for (const auto& each : m_fleet.daemons()) {
         if (each.is_gateway()) {
             m_directory_addresses.push_back(each.m_directory_address);
@@ -53,6 +78,10 @@
     m_thread.join();
 }
 
+auto clients::set_guilty_part(const std::string& part) -> void {
+    m_loop.post([this, part] { m_guilty_part = part; });
+}
+
 auto clients::finish() -> client_statistics {
     m_loop.post([this] { m_stopping = true; });
     m_finished.get_future().wait();
@@ -107,7 +136,11 @@
                          {std::string{adapter::field::deadline}, std::to_string(request_deadline / one_ms)}};
     if (plan.m_is_stream) {
         request.m_headers.push_back({std::string{adapter::field::model}, std::string{standin_site::model_name}});
-        request.m_headers.push_back({std::string{adapter::field::tokens}, "10,12"});
+        if (plan.m_parts.empty()) {
+            request.m_headers.push_back({std::string{adapter::field::tokens}, "10,12"});
+        } else {
+            add_prompt_headers(request, plan.m_parts, m_last_attempt_number);
+        }
     }
     ++m_statistics.m_sent;
     if (plan.m_is_at_most_once) {
@@ -119,6 +152,9 @@
     limits.m_idle_time = request_timeout;
     plan.m_gateway = choose_gateway();
     plan.m_sent_at = steady_now();
+    if (plan.m_is_stream) {
+        m_statistics.m_prompts.push_back({plan.m_attempt, plan.m_gateway, plan.m_sent_at, plan.m_parts});
+    }
     m_http.fetch(plan.m_gateway, std::move(request), limits,
                  [this, plan, schedule_next](const net::call_end& end, const net::http_response& response) {
                      check_end(plan, end);
@@ -133,6 +169,9 @@
     const auto kind = m_random() % 4U;
     out.m_attempt = std::string{"abc"[m_random() % 3U]} + std::to_string(++m_last_attempt_number);
     out.m_is_stream = kind == 0U;
+    if (out.m_is_stream) {
+        choose_parts(out);
+    }
     out.m_is_at_most_once = kind == 1U;
     out.m_is_extra = kind == 3U;
     out.m_content = out.m_is_stream || out.m_is_at_most_once ? "content-" + out.m_attempt : std::string{};
@@ -145,6 +184,18 @@
     return out;
 }
 
+auto clients::choose_parts(request_plan& plan) -> void {
+    constexpr std::uint64_t streams_per_guilty_one = 6U;
+    static const std::vector<std::vector<std::string>> shared{
+        {}, {std::string{guilty_first_part}, "bb02"}, {std::string{guilty_first_part}, "bb22"}, {"aa11", "bb12"}};
+    if (!m_guilty_part.empty() && m_part_random() % streams_per_guilty_one == 0U) {
+        plan.m_attempt.front() = guilty_key;
+        plan.m_parts = {std::string{guilty_first_part}, "bb02", m_guilty_part};
+    } else {
+        plan.m_parts = shared[m_part_random() % shared.size()];
+    }
+}
+
 auto clients::choose_gateway() -> net::endpoint {
     const auto uses_older_list = m_random() % 3U == 0U && !m_older_addresses.empty();
     const auto& addresses = uses_older_list ? m_older_addresses : m_gateway_addresses;
--- a/test/soak/clients.hpp
+++ b/test/soak/clients.hpp
@@ -23,6 +23,20 @@
     bool m_had_head{false};
 };
 
+/*! @brief Request for a streamed answer to a prompt. */
+struct sent_prompt {
+    std::string m_attempt{};
+    net::endpoint m_gateway{};
+    time_point m_sent_at{};
+    /*! @brief Parts that it shares with other requests. */
+    std::vector<std::string> m_parts{};
+};
+
+/*! @brief Key of the requests with a guilty part, which sound ones have as well. */
+inline constexpr char guilty_key = 'a';
+/*! @brief First part of the requests with a guilty part, which sound ones have as well. */
+inline constexpr std::string_view guilty_first_part = "aa01";
+
 /*! @brief Requests of all clients by result, and violations that the clients detected. */
 struct client_statistics {
     std::size_t m_sent{};
@@ -37,6 +51,8 @@
     std::vector<std::string> m_at_most_once_attempts{};
     /*! @brief Requests of which bytes may have reached the gateway and that were cut or ended too late. */
     std::vector<suspect_request> m_suspects{};
+    /*! @brief All requests for streamed answers, in the order of time. */
+    std::vector<sent_prompt> m_prompts{};
     standin_site::violations m_violations{};
 };
 
@@ -61,6 +77,9 @@
     auto operator=(const clients&) -> clients& = delete;
     auto operator=(clients&&) -> clients& = delete;
 
+    /*! @brief Lets some requests carry a part that crashes runners; none if the part is empty. */
+    auto set_guilty_part(const std::string& part) -> void;
+
     /*! @brief Stops sending, waits for pending requests, and returns the statistics. May be called once. */
     [[nodiscard]] auto finish() -> client_statistics;
 
@@ -70,6 +89,8 @@
     auto resolve_addresses() -> void;
     auto send_next() -> void;
     [[nodiscard]] auto make_plan() -> request_plan;
+    /*! @brief Chooses the shared parts of a prompt, and its key if it gets the guilty part. */
+    auto choose_parts(request_plan& plan) -> void;
     [[nodiscard]] auto choose_gateway() -> net::endpoint;
     /*! @brief Records a request that was cut or is late. */
     auto check_end(const request_plan& plan, const net::call_end& end) -> void;
@@ -77,6 +98,9 @@
 
     fleet& m_fleet;
     std::mt19937_64 m_random;
+    /*! @brief Chooses the parts of prompts apart from the rest, so that a seed keeps its other requests. */
+    std::mt19937_64 m_part_random;
+    std::string m_guilty_part{};
     net::loop m_loop{};
     net::http_client m_http{m_loop};
     std::vector<net::endpoint> m_directory_addresses{};
--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -17,6 +17,16 @@
 
 } // namespace
 
+auto change_state(std::vector<disturbance>& record, const bool is_disturbed) -> void {
+    const auto now = steady_now();
+    if (!record.empty()) {
+        record.back().m_to = std::min(record.back().m_to, now);
+    }
+    if (is_disturbed) {
+        record.push_back({now});
+    }
+}
+
 fleet::fleet(standin_site::site& platform, const std::size_t gateways) : m_site{platform} {
     m_thread = std::thread{[this] {
         m_loop.run();
@@ -118,7 +128,7 @@
 auto fleet::send_signal(const std::size_t index, const int signal_number) -> void {
     auto& each = m_daemons[index];
     if (signal_number == SIGKILL || signal_number == SIGSTOP) {
-        each.m_disturbances.push_back({steady_now()});
+        each.m_disturbances.push_back({steady_now(), time_point::max(), signal_number == SIGSTOP});
     }
     each.m_process->send_signal(signal_number);
     if (signal_number == SIGCONT) {
@@ -129,6 +139,7 @@
 }
 
 auto fleet::set_store_link_fault(const std::size_t index, const link_fault fault) -> void {
+    change_state(m_daemons[index].m_cuts, fault != link_fault::none && fault != link_fault::delay);
     run_in_proxy_loop([&] { m_daemons[index].m_store_proxy->set_fault(fault); });
 }
 
--- a/test/soak/fleet.hpp
+++ b/test/soak/fleet.hpp
@@ -14,8 +14,12 @@
 struct disturbance {
     time_point m_from{};
     time_point m_to{time_point::max()};
+    bool m_is_frozen{false};
 };
 
+/*! @brief Ends the last disturbance if it lasts, and begins another one if asked to. */
+auto change_state(std::vector<disturbance>& record, bool is_disturbed) -> void;
+
 /*! @brief One daemon, with its own proxy to the store. */
 struct daemon {
     std::string m_name{};
@@ -26,6 +30,8 @@
     std::unique_ptr<proxy> m_store_proxy{};
     std::unique_ptr<process::child_process> m_process{};
     std::vector<disturbance> m_disturbances{};
+    /*! @brief Times in which its link to the store was reset or silent. */
+    std::vector<disturbance> m_cuts{};
 
     [[nodiscard]] auto is_gateway() const noexcept -> bool { return m_caller_address.m_port != 0U; }
 };
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -7,7 +7,9 @@
 
 #include <doctest/doctest.h>
 
+#include <soak/checks.hpp>
 #include <soak/losses.hpp>
+#include <soak/prompts.hpp>
 
 namespace rhubarbwharf::soak {
 
@@ -25,18 +27,26 @@
 class soak_run {
 public:
     soak_run(const std::uint64_t seed, const std::size_t gateways)
-        : m_seed{seed}, m_random{seed}, m_fleet{m_site, gateways}, m_clients{m_fleet, seed, 24U} {}
+        : m_seed{seed}, m_random{seed}, m_trouble_random{seed}, m_fleet{m_site, gateways}, m_clients{m_fleet, seed,
+                                                                                                     24U} {}
 
     auto execute(const std::chrono::seconds length) -> void {
         std::this_thread::sleep_for(std::chrono::seconds{3});
         const auto end = steady_now() + length;
         auto next_fault_at = steady_now();
+        auto next_trouble_at = steady_now();
         while (steady_now() < end) {
             if (steady_now() >= next_fault_at) {
-                inject_random_fault();
+                if (steady_now() >= m_calm_until) {
+                    inject_random_fault();
+                }
                 start_some_exited_daemons();
                 next_fault_at = steady_now() + random_duration(100U, 500U);
             }
+            if (steady_now() >= std::max(next_trouble_at, m_calm_until)) {
+                begin_random_trouble(end);
+                next_trouble_at = steady_now() + trouble_duration(1'000U, 3'000U);
+            }
             run_due_actions();
             std::this_thread::sleep_for(std::chrono::milliseconds{10});
         }
@@ -77,11 +87,104 @@
         case 14U:
             return stop_two_daemons();
         default:
-            return run_in_site_loop(
-                [this](standin_site::site& site) { site.set_weights_version(++m_weights_version); });
+            return name_weights();
+        }
+    }
+
+    /*! @brief Names the next version of the weights; the origin keeps the pieces of new ones back while asked to. */
+    auto name_weights() -> void {
+        run_in_site_loop([this](standin_site::site& site) {
+            m_troubles.m_named_at[++m_weights_version] = steady_now();
+            site.set_weights_version(m_weights_version);
+        });
+    }
+
+    /*! @brief Begins a trouble of prompts or weights; these are chosen apart, so that a seed keeps its other faults. */
+    auto begin_random_trouble(const time_point end) -> void {
+        switch (m_trouble_random() % 4U) {
+        case 0U:
+            return begin_guilt(end, {});
+        case 1U:
+            return begin_calm_guilt(end);
+        default:
+            return name_weights_unseen();
         }
     }
 
+    [[nodiscard]] auto trouble_duration(const unsigned min_ms, const unsigned spread_ms) -> duration {
+        return std::chrono::milliseconds{min_ms + m_trouble_random() % spread_ms};
+    }
+
+    /*! @brief Lets one part of prompts crash runners for 7 to 12 s, if the run is long enough. */
+    auto begin_guilt(const time_point end, const time_point calm_from) -> void {
+        constexpr duration shortest_guilt = std::chrono::seconds{7};
+        const auto now = steady_now();
+        if (now + shortest_guilt > end ||
+            (!m_troubles.m_guilty_times.empty() && m_troubles.m_guilty_times.back().m_to > now)) {
+            return;
+        }
+        const auto length = calm_from == time_point{} ? trouble_duration(7'000U, 5'000U) : calm_guilt;
+        const guilty_time added{"dead" + std::to_string(m_troubles.m_guilty_times.size() + 1U), now,
+                                std::min(now + length, end), calm_from};
+        m_troubles.m_guilty_times.push_back(added);
+        set_guilty_part(added.m_part);
+        run_after(added.m_to - now, [this] { set_guilty_part({}); });
+    }
+
+    auto set_guilty_part(const std::string& part) -> void {
+        m_clients.set_guilty_part(part);
+        run_in_site_loop([&](standin_site::site& site) {
+            auto& parts = site.observations().m_crash_faults.m_crash_parts;
+            parts = part.empty() ? std::set<std::string>{} : std::set<std::string>{part};
+        });
+    }
+
+    /*! @brief Ends all other faults, and lets a part crash runners once they are over. */
+    auto begin_calm_guilt(const time_point end) -> void {
+        constexpr duration settle_time = std::chrono::seconds{7};
+        constexpr duration measured_time = std::chrono::seconds{3};
+        const auto now = steady_now();
+        if (now + settle_time + measured_time + calm_guilt > end) {
+            return;
+        }
+        end_faults();
+        m_calm_until = now + settle_time + measured_time + calm_guilt;
+        run_after(settle_time + measured_time,
+                  [this, end, calm_from = now + settle_time] { begin_guilt(end, calm_from); });
+    }
+
+    /*! @brief Names a version while a gateway stands still or its link to the store is silent; runners keep the older
+     * version beyond its limit. */
+    auto name_weights_unseen() -> void {
+        constexpr duration withheld_time = std::chrono::seconds{9};
+        const auto index = m_trouble_random() % gateway_count();
+        const auto is_freeze = m_trouble_random() % 2U == 0U;
+        const auto set_fault = [this, index, is_freeze](const bool begins) {
+            if (is_freeze) {
+                m_fleet.send_signal(index, begins ? SIGSTOP : SIGCONT);
+            } else {
+                set_store_link_fault(index, begins ? link_fault::drop_responses : link_fault::none);
+            }
+        };
+        set_fault(true);
+        const auto until_named = trouble_duration(50U, 1'500U);
+        run_after(until_named, [this] {
+            run_in_site_loop([this](standin_site::site& site) { site.set_origin_faults({m_weights_version, {}}); });
+            name_weights();
+        });
+        run_after(until_named + trouble_duration(300U, 3'000U), [set_fault] { set_fault(false); });
+        const auto number = ++m_withheld_count;
+        run_after(until_named + withheld_time, [this, number] {
+            if (number == m_withheld_count) {
+                run_in_site_loop([](standin_site::site& site) { site.set_origin_faults({}); });
+            }
+        });
+    }
+
+    [[nodiscard]] auto gateway_count() -> std::size_t {
+        return static_cast<std::size_t>(std::ranges::count_if(m_fleet.daemons(), &daemon::is_gateway));
+    }
+
     [[nodiscard]] auto random_duration(const unsigned min_ms, const unsigned spread_ms) -> duration {
         return std::chrono::milliseconds{min_ms + m_random() % spread_ms};
     }
@@ -203,7 +306,10 @@
 
     auto inject_store_link_fault() -> void {
         const auto index = m_random() % m_fleet.daemons().size();
-        const auto kind = static_cast<link_fault>(m_random() % 5U);
+        set_store_link_fault(index, static_cast<link_fault>(m_random() % 5U));
+    }
+
+    auto set_store_link_fault(const std::size_t index, const link_fault kind) -> void {
         m_fleet.set_store_link_fault(index, kind);
         if (kind == link_fault::none) {
             m_faulty_store_links.erase(index);
@@ -225,6 +331,7 @@
     auto inject_store_fault() -> void {
         const auto kind = m_random() % 5U;
         m_store_faulty = kind != 0U && kind != 4U;
+        change_state(m_troubles.m_store_cuts, m_store_faulty);
         update_store_reachable_since();
         run_in_site_loop([kind](standin_site::site& site) {
             standin_site::store_faults faults{};
@@ -263,7 +370,17 @@
     }
 
     auto clear_faults() -> void {
+        end_faults();
+        restart_exited_daemons(std::chrono::seconds{9});
+        std::this_thread::sleep_for(std::chrono::seconds{5});
+    }
+
+    auto end_faults() -> void {
         m_actions.clear();
+        if (!m_troubles.m_guilty_times.empty()) {
+            m_troubles.m_guilty_times.back().m_to = std::min(m_troubles.m_guilty_times.back().m_to, steady_now());
+        }
+        set_guilty_part({});
         run_in_site_loop([this](standin_site::site& site) {
             site.key_value_store().set_faults({});
             for (std::size_t index = 0U; index < server_count; ++index) {
@@ -273,8 +390,9 @@
                 }
             }
             m_configuration_version = site.write_configuration({});
-            site.set_weights_version(++m_weights_version);
+            site.set_origin_faults({});
         });
+        name_weights();
         auto& daemons = m_fleet.daemons();
         for (std::size_t index = 0U; index < daemons.size(); ++index) {
             m_fleet.set_store_link_fault(index, link_fault::none);
@@ -282,9 +400,8 @@
         }
         m_faulty_store_links.clear();
         m_store_faulty = false;
+        change_state(m_troubles.m_store_cuts, false);
         update_store_reachable_since();
-        restart_exited_daemons(std::chrono::seconds{9});
-        std::this_thread::sleep_for(std::chrono::seconds{5});
     }
 
     /*! @brief Restarts daemons as they exit, for at least the time that a signalled daemon may take to stop. */
@@ -302,27 +419,13 @@
 
     auto check_invariants() -> void {
         CAPTURE(m_seed);
-        check_configuration();
+        check_configuration(m_fleet.daemons(), m_configuration_version);
         const auto statistics = m_clients.finish();
         run_in_site_loop([&](standin_site::site& site) {
             for (std::size_t index = 0U; index < site.options().m_runner_count; ++index) {
                 CHECK(site.servers()[index]->version() == m_weights_version);
             }
-            for (const auto& each : statistics.m_refused_attempts) {
-                const auto ran = site.observations().m_executions.find(each);
-                const auto is_at_most_once = std::ranges::find(statistics.m_at_most_once_attempts, each) !=
-                                             statistics.m_at_most_once_attempts.end();
-                CHECK_MESSAGE((!is_at_most_once || ran == site.observations().m_executions.end()),
-                              "refused, but ran: " << each);
-            }
-            for (const auto& each : statistics.m_at_most_once_attempts) {
-                const auto ran = site.observations().m_executions.find(each);
-                CHECK_MESSAGE((ran == site.observations().m_executions.end() || ran->second <= 1U),
-                              "ran twice: " << each);
-            }
-            for (const auto& line : site.observations().m_violations.m_lines) {
-                FAIL_CHECK(line);
-            }
+            check_executions(statistics, site.observations());
         });
         for (const auto& line : statistics.m_violations.m_lines) {
             FAIL_CHECK(line);
@@ -331,51 +434,42 @@
         for (const auto& line : losses.m_lines) {
             FAIL_CHECK(line);
         }
+        const auto prompts = find_prompt_faults(statistics, m_fleet.daemons(), m_site, m_troubles);
+        for (const auto& line : prompts.m_lines) {
+            FAIL_CHECK(line);
+        }
         CHECK(statistics.m_answered > statistics.m_sent / 4U);
         std::cout << "{\"seed\":" << m_seed << ",\"sent\":" << statistics.m_sent
                   << ",\"answered\":" << statistics.m_answered << ",\"refused\":" << statistics.m_refused
                   << ",\"failed\":" << statistics.m_failed << ",\"cut\":" << statistics.m_cut
                   << ",\"lost_or_late\":" << losses.m_lines.size() << ",\"disturbed\":" << losses.m_disturbed
                   << ",\"crossed\":" << losses.m_crossed << ",\"broken_off\":" << losses.m_broken_off
-                  << ",\"timed_out\":" << losses.m_timed_out << "}" << std::endl;
+                  << ",\"timed_out\":" << losses.m_timed_out << ",\"guilty_parts\":" << m_troubles.m_guilty_times.size()
+                  << ",\"crashes\":" << prompts.m_crashes << ",\"checked_parts\":" << prompts.m_checked_parts
+                  << ",\"checked_services\":" << prompts.m_checked_services
+                  << ",\"older_begins\":" << prompts.m_older_begins
+                  << ",\"excused_begins\":" << prompts.m_excused_begins << "}" << std::endl;
         if (const auto* const file = std::getenv("SOAK_LOG")) {
             std::ofstream{file} << m_fleet.logs();
         }
     }
 
-    /*! @brief Checks that each gateway routes by the newest configuration and not by the previous one. */
-    auto check_configuration() -> void {
-        process::threaded_http_client client{};
-        for (const auto& each : m_fleet.daemons()) {
-            if (!each.is_gateway()) {
-                continue;
-            }
-            const auto status_of = [&](const std::uint64_t version) {
-                net::http_request probe{};
-                probe.m_target = "/version/" + std::to_string(version) + "/x";
-                probe.m_host = standin_site::host_name;
-                probe.m_headers = {{"Authorization", "Bearer key-of-a"}, {"Rhubarbwharf-Attempt-Id", "a-probe"}};
-                return client.start(each.m_caller_address, std::move(probe)).get().m_response.m_status;
-            };
-            const auto newest = status_of(m_configuration_version);
-            CHECK_MESSAGE((newest == 200U || newest == 503U), each.m_name << " answers " << newest
-                                                                          << " on the route of configuration version "
-                                                                          << m_configuration_version);
-            CHECK_MESSAGE(status_of(m_configuration_version - 1U) == 404U,
-                          each.m_name << " still routes by an older configuration");
-        }
-    }
-
     static constexpr std::size_t server_count = 5U;
+    static constexpr duration calm_guilt = std::chrono::seconds{14};
 
     std::uint64_t m_seed{};
     std::mt19937_64 m_random;
+    std::mt19937_64 m_trouble_random;
     standin_site::site m_site{standin_site::site_options{.m_split_output = true}};
     fleet m_fleet;
     clients m_clients;
     std::multimap<time_point, std::function<void()>> m_actions{};
     std::set<std::size_t> m_faulty_store_links{};
     bool m_store_faulty{false};
+    prompt_troubles m_troubles{};
+    /*! @brief Time until which no other faults are injected. */
+    time_point m_calm_until{};
+    std::size_t m_withheld_count{};
     std::uint64_t m_configuration_version{1U};
     /*! @brief Shortest timeout of the routes in any configuration, and of the requests themselves. */
     duration m_shortest_timeout{std::chrono::seconds{3}};
