Know a version's time limit also if it is learned after a newer one

Cause: a process that learned of version 3 first, from a listing of the store, ignored what its peers said of version 2, as it is older than the wanted one. The limit of version 1 then counted from version 3. Besides, its sum of versions stayed below its peers', so that it asked for their state four times a second from then on.

Change: a version counts whenever it is learned.

Why it works: each version has a limit of its own; which one is wanted is the newest of all, in whatever order they came.

--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -156,7 +156,8 @@
  * @param text Configuration as the operator wrote it. @param source Sender, for the log. */
 auto accept_configuration(core& self, std::string_view text, std::string_view source) -> void;
 
-/*! @brief Adds a weights target if it names a newer version, or merges another report of the write of a known one.
+/*! @brief Adds a weights target, or merges another report of the write of a known one. A version that is learned after
+ * a newer one counts as well: its limit ends earlier.
  * @param source Sender, for the log. */
 auto accept_weights_target(core& self, fleet::weights_target target, std::string_view source) -> void;
 
--- a/src/node/targets.cpp
+++ b/src/node/targets.cpp
@@ -66,9 +66,6 @@
         internal::retime(self, *known, source, [&] { fleet::merge_report(*known, target); });
         return;
     }
-    if (target.m_version <= wanted_version(self, target.m_model)) {
-        return;
-    }
     internal::log_target(self, "weights.named", target, source);
     target.m_learned_at = steady_now();
     self.m_weights_targets.push_back(std::move(target));
@@ -141,9 +138,9 @@
         sender != self.m_members.end() && is_independent(self, sender->second.m_member.m_region, now);
     for (const auto& each : state.weights()) {
         const std::chrono::milliseconds age{each.age_ms()};
-        if (!sent.m_is_exact && each.version() <= wanted_version(self, each.model())) {
-            auto* const known = internal::find_target(self, each.model(), each.version());
-            if (known != nullptr && requested_at && each.exact()) {
+        auto* const known = internal::find_target(self, each.model(), each.version());
+        if (!sent.m_is_exact && known != nullptr) {
+            if (requested_at && each.exact()) {
                 internal::retime(self, *known, source, [&] {
                     fleet::merge_delayed_report(*known, sent.m_earliest - age, now - age, is_independent_sender);
                 });
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -53,6 +53,17 @@
     CHECK(min_allowed_version(self, "other", now + hour, duration::zero()) == 0U);
 }
 
+TEST_CASE("a version that is learned after a newer one keeps its own, earlier limit") {
+    core self{make_settings("gateway"), true};
+    const auto now = steady_now();
+    const auto limit = duration{std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms}};
+    accept_weights_target(self, make_target(3U, now), "store");
+    accept_weights_target(self, make_target(2U, now - limit / 2), "peer");
+    CHECK(wanted_version(self, "m") == 3U);
+    CHECK(min_allowed_version(self, "m", now + limit / 2, duration::zero()) == 2U);
+    CHECK(min_allowed_version(self, "m", now + limit, duration::zero()) == 3U);
+}
+
 TEST_CASE("the older version may be used for longer while no runner holds the newer one") {
     core self{make_settings("gateway"), true};
     const auto limit = duration{std::chrono::milliseconds{self.m_settings.m_bounds.m_version_ms}};
