--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -77,6 +77,8 @@
     std::vector<routing::part_id> m_parts{};
     /*! @brief Suspect parts for which this request is the trial; empty if it is none. */
     std::vector<routing::part_id> m_trial_parts{};
+    /*! @brief Whether a backend server has begun the answer, which shows that the request ends none. */
+    bool m_has_begun{false};
 
     /*! @brief Ids of the backend servers tried so far, in order. */
     std::vector<std::string> m_tried_servers{};
--- a/src/gateway/parts.cpp
+++ b/src/gateway/parts.cpp
@@ -166,7 +166,7 @@
 }
 
 auto admit_parts(daemon& self, const std::shared_ptr<exchange>& item) -> bool {
-    if (item->m_parts.empty() || !item->m_trial_parts.empty()) {
+    if (item->m_parts.empty() || item->m_has_begun || !item->m_trial_parts.empty()) {
         return true;
     }
     auto admission = routing::admit(self.m_parts, item->m_parts, steady_now());
@@ -237,6 +237,7 @@
     if (had_begun || current.m_deliveries < begun_deliveries || item.m_parts.empty()) {
         return;
     }
+    item.m_has_begun = true;
     const auto was_trial = !std::exchange(item.m_trial_parts, {}).empty();
     const auto cleared = internal::clear_parts(self, item.m_parts, item.m_attempt_id);
     if (cleared.empty() && !was_trial) {
