--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -140,6 +140,19 @@
     send(self, from, reply);
 }
 
+auto on_state(core& self, const std::string_view from, wire::fleet::State& state) -> void {
+    const auto request = self.m_state_pull_times.find(state.answers());
+    if (request != self.m_state_pull_times.end()) {
+        accept_state(self, state, from, request->second);
+        return;
+    }
+    if (state.answers() != 0U) {
+        // The ages of an answer to a forgotten request, or to that of a former process, are of an unknown time.
+        state.clear_weights();
+    }
+    accept_state(self, state, from);
+}
+
 } // namespace
 
 } // namespace internal
@@ -391,27 +404,6 @@
     }
 }
 
-namespace internal {
-
-namespace {
-
-auto on_state(core& self, const std::string_view from, wire::fleet::State& state) -> void {
-    const auto request = self.m_state_pull_times.find(state.answers());
-    if (request != self.m_state_pull_times.end()) {
-        accept_state(self, state, from, request->second);
-        return;
-    }
-    if (state.answers() != 0U) {
-        // The ages of an answer to a forgotten request, or to that of a former process, are of an unknown time.
-        state.clear_weights();
-    }
-    accept_state(self, state, from);
-}
-
-} // namespace
-
-} // namespace internal
-
 auto on_message(core& self, const std::string_view from, const std::string_view bytes) -> void {
     wire::fleet::Frame frame{};
     const auto parsed = frame.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
