Repeat socket calls that a signal interrupts

Callers lost all requests in progress: a daemon that got SIGTERM or SIGHUP while it sent to or read from its peers could end at once with status 2, so that a planned stop under load cut off what had just been accepted. Seen as process.leaving: status 2, and none of 12 requests whole.

Cause: a call on a ZeroMQ socket that finds a signal pending returns EINTR, also with the flag that it must not wait. cppzmq turns it into an exception. Receiving, and reading the state of the socket, caught none, so it reached main, which answers an exception with status 2. Sending caught it after the first of the two parts of a message had been taken, so the next message would have been joined to it.

Change: each call is repeated while it is interrupted; ZeroMQ checks for signals before a call has had an effect, so repeating is safe. The process test prints what a daemon wrote when it does not end with status 0.

--- a/src/net/bus_core.cpp
+++ b/src/net/bus_core.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cerrno>
 
 #include <boost/asio/post.hpp>
 
@@ -31,6 +32,19 @@
     return "tcp://" + to_string(where);
 }
 
+/*! @brief Runs an operation on a socket again for as long as a signal interrupts it before it has had an effect. */
+auto uninterrupted(const auto& operation) {
+    for (;;) {
+        try {
+            return operation();
+        } catch (const zmq::error_t& error) {
+            if (error.num() != EINTR) {
+                throw;
+            }
+        }
+    }
+}
+
 } // namespace
 
 watched_socket::watched_socket(zmq::context_t& context, asio::io_context& executor)
@@ -84,8 +98,8 @@
 
 auto bus_core::listen(const endpoint& where) -> code {
     try {
-        m_listener.m_socket.bind(to_address(where));
-        const auto bound = m_listener.m_socket.get(zmq::sockopt::last_endpoint);
+        uninterrupted([&] { m_listener.m_socket.bind(to_address(where)); });
+        const auto bound = uninterrupted([&] { return m_listener.m_socket.get(zmq::sockopt::last_endpoint); });
         m_port = static_cast<std::uint16_t>(std::stoul(bound.substr(bound.rfind(':') + 1U)));
     } catch (const zmq::error_t&) {
         return code::connection_failed;
@@ -104,7 +118,7 @@
         disconnect(std::string{same->first});
     }
     try {
-        m_connector.m_socket.connect(address);
+        uninterrupted([&] { m_connector.m_socket.connect(address); });
         m_peers.emplace(name, peer{address, {}, steady_now() + hold_time});
         drain_later();
     } catch (const zmq::error_t&) {
@@ -120,7 +134,7 @@
     const auto address = std::move(known->second.m_address);
     m_peers.erase(known);
     try {
-        m_connector.m_socket.disconnect(address);
+        uninterrupted([&] { m_connector.m_socket.disconnect(address); });
         drain_later();
     } catch (const zmq::error_t&) {
         return;
@@ -160,11 +174,13 @@
 auto bus_core::send_on(zmq::socket_t& socket, const std::string_view name, const std::string_view bytes) -> code {
     constexpr auto first = zmq::send_flags::dontwait | zmq::send_flags::sndmore;
     try {
-        if (!socket.send(zmq::const_buffer{name.data(), name.size()}, first)) {
+        if (!uninterrupted([&] { return socket.send(zmq::const_buffer{name.data(), name.size()}, first); })) {
             drain_if_ready(socket);
             return code::send_queue_full;
         }
-        const auto last = socket.send(zmq::const_buffer{bytes.data(), bytes.size()}, zmq::send_flags::dontwait);
+        const auto last = uninterrupted([&] {
+            return socket.send(zmq::const_buffer{bytes.data(), bytes.size()}, zmq::send_flags::dontwait);
+        });
         ensure(last.has_value(), "a message whose first frame was taken is taken whole");
     } catch (const zmq::error_t&) {
         drain_if_ready(socket);
@@ -176,7 +192,7 @@
 }
 
 auto bus_core::drain_if_ready(zmq::socket_t& socket) -> void {
-    if ((socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0) {
+    if ((uninterrupted([&] { return socket.get(zmq::sockopt::events); }) & ZMQ_POLLIN) != 0) {
         drain_later();
     }
 }
@@ -260,12 +276,15 @@
 }
 
 auto bus_core::receive(zmq::socket_t& socket) -> bool {
-    if (!socket.recv(m_sender, zmq::recv_flags::dontwait)) {
+    const auto receive_part = [&socket](zmq::message_t& part) {
+        return uninterrupted([&] { return socket.recv(part, zmq::recv_flags::dontwait); });
+    };
+    if (!receive_part(m_sender)) {
         return false;
     }
     auto frames = 0;
     auto more = m_sender.more();
-    while (more && socket.recv(m_bytes, zmq::recv_flags::dontwait)) {
+    while (more && receive_part(m_bytes)) {
         more = m_bytes.more();
         ++frames;
     }
--- a/test/net/bus.cpp
+++ b/test/net/bus.cpp
@@ -1,4 +1,11 @@
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <thread>
+
 #include <doctest/doctest.h>
+#include <pthread.h>
 
 #include <rhubarbwharf/net/bus.hpp>
 
@@ -19,6 +26,32 @@
     }
 };
 
+/*! @brief Sends a signal to the thread that creates it, over and over, until it is destroyed. */
+class signal_storm {
+public:
+    explicit signal_storm(const int signal)
+        : m_thread{[this, signal, target = pthread_self()] {
+              while (!m_stopped) {
+                  pthread_kill(target, signal);
+                  std::this_thread::sleep_for(std::chrono::microseconds{5});
+              }
+          }} {}
+
+    ~signal_storm() {
+        m_stopped = true;
+        m_thread.join();
+    }
+
+    signal_storm(const signal_storm&) = delete;
+    signal_storm(signal_storm&&) = delete;
+    auto operator=(const signal_storm&) -> signal_storm& = delete;
+    auto operator=(signal_storm&&) -> signal_storm& = delete;
+
+private:
+    std::atomic<bool> m_stopped{};
+    std::thread m_thread;
+};
+
 } // namespace
 
 TEST_CASE("messages go over the own connection and back over it, in order") {
@@ -162,3 +195,36 @@
     }));
     CHECK(at_second.m_messages[1U].second == "later");
 }
+
+TEST_CASE("signals that arrive during calls neither end the process nor lose or split a message") {
+    loop owner{};
+    auto reloads = 0;
+    owner.on_reload_signal([&reloads] { ++reloads; });
+    received at_first{};
+    received at_second{};
+    bus_limits limits{};
+    limits.m_queue_messages = 100'000;
+    bus first{owner, "first", limits, at_first.handler()};
+    bus second{owner, "second", limits, at_second.handler()};
+    REQUIRE(second.listen(local(0U)) == code::ok);
+    first.connect("second", local(second.port()));
+    REQUIRE(first.send("second", "hello") == code::ok);
+    REQUIRE(run_until(owner, [&] { return at_second.m_messages.size() == 1U; }));
+    constexpr auto rounds = 200U;
+    constexpr auto messages_per_round = 50U;
+    {
+        const signal_storm storm{SIGHUP};
+        for (auto round = 1U; round <= rounds; ++round) {
+            for (auto index = 0U; index < messages_per_round; ++index) {
+                REQUIRE(first.send("second", "there") == code::ok);
+                REQUIRE(second.send("first", "back") == code::ok);
+            }
+            const auto expected = round * messages_per_round;
+            REQUIRE(run_until(owner, [&] {
+                return at_second.m_messages.size() == expected + 1U && at_first.m_messages.size() == expected;
+            }));
+        }
+    }
+    CHECK(reloads > 0);
+    CHECK(std::ranges::all_of(at_first.m_messages, [](const auto& each) { return each.second == "back"; }));
+}
--- a/test/process/leaving.cpp
+++ b/test/process/leaving.cpp
@@ -49,7 +49,7 @@
         const auto before = request_count_at(*cluster, leaving);
         CHECK(load.wait_for_requests(24));
         CHECK(request_count_at(*cluster, leaving) == before);
-        CHECK(leaving.m_daemon->wait() == 0);
+        CHECK_MESSAGE(leaving.m_daemon->wait() == 0, leaving.m_daemon->output());
         check_all_complete(load.stop());
     }
 
@@ -80,7 +80,7 @@
             CHECK_MESSAGE(check_completion(result, "long " + std::to_string(index), 150).m_complete,
                           result.m_response.m_body);
         }
-        CHECK(cluster->entries()[1].m_daemon->wait() == 0);
+        CHECK_MESSAGE(cluster->entries()[1].m_daemon->wait() == 0, cluster->entries()[1].m_daemon->output());
     }
 }
 
