Keep heartbeats and load reports in their region

Change (docs/design/large-fleets.md): the first four live gateways of a region by name represent it. They exchange heartbeats with those of the other regions, with the demand of each data centre, and tell their own region whom they have heard. Loaders report to their region; its first representative sends their loads to the others each 600 ms. A region of up to four gateways consists of representatives only, and up to 16 gateways loaders report to all, so small fleets work as before. Quotas are worked out from the demand of data centres. One representative of all reads a piece of weights from the origin, as only these are known to all. A gateway that does not represent its region asks another region itself to confirm the time of a version. Connections to other regions are opened when first used. Digests of the servers are computed when the table changes, not for each heartbeat. Loaders that have fallen silent leave the digest of loaders, which differed for good between gateways that had started at different times.

Tests: test/fleet/region.cpp drives the free functions as a fleet of five regions: one view after all representatives of one or of all regions have ended, after a long cut in which both sides changed, after the loss of a region; frames between regions do not grow with them. test/fleet/relay.cpp: one reader of the origin with such views.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -46,8 +46,13 @@
     double m_other_requests{};
     /*! @brief Requests of other gateways that were waiting according to the last report. */
     double m_other_waiting_requests{};
-    /*! @brief When the last report was received; the epoch if none was. */
+    /*! @brief Running and waiting requests of the last report. */
+    unsigned m_reported_running{};
+    unsigned m_reported_waiting{};
+    /*! @brief When the last report was made, as far as is known; the epoch if none was received. */
     time_point m_last_reported{};
+    /*! @brief When its loader last reported to this gateway itself; the epoch if it never did. */
+    time_point m_last_heard{};
     /*! @brief When it last refused a request for lack of capacity. */
     time_point m_last_refused{};
     /*! @brief `m_other_requests` before a refusal raised it. */
--- a/include/rhubarbwharf/dispatch/quota.hpp
+++ b/include/rhubarbwharf/dispatch/quota.hpp
@@ -7,12 +7,15 @@
 
 namespace rhubarbwharf::dispatch {
 
-/*! @brief Inputs of the quota computation for a gateway. */
+/*! @brief Inputs of the quota computation for a gateway, or for several of one data centre together. */
 struct quota_gateway {
+    /*! @brief Name; empty for several together. */
     std::string_view m_name{};
     std::string_view m_data_centre{};
     /*! @brief Requests per second that it receives. */
     double m_demand_per_s{};
+    /*! @brief Gateways that this row stands for. */
+    double m_gateways{1.0};
 };
 
 /*! @brief Inputs of the quota computation for a backend server. */
@@ -35,7 +38,7 @@
  * requests immediately, so it can refill its quota without waiting for a report.
  *
  * @param self Name of the gateway whose quotas are computed.
- * @param gateways All gateways that take traffic, including `self`.
+ * @param gateways All gateways that take traffic; `self` in a row of its own, others may share one.
  * @param servers Backend servers of one service.
  * @return The quota at each backend server, in the order of `servers`: whole numbers whose sum over all gateways is
  * about the number of slots; all 0 if `self` is not among the gateways.
--- a/include/rhubarbwharf/fleet/member.hpp
+++ b/include/rhubarbwharf/fleet/member.hpp
@@ -35,8 +35,10 @@
     member m_member{};
     /*! @brief Whether the platform's store currently lists it. */
     bool m_listed{false};
-    /*! @brief When a message from it was last received. */
+    /*! @brief When a message from it was last received, by this process or by a peer that said so. */
     time_point m_last_received{};
+    /*! @brief When this process itself last received a heartbeat from it; gateways only. */
+    time_point m_last_heard{};
     bool m_ready{true};
     bool m_leaving{false};
     /*! @brief Whether it last reported that the platform's store answers it. */
@@ -80,7 +82,10 @@
  */
 [[nodiscard]] auto is_watcher(const member_table& table, const member& self, time_point now) -> bool;
 
-/*! @brief Evicts members that are not listed and whose retention has passed. @return Names of the evicted members. */
-auto evict_expired_members(member_table& table, time_point now) -> std::vector<std::string>;
+/*! @brief Evicts members whose retention has passed: those that are not listed, and loaders of the own region, which
+ * report all the time while they live. @param own_region Region of the own process. @return Names of the evicted
+ * members. */
+auto evict_expired_members(member_table& table, std::string_view own_region, time_point now)
+    -> std::vector<std::string>;
 
 } // namespace rhubarbwharf::fleet
--- a/include/rhubarbwharf/fleet/relay.hpp
+++ b/include/rhubarbwharf/fleet/relay.hpp
@@ -43,8 +43,8 @@
 
 /**
  * @brief Finds the gateway from which a gateway downloads a part. Each region has one gateway that downloads the part
- * from outside the region, and one of these reads it from the origin, so that every byte leaves the origin once and
- * enters each region once.
+ * from outside the region, and one representative of all regions reads it from the origin, so that every byte leaves
+ * the origin once and enters each region once. Only representatives are known to all regions alike.
  * @param table The members, including the gateway.
  * @param self The gateway that needs the part.
  * @return The upstream gateway, owned by `table`; null for the origin.
--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -110,6 +110,8 @@
     store_version m_version{};
     /*! @brief Version of the newest complete listing: an unknown entry that is not newer no longer exists. */
     store_version m_listing_version{};
+    /*! @brief Counts the changes of `m_rows`, so that what is derived from them can be kept until the next one. */
+    std::uint64_t m_changes{};
 };
 
 /*! @brief Merges an entry, if it is newer than what is known. @return Whether the table changed. */
--- a/src/dispatch/quota.cpp
+++ b/src/dispatch/quota.cpp
@@ -37,7 +37,7 @@
 }
 
 [[nodiscard]] auto effective_demand(const quota_gateway& row) noexcept -> double {
-    return std::max(min_demand_per_s, row.m_demand_per_s);
+    return std::max(min_demand_per_s * row.m_gateways, row.m_demand_per_s);
 }
 
 } // namespace
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -69,10 +69,12 @@
     return static_cast<std::size_t>(std::ranges::count_if(table, comes_first)) < watchers_per_region;
 }
 
-auto evict_expired_members(member_table& table, const time_point now) -> std::vector<std::string> {
+auto evict_expired_members(member_table& table, const std::string_view own_region, const time_point now)
+    -> std::vector<std::string> {
     std::vector<std::string> evicted{};
     for (const auto& [name, row] : table) {
-        if (!row.m_listed && now - row.m_last_received > member_retention) {
+        const auto is_local_loader = !row.m_member.is_gateway() && row.m_member.m_region == own_region;
+        if ((!row.m_listed || is_local_loader) && now - row.m_last_received > member_retention) {
             evicted.push_back(name);
         }
     }
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -1,28 +1,57 @@
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <vector>
+
+#include <rhubarbwharf/fleet/region.hpp>
 #include <rhubarbwharf/fleet/relay.hpp>
 
 namespace rhubarbwharf::fleet {
 
 namespace {
 
-/*! @brief Finds the first relaying gateway in rendezvous order of a part; an empty region stands for all regions.
- * @return The gateway, owned by `table`; null if none relays. */
-[[nodiscard]] auto first_in_rendezvous_order(const member_table& table, const std::string_view region,
-                                             const weights_part& part, const time_point now) -> const member* {
+/*! @brief Finds the first one of some gateways in rendezvous order of a part.
+ * @return The gateway; null if there is none. */
+[[nodiscard]] auto first_in_rendezvous_order(const std::vector<const member*>& gateways, const weights_part& part)
+    -> const member* {
     const member* best{};
     std::uint64_t max_weight{};
-    for (const auto& [name, row] : table) {
-        if (!can_relay(row, now) || (!region.empty() && row.m_member.m_region != region)) {
-            continue;
-        }
-        const auto value = rendezvous_weight(name, part.m_version, part.m_index);
+    for (const auto* const each : gateways) {
+        const auto value = rendezvous_weight(each->m_instance, part.m_version, part.m_index);
         if (best == nullptr || value > max_weight) {
-            best = &row.m_member;
+            best = each;
             max_weight = value;
         }
     }
     return best;
 }
 
+[[nodiscard]] auto relays_of_region(const member_table& table, const std::string_view region, const time_point now)
+    -> std::vector<const member*> {
+    std::vector<const member*> out{};
+    for (const auto& [name, row] : table) {
+        if (can_relay(row, now) && row.m_member.m_region == region) {
+            out.push_back(&row.m_member);
+        }
+    }
+    return out;
+}
+
+/*! @brief Lists the representatives of all regions that relay: the gateways that every region knows. */
+[[nodiscard]] auto relays_of_all_regions(const member_table& table, const time_point now)
+    -> std::vector<const member*> {
+    std::set<std::string_view> regions{};
+    for (const auto& [name, row] : table) {
+        regions.insert(row.m_member.m_region);
+    }
+    std::vector<const member*> out{};
+    for (const auto region : regions) {
+        std::ranges::copy_if(representatives(table, region, now), std::back_inserter(out),
+                             [](const auto* each) { return each->m_bulk_address.m_port != 0U; });
+    }
+    return out;
+}
+
 } // namespace
 
 auto transfer_target(const std::string_view kind, const std::string_view model, const std::uint64_t version)
@@ -52,15 +81,15 @@
 
 auto find_upstream(const member_table& table, const member& self, const weights_part& part, const time_point now)
     -> const member* {
-    const auto is_none_or_self = [&self](const member* const found) {
-        return found == nullptr || found->m_instance == self.m_instance;
+    const auto* const global = first_in_rendezvous_order(relays_of_all_regions(table, now), part);
+    const auto is_self = [&self](const member* const found) {
+        return found->m_instance == self.m_instance;
     };
-    const auto* const regional = first_in_rendezvous_order(table, self.m_region, part, now);
-    if (!is_none_or_self(regional)) {
-        return regional;
+    if (global != nullptr && global->m_region == self.m_region) {
+        return is_self(global) ? nullptr : global;
     }
-    const auto* const global = first_in_rendezvous_order(table, {}, part, now);
-    return is_none_or_self(global) ? nullptr : global;
+    const auto* const regional = first_in_rendezvous_order(relays_of_region(table, self.m_region, now), part);
+    return regional == nullptr || is_self(regional) ? global : regional;
 }
 
 } // namespace rhubarbwharf::fleet
--- a/src/fleet/server.cpp
+++ b/src/fleet/server.cpp
@@ -25,6 +25,7 @@
         return false;
     }
     table.m_version = std::max(table.m_version, row.m_store_version);
+    ++table.m_changes;
     table.m_rows.insert_or_assign(row.m_id, std::move(row));
     return true;
 }
@@ -41,6 +42,7 @@
     if (found == table.m_rows.end() || found->second.m_store_version > version) {
         return false;
     }
+    ++table.m_changes;
     table.m_rows.erase(found);
     return true;
 }
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -281,6 +281,10 @@
 /*! @brief Recalculates this gateway's quota at each backend server from gateways, backend servers and demand. */
 auto assign_quotas(daemon& self) -> void;
 
+/*! @brief Sends the loads of the region's backend servers to the other regions, if this gateway is the first
+ * representative of its region and the fleet is so large that loaders report to their own region only. */
+auto send_region_loads(daemon& self) -> void;
+
 /*! @brief Handles a frame that only gateways process.
  * @param peer Name of the sender. */
 auto on_frame(daemon& self, std::string_view peer, const wire::fleet::Frame& frame) -> void;
--- a/src/gateway/parts.cpp
+++ b/src/gateway/parts.cpp
@@ -297,6 +297,7 @@
     if (peer.empty()) {
         node::send_to_gateways(self.m_core, frame);
     } else {
+        node::connect_to_gateway(self.m_core, peer);
         node::send(self.m_core, peer, frame);
     }
 }
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -19,6 +19,9 @@
 constexpr duration grace_period_margin = std::chrono::milliseconds{600};
 /*! @brief Time between the decision to stop and the end of the event loop, in which pending output is sent. */
 constexpr duration flush_delay = std::chrono::milliseconds{150};
+/*! @brief Heartbeats for each exchange of loads between regions: a load is less than half as old as a stale one when it
+ * arrives. */
+constexpr std::uint64_t heartbeats_per_load_exchange = 2U;
 /*! @brief Time after the start during which a gateway that knows no backend server is not ready. */
 constexpr duration ready_timeout = std::chrono::seconds{3};
 
@@ -130,6 +133,9 @@
         node::update_store_watch(self.m_core);
         assign_quotas(self);
     }
+    if (self.m_core.m_pulses_sent % heartbeats_per_load_exchange == 0U) {
+        send_region_loads(self);
+    }
 }
 
 auto on_stop_signal(daemon& self, const int count) -> void {
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -248,7 +248,14 @@
     }
     self.m_last_reported = now;
     self.m_last_reported_load = std::move(text);
-    node::send_to_gateways(self.m_core, frame);
+    // In a large fleet the gateways of the region tell the other regions. Without one that lives, they hear it
+    // directly.
+    const auto is_small = fleet::count_gateways(self.m_core.m_members) <= fleet::max_directly_reported_gateways;
+    if (!is_small && node::has_live_regional_gateway(self.m_core, now)) {
+        node::send_to_region(self.m_core, frame);
+    } else {
+        node::send_to_gateways(self.m_core, frame);
+    }
 }
 
 auto refresh_models(daemon& self) -> void {
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -276,7 +276,12 @@
     if (self.m_bus.listen(self.m_self.m_bus_address) != code::ok) {
         return false;
     }
-    self.m_members[self.m_self.m_instance] = {self.m_self, true, steady_now(), false, false, true, 0U, 0.0};
+    fleet::member_observation own{};
+    own.m_member = self.m_self;
+    own.m_listed = true;
+    own.m_last_received = steady_now();
+    own.m_ready = false;
+    self.m_members[self.m_self.m_instance] = std::move(own);
     self.m_store.set_era_handler(
         [&self](const std::uint64_t former, const std::uint64_t era) { on_store_era(self, former, era); });
     self.m_loop.after(internal::startup_hold_time, [&self] { apply_held_operator_items(self); });
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,7 @@
 #include <rhubarbwharf/config/node.hpp>
 #include <rhubarbwharf/fleet/configuration.hpp>
 #include <rhubarbwharf/fleet/member.hpp>
+#include <rhubarbwharf/fleet/region.hpp>
 #include <rhubarbwharf/fleet/server.hpp>
 #include <rhubarbwharf/fleet/stall.hpp>
 #include <rhubarbwharf/net/bus.hpp>
@@ -57,6 +59,13 @@
     fleet::arrival_time m_written{};
 };
 
+/*! @brief Digests of the table of backend servers, computed when it has changed. */
+struct server_digests {
+    std::uint64_t m_changes{UINT64_MAX};
+    std::uint64_t m_versions{};
+    std::uint64_t m_revisions{};
+};
+
 /*! @brief State common to gateways and loaders; accessed only on the loop's thread. */
 struct core {
     core(const config::node_settings& settings, bool follows_servers);
@@ -81,6 +90,12 @@
     fleet::server_table m_servers{};
     fleet::leaving_table m_leaving_servers{};
     fleet::member_table m_members{};
+    /*! @brief Status of the other regions. */
+    fleet::region_table m_regions{};
+    /*! @brief Heartbeats sent. */
+    std::uint64_t m_pulses_sent{};
+    /*! @brief Digests of the backend servers, and the count of changes of their table at which they were computed. */
+    server_digests m_server_digests{};
     fleet::stall_record m_stalls{};
     /*! @brief Whether a seed has sent its full state since the start. */
     bool m_state_received{false};
@@ -192,14 +207,28 @@
 /*! @brief Sends a frame to a peer. Sets the protocol version and the incarnation of the frame. */
 auto send(core& self, std::string_view peer, wire::fleet::Frame& frame) -> void;
 
-/*! @brief Sends a frame to all other gateways. Sets the protocol version and the incarnation of the frame. */
+/*! @brief Connects to a gateway unless it is connected; no effect on a loader, which connects by itself. */
+auto connect_to_gateway(core& self, std::string_view name) -> void;
+
+/*! @brief Sends a frame to members by name; connects to gateways first. Sets the protocol version and the incarnation
+ * of the frame. */
+auto send_to(core& self, std::span<const std::string> peers, wire::fleet::Frame& frame) -> void;
+
+/*! @brief Sends a frame to all other gateways of all regions; for what is rare and must reach them at once. */
 auto send_to_gateways(core& self, wire::fleet::Frame& frame) -> void;
 
+/*! @brief Sends a frame to the other gateways of the own region. */
+auto send_to_region(core& self, wire::fleet::Frame& frame) -> void;
+
+/*! @brief Tells whether another gateway of the own region has been heard of lately. */
+[[nodiscard]] auto has_live_regional_gateway(const core& self, time_point now) -> bool;
+
 /*! @brief Handles a message from the bus. */
 auto on_message(core& self, std::string_view from, std::string_view bytes) -> void;
 
-/*! @brief Sends a digest of the own state to all gateways and to the loaders of the data centre, and removes expired
- * members. */
+/*! @brief Sends a digest of the own state to the gateways of the region and to the loaders of the data centre, and
+ * removes expired members. A representative of the region also sends it to those of the other regions, and tells its
+ * own region what it has heard of them. */
 auto send_pulse(core& self) -> void;
 
 /*! @brief Merges the state of a peer; newer versions replace older ones.
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -4,6 +4,7 @@
 #include <fleet.pb.h>
 #include <node/boot_clock.hpp>
 #include <node/core.hpp>
+#include <node/pulse.hpp>
 #include <node/targets.hpp>
 #include <node/wire.hpp>
 
@@ -11,14 +12,8 @@
 
 namespace internal {
 
-/*! @brief Requests for a state whose times are kept for their answers: those of a few seconds. */
-constexpr std::size_t max_remembered_pulls = 16U;
-/*! @brief Minimum time between two requests for a full state, so that one change is not requested from every peer. */
-constexpr duration min_pull_interval = std::chrono::milliseconds{250};
 /*! @brief Time after the start in which every gateway watches the store, as it may not know the other gateways yet. */
 constexpr duration startup_watch_time = std::chrono::milliseconds{1'500};
-/*! @brief Minimum time between two requests of a loader for a newer configuration. */
-constexpr duration min_loader_pull_interval = std::chrono::seconds{10};
 /*! @brief Requests to seeds, counted from the start, after which a process that knows the configuration stops. Until
  * then it still requests the state of a seed, which contains the times at which versions were named. */
 constexpr unsigned max_seed_requests = 4U;
@@ -30,110 +25,6 @@
 
 namespace {
 
-[[nodiscard]] auto weights_version_sum(const core& self) -> std::uint64_t {
-    std::uint64_t sum{};
-    for (const auto& each : self.m_weights_targets) {
-        sum += each.m_version;
-    }
-    return sum;
-}
-
-[[nodiscard]] auto configuration_version(const core& self) -> std::uint64_t {
-    return self.m_configuration ? self.m_configuration->m_version : 0U;
-}
-
-/*! @brief Returns a digest of the known loaders that does not depend on their order. */
-[[nodiscard]] auto loaders_digest(const core& self) -> std::uint64_t {
-    std::uint64_t out{};
-    for (const auto& [name, row] : self.m_members) {
-        out += row.m_member.is_gateway() ? 0U : std::hash<std::string>{}(name) ^ row.m_member.m_incarnation;
-    }
-    return out;
-}
-
-/*! @brief Versions that a pulse states, and differences from the own state. */
-struct peer_status {
-    std::uint64_t m_configuration_version{};
-    std::uint64_t m_weights_version_sum{};
-    bool m_servers_differ{};
-    bool m_loaders_differ{};
-};
-
-[[nodiscard]] auto is_behind(const core& self, const peer_status& status, const time_point now) -> bool {
-    // Loaders fetch configurations at a low rate, as the parts that they use seldom change.
-    const auto is_throttled =
-        self.m_configuration && !self.m_follows_servers && now - self.m_last_full_pull < min_loader_pull_interval;
-    const auto newer = status.m_configuration_version > configuration_version(self) && !is_throttled;
-    return newer || status.m_weights_version_sum > weights_version_sum(self) || status.m_servers_differ ||
-           status.m_loaders_differ;
-}
-
-/*! @brief Checks whether a gateway of the own region has reported the same differing set of backend servers twice in
- * a row. */
-[[nodiscard]] auto servers_differ(core& self, fleet::member_observation& row, const wire::fleet::Pulse& message)
-    -> bool {
-    const auto states_era = message.store_era() != 0U;
-    if (!states_era && self.m_store.era() != 0U) {
-        return false;
-    }
-    const auto fingerprint = states_era ? message.server_versions() : message.servers();
-    const auto own = states_era ? fleet::fingerprint(self.m_servers) : fleet::fingerprint_of_revisions(self.m_servers);
-    const auto is_stable = row.m_servers_fingerprint == fingerprint;
-    row.m_servers_fingerprint = fingerprint;
-    const auto is_local = row.m_member.m_region == self.m_self.m_region;
-    return self.m_follows_servers && is_local && is_stable && fingerprint != own;
-}
-
-auto add_leaving_servers(const core& self, wire::fleet::Pulse& out) -> void {
-    for (const auto& [id, server] : self.m_leaving_servers) {
-        const auto row = self.m_servers.m_rows.find(id);
-        if (row != self.m_servers.m_rows.end() && row->second.m_started_ms == server.m_started_ms) {
-            auto* const added = out.add_leaving_servers();
-            added->set_id(id);
-            added->set_started(server.m_started_ms);
-            added->set_address(net::to_string(server.m_address));
-        }
-    }
-}
-
-auto on_pulse(core& self, const std::string_view from, const wire::fleet::Pulse& message) -> void {
-    update_member(self, from_wire(message.self()), false);
-    const auto now = steady_now();
-    auto& row = self.m_members[std::string{from}];
-    row.m_last_received = now;
-    row.m_ready = message.ready();
-    row.m_leaving = message.leaving();
-    row.m_reaches_store = message.reaches_store();
-    row.m_demand_per_s = message.demand();
-    row.m_store_era = message.store_era();
-    self.m_store.note_era(message.store_era());
-    for (const auto& each : message.leaving_servers()) {
-        mark_server_leaving(self, each.id(), from_wire(each), from);
-    }
-    const auto loaders_differ = !self.m_follows_servers && message.loaders() != loaders_digest(self);
-    const peer_status status{message.configuration(), message.weights(), servers_differ(self, row, message),
-                             loaders_differ};
-    if (now - self.m_last_state_pull < min_pull_interval) {
-        return;
-    }
-    const auto behind = is_behind(self, status, now);
-    if (!behind && !request_confirmation(self, row.m_member.m_region, now)) {
-        return;
-    }
-    self.m_last_state_pull = now;
-    self.m_last_full_pull = behind ? now : self.m_last_full_pull;
-    self.m_state_pull_times.emplace(++self.m_state_pulls, boot_now());
-    if (self.m_state_pull_times.size() > max_remembered_pulls) {
-        self.m_state_pull_times.erase(self.m_state_pull_times.begin());
-    }
-    wire::fleet::Frame request{};
-    request.mutable_pull()->set_configuration(configuration_version(self));
-    request.mutable_pull()->set_servers(behind && self.m_follows_servers);
-    request.mutable_pull()->set_number(self.m_state_pulls);
-    request.mutable_pull()->set_weights_only(!behind);
-    send(self, from, request);
-}
-
 auto on_pull(core& self, const std::string_view from, const wire::fleet::Pull& request) -> void {
     wire::fleet::Frame reply{};
     *reply.mutable_state() = answer_to(self, request);
@@ -153,6 +44,17 @@
     accept_state(self, state, from);
 }
 
+/*! @brief Lists the names of the other members that meet a condition. */
+[[nodiscard]] auto list_names(const core& self, const auto& condition) -> std::vector<std::string> {
+    std::vector<std::string> out{};
+    for (const auto& [name, row] : self.m_members) {
+        if (name != self.m_self.m_instance && condition(row)) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 } // namespace internal
@@ -165,51 +67,42 @@
     }
 }
 
-auto send_to_gateways(core& self, wire::fleet::Frame& frame) -> void {
+auto connect_to_gateway(core& self, const std::string_view name) -> void {
+    const auto row = self.m_members.find(name);
+    if (row != self.m_members.end() && row->second.m_member.is_gateway()) {
+        self.m_bus.connect(name, row->second.m_member.m_bus_address);
+    }
+}
+
+auto send_to(core& self, const std::span<const std::string> peers, wire::fleet::Frame& frame) -> void {
     frame.set_protocol(frame_protocol_version);
     frame.set_incarnation(self.m_incarnation);
     const auto bytes = frame.SerializeAsString();
-    for (const auto& [name, row] : self.m_members) {
-        const auto wanted = row.m_member.is_gateway() && name != self.m_self.m_instance;
-        if (wanted && self.m_bus.send(name, bytes) != code::ok) {
+    for (const auto& name : peers) {
+        connect_to_gateway(self, name);
+        if (self.m_bus.send(name, bytes) != code::ok) {
             self.m_counters.add("peer_messages_unsent_total");
         }
     }
 }
 
-auto send_pulse(core& self) -> void {
-    auto& own = self.m_members[self.m_self.m_instance];
-    own.m_last_received = steady_now();
-    own.m_ready = self.m_ready;
-    own.m_leaving = self.m_leaving;
-    own.m_reaches_store = self.m_store_reachable;
-    own.m_demand_per_s = self.m_demand;
-    own.m_store_era = self.m_store.era();
-    wire::fleet::Frame frame{};
-    auto& message = *frame.mutable_pulse();
-    to_wire(self.m_self, *message.mutable_self());
-    message.set_ready(self.m_ready);
-    message.set_leaving(self.m_leaving);
-    message.set_demand(self.m_demand);
-    message.set_configuration(internal::configuration_version(self));
-    message.set_weights(internal::weights_version_sum(self));
-    message.set_servers(fleet::fingerprint_of_revisions(self.m_servers));
-    message.set_server_versions(fleet::fingerprint(self.m_servers));
-    message.set_store_era(self.m_store.era());
-    message.set_reaches_store(self.m_store_reachable);
-    message.set_loaders(internal::loaders_digest(self));
-    internal::add_leaving_servers(self, message);
-    send_to_gateways(self, frame);
-    const auto bytes = frame.SerializeAsString();
-    for (const auto& [name, row] : self.m_members) {
-        const auto is_local = !row.m_member.is_gateway() && row.m_member.m_data_centre == self.m_self.m_data_centre;
-        if (is_local && self.m_bus.send(name, bytes) != code::ok) {
-            self.m_counters.add("peer_messages_unsent_total");
-        }
-    }
-    for (const auto& name : fleet::evict_expired_members(self.m_members, steady_now())) {
-        self.m_bus.disconnect(name);
-    }
+auto send_to_gateways(core& self, wire::fleet::Frame& frame) -> void {
+    send_to(self, internal::list_names(self, [](const auto& row) { return row.m_member.is_gateway(); }), frame);
+}
+
+auto send_to_region(core& self, wire::fleet::Frame& frame) -> void {
+    const auto is_local_gateway = [&self](const auto& row) {
+        return row.m_member.is_gateway() && row.m_member.m_region == self.m_self.m_region;
+    };
+    send_to(self, internal::list_names(self, is_local_gateway), frame);
+}
+
+auto has_live_regional_gateway(const core& self, const time_point now) -> bool {
+    return std::ranges::any_of(self.m_members, [&](const auto& each) {
+        const auto& row = each.second;
+        return row.m_member.is_gateway() && row.m_member.m_region == self.m_self.m_region &&
+               each.first != self.m_self.m_instance && now - row.m_last_received <= fleet::heartbeat_timeout;
+    });
 }
 
 auto update_member(core& self, const fleet::member& value, const bool is_listed) -> void {
@@ -226,9 +119,12 @@
         self.m_events.write("member.seen", {{"member", value.m_instance}, {"listed", is_listed}});
     }
     row.m_listed = row.m_listed || is_listed;
-    // Gateways connect to each other in both directions; loaders are reached over the connections that they open.
+    // Gateways of a region connect to each other in both directions, to those of other regions when they first send
+    // to them. Loaders are reached over the connections that they open.
     if (value.is_gateway()) {
-        self.m_bus.connect(value.m_instance, value.m_bus_address);
+        if (value.m_region == self.m_self.m_region) {
+            connect_to_gateway(self, value.m_instance);
+        }
         if (is_new) {
             self.m_handlers.m_on_gateway(value.m_instance);
         }
--- a/test/fleet/member.cpp
+++ b/test/fleet/member.cpp
@@ -80,7 +80,7 @@
     table.at("a").m_last_received = now - std::chrono::seconds{60};
     table.at("b").m_last_received = now - std::chrono::seconds{60};
     table.at("b").m_listed = false;
-    CHECK(evict_expired_members(table, now) == std::vector<std::string>{"b"});
+    CHECK(evict_expired_members(table, "ost", now) == std::vector<std::string>{"b"});
 }
 
 } // namespace rhubarbwharf::fleet
--- a/test/fleet/relay.cpp
+++ b/test/fleet/relay.cpp
@@ -59,6 +59,48 @@
     CHECK(readers.size() == region_count * gateways_per_region);
 }
 
+// Gateways of a large region know the representatives of the others only, and those of their own region.
+TEST_CASE("with a view of their region and of the representatives of others, gateways read each piece once") {
+    constexpr auto large_region = 20U;
+    member_table all{};
+    for (std::size_t region = 0U; region < 5U; ++region) {
+        for (auto index = 10U; index < 10U + large_region; ++index) {
+            auto row = make_gateways().begin()->second;
+            row.m_member.m_region = "region-" + std::to_string(region);
+            row.m_member.m_instance = row.m_member.m_region + "-" + std::to_string(index);
+            all[row.m_member.m_instance] = row;
+        }
+    }
+    const auto view_of = [&all](const std::string& region) {
+        auto view = all;
+        for (auto& [name, row] : view) {
+            const auto is_representative =
+                name.ends_with("-10") || name.ends_with("-11") || name.ends_with("-12") || name.ends_with("-13");
+            if (row.m_member.m_region != region && !is_representative) {
+                row.m_last_received = now - 2 * heartbeat_timeout;
+            }
+        }
+        return view;
+    };
+    for (std::size_t index = 0U; index < piece_count; ++index) {
+        std::size_t from_origin{};
+        std::size_t between_regions{};
+        for (const auto& [name, row] : all) {
+            const auto* current = &row.m_member;
+            const auto* upstream = find_upstream(view_of(current->m_region), *current, make_part(index), now);
+            from_origin += upstream == nullptr ? 1U : 0U;
+            between_regions += upstream != nullptr && upstream->m_region != current->m_region ? 1U : 0U;
+            for (auto hops = 0; upstream != nullptr; ++hops) {
+                REQUIRE(hops < 4);
+                current = &all.at(upstream->m_instance).m_member;
+                upstream = find_upstream(view_of(current->m_region), *current, make_part(index), now);
+            }
+        }
+        CHECK(from_origin == 1U);
+        CHECK(between_regions == 4U);
+    }
+}
+
 TEST_CASE("a gateway that is silent, is leaving or serves no pieces is not an upstream") {
     auto table = make_gateways();
     const auto self = table["gateway-0-0"].m_member;
