Place requests by the age of what is known of a runner

At eight slots the quota of a gateway is one slot at two fifths of its runners, and three slots of each were open to quotas only, so requests waited beside free slots.

Change: runners that report to the gateway itself and those that other regions tell of are sampled separately; an old load costs 0.25 ms for each ms of its age. What is open to quotas only is 3/16 of the slots, as it was at 16 slots.

Tests: test/dispatch/decisions.cpp, each with its load pattern.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -115,6 +115,13 @@
 /*! @brief Added to the predicted time of a backend server whose last report is stale, in ms. */
 inline constexpr double stale_report_penalty_ms = 400.0;
 
+/*! @brief Added to the predicted time of a runner whose load another region has told, for each ms of the report's age:
+ * requests of the gateways there that are not counted yet. Where all choose by such reports, they choose the same ones. */
+inline constexpr double relayed_report_penalty = 0.25;
+
+/*! @brief Part of a runner's slots that is filled by quota only, as reports lag: three of sixteen slots. */
+inline constexpr double quota_only_fraction = 3.0 / 16.0;
+
 /*! @brief Added to the predicted time of a runner where this gateway has used its quota, in ms. Quotas differ between
  * gateways, which keeps them from choosing the same runner by the same report. */
 inline constexpr double over_quota_penalty_ms = 30.0;
@@ -188,10 +195,14 @@
 /*! @brief Tells whether this gateway may send a backend server one more request. */
 [[nodiscard]] auto has_capacity(const server_load& row, const placement_options& options) noexcept -> bool;
 
+/*! @brief Tells whether the load of a backend server is known from its own loader. */
+[[nodiscard]] auto is_reported_directly(const server_load& row, time_point now) noexcept -> bool;
+
 /**
  * @brief Chooses the backend server with the lowest predicted time to the first byte, including penalties and jitter,
  * among the eligible ones that have capacity, and prefers sampled ones. Requests of this gateway count immediately, so
- * that a burst is spread out although reports lag.
+ * that a burst is spread out although reports lag. Servers that report to this gateway itself and those whose load
+ * other regions tell are sampled separately: a request leaves its region where that pays although their load is older.
  * @param rows Backend servers of one service.
  * @param engine Profile of the service's engine; null for a plain service.
  * @param random Random bits.
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -110,15 +110,53 @@
     return row.m_own_requests < row.m_quota + spare_share && requests < slots + options.m_max_excess_requests;
 }
 
+auto is_reported_directly(const server_load& row, const time_point now) noexcept -> bool {
+    return row.m_last_heard != time_point{} && now - row.m_last_heard <= stale_report_age;
+}
+
+namespace {
+
+/*! @brief Fraction of the servers of each kind that is sampled. */
+struct sampling {
+    double m_direct{1.0};
+    double m_relayed{1.0};
+};
+
+[[nodiscard]] auto sampling_of(const std::span<const server_load* const> rows, const placement_options& options,
+                               const time_point now) noexcept -> sampling {
+    if (options.m_prefers_idle) {
+        return {};
+    }
+    const auto direct = std::ranges::count_if(rows, [now](const auto* row) { return is_reported_directly(*row, now); });
+    const auto relayed = static_cast<std::ptrdiff_t>(rows.size()) - direct;
+    const auto fraction = [&options](const std::ptrdiff_t count) {
+        return options.m_sample_size / static_cast<double>(std::max<std::ptrdiff_t>(1, count));
+    };
+    return {fraction(direct), fraction(relayed)};
+}
+
+/*! @brief Returns what is added for the age of a runner's load, in ms. */
+[[nodiscard]] auto report_age_penalty_ms(const server_load& row, const bool is_direct, const time_point now) noexcept
+    -> double {
+    if (row.m_last_reported == time_point{}) {
+        return 0.0;
+    }
+    if (now - row.m_last_reported > stale_report_age) {
+        return stale_report_penalty_ms;
+    }
+    const auto age_ms = std::chrono::duration<double, std::milli>{now - row.m_last_reported}.count();
+    return is_direct ? 0.0 : age_ms * relayed_report_penalty;
+}
+
+} // namespace
+
 auto choose_server(const std::span<const server_load* const> rows, const fleet::engine_profile* const engine,
                    const request_requirements& required, const placement_options& options, std::uint64_t random,
                    const time_point now) -> std::optional<choice> {
     std::optional<choice> best{};
     double best_score{};
     auto best_sampled = false;
-    const auto sampled_fraction =
-        options.m_prefers_idle ? 1.0
-                               : options.m_sample_size / static_cast<double>(std::max<std::size_t>(1U, rows.size()));
+    const auto fractions = sampling_of(rows, options, now);
     for (std::size_t index = 0U; index < rows.size(); ++index) {
         const auto& row = *rows[index];
         // A linear congruential step derives different bits for each candidate from the one random number.
@@ -132,16 +170,14 @@
             random_steps * options.m_jitter_ms;
         const auto load_penalty_ms = engine == nullptr ? 0.0 : estimate_load(row) * engine->m_step_ms;
         const auto remote_penalty_ms = row.m_data_centre == options.m_data_centre ? 0.0 : options.m_remote_penalty_ms;
-        const auto stale_penalty_ms =
-            row.m_last_reported != time_point{} && now - row.m_last_reported > stale_report_age
-                ? stale_report_penalty_ms
-                : 0.0;
+        const auto is_direct = is_reported_directly(row, now);
         const auto quota_penalty_ms =
             row.m_own_requests < row.m_quota || engine == nullptr ? 0.0 : over_quota_penalty_ms;
         const auto busy_penalty_ms = options.m_prefers_idle ? estimate_load(row) * busy_penalty_ms_per_request : 0.0;
         const auto score = busy_penalty_ms + first_byte_ms + load_penalty_ms + remote_penalty_ms + jitter_ms +
-                           stale_penalty_ms + quota_penalty_ms;
-        const auto sampled = static_cast<double>(random >> (64U - random_step_bits)) / random_steps < sampled_fraction;
+                           report_age_penalty_ms(row, is_direct, now) + quota_penalty_ms;
+        const auto sampled = static_cast<double>(random >> (64U - random_step_bits)) / random_steps <
+                             (is_direct ? fractions.m_direct : fractions.m_relayed);
         if (!best || (sampled && !best_sampled) || (sampled == best_sampled && score < best_score)) {
             best_sampled = sampled;
             best = choice{index, first_byte_ms, estimate_load(row)};
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -56,6 +56,7 @@
         out.m_quota_only_slots = -plain_service_excess_requests;
     } else {
         out.m_gateway_count = self.m_gateway_count;
+        out.m_quota_only_slots = static_cast<double>(item.m_service->m_engine->m_slots) * dispatch::quota_only_fraction;
     }
     out.m_prefers_idle = !item.m_trial_parts.empty();
     return out;
--- a/test/dispatch/decisions.cpp
+++ b/test/dispatch/decisions.cpp
@@ -184,6 +184,20 @@
     CHECK(total("c") == doctest::Approx(32.0).epsilon(0.1));
 }
 
+TEST_CASE("a region whose gateways share one row gets the same quotas as one with a row each") {
+    std::vector<quota_server> rows{};
+    for (const auto* const name : {"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"}) {
+        rows.push_back({name, rows.size() < 4U ? "ost" : "west", 16.0});
+    }
+    const std::vector<quota_gateway> single{
+        {"a", "ost", 10.0}, {"b", "ost", 30.0}, {"c", "west", 40.0}, {"d", "west", 20.0}};
+    const std::vector<quota_gateway> shared{{{}, "west", 60.0, 2.0}, {{}, "ost", 30.0, 1.0}, {"a", "ost", 10.0}};
+    CHECK(compute_quotas("a", shared, rows) == compute_quotas("a", single, rows));
+    const std::vector<quota_gateway> idle{{{}, "west", 0.0, 9.0}, {"a", "ost", 0.0}};
+    const auto shares = compute_quotas("a", idle, rows);
+    CHECK(std::accumulate(shares.begin(), shares.end(), 0.0) == doctest::Approx(12.8).epsilon(0.3));
+}
+
 TEST_CASE("waiting requests are ordered by rank, then by whether they can be on time, then by age") {
     wait_queue queue{};
     push(queue, make_waiting(1U, 1U, -tenth_of_second));
@@ -306,4 +320,86 @@
     CHECK_FALSE(typical_ejected);
 }
 
+/*! @brief Runners of two regions: those of the own one report directly, the others by a region's report of an age. */
+struct two_regions {
+    std::vector<server_load> m_rows{};
+
+    two_regions(const double local_requests, const duration relayed_age) {
+        for (auto index = 0; index < 28; ++index) {
+            auto row = make_runner("local-" + std::to_string(index), 1U);
+            row.m_slots = 8U;
+            row.m_quota = 1.0;
+            row.m_other_requests = local_requests;
+            row.m_last_reported = now;
+            row.m_last_heard = now;
+            m_rows.push_back(row);
+        }
+        for (auto index = 0; index < 110; ++index) {
+            auto row = m_rows.front();
+            row.m_id = "remote-" + std::to_string(index);
+            row.m_data_centre = "there";
+            row.m_other_requests = 0.0;
+            row.m_last_reported = now - relayed_age;
+            row.m_last_heard = {};
+            m_rows.push_back(row);
+        }
+    }
+
+    /*! @brief Fraction of many requests that leave the region. */
+    [[nodiscard]] auto leaving_fraction() const -> double {
+        std::vector<const server_load*> pointers{};
+        for (const auto& each : m_rows) {
+            pointers.push_back(&each);
+        }
+        auto engine = make_engine();
+        engine.m_slots = 8U;
+        placement_options options{};
+        options.m_data_centre = "here";
+        options.m_gateway_count = 98.0;
+        options.m_quota_only_slots = 8.0 * quota_only_fraction;
+        constexpr auto requests = 500U;
+        auto leaving = 0U;
+        for (auto index = 0U; index < requests; ++index) {
+            const auto found = choose_server(pointers, &engine, {900.0, "m", 1U, 0U, 0U, {}}, options,
+                                             0x9e37'79b9'7f4a'7c15ULL * (index + 1U), now);
+            REQUIRE(found);
+            leaving += m_rows[found->m_index].m_data_centre == "there" ? 1U : 0U;
+        }
+        return static_cast<double>(leaving) / requests;
+    }
+};
+
+// Load pattern: 98 gateways in five regions at half load. Loads of other regions arrive 0.6 s late, in which a runner
+// gets as many requests as it has free slots; all gateways chose the same few that seemed idle, which then refused.
+TEST_CASE("requests stay in their region while it has free slots, though others seem idle by older reports") {
+    CHECK(two_regions{3.0, std::chrono::milliseconds{600}}.leaving_fraction() < 0.02);
+}
+
+TEST_CASE("requests leave a region whose runners are full") {
+    CHECK(two_regions{8.0, std::chrono::milliseconds{600}}.leaving_fraction() == doctest::Approx(1.0));
+}
+
+TEST_CASE("runners of other regions are chosen as before where they report directly") {
+    two_regions fleet{3.0, duration::zero()};
+    for (auto& row : fleet.m_rows) {
+        row.m_last_heard = now;
+    }
+    CHECK(fleet.leaving_fraction() > 0.5);
+}
+
+// Load pattern: 20 gateways before 28 runners of 8 slots, three quarters taken. A gateway's quota is one slot at two
+// fifths of the runners; the others had free slots that nobody used while requests waited.
+TEST_CASE("a free slot of a small runner is not left to the quotas of others") {
+    placement_options options{};
+    options.m_gateway_count = 98.0;
+    options.m_quota_only_slots = 8.0 * quota_only_fraction;
+    auto row = make_runner("a", 1U);
+    row.m_slots = 8U;
+    row.m_quota = 0.0;
+    row.m_other_requests = 6.0;
+    CHECK(has_capacity(row, options));
+    row.m_other_requests = 7.0;
+    CHECK_FALSE(has_capacity(row, options));
+}
+
 } // namespace rhubarbwharf::dispatch
