Send nothing to an incarnation whose machine reports a later one

Callers' requests were refused in vain after a power cut of all: the platform lists the incarnations that have ended until their entries lapse, seconds later. Each request was sent to two of them, got 421 twice and ended as 503 'misdirected' with a return time of 0.12 s, which used up the one retry that callers have.

Change: the loader of a machine knows its runner's incarnation. A report of another one at the same address takes the listed one out of the choice until a report of it comes, which withdraws the verdict: a late report, or a clock that was set back, excludes nothing for good. A refusal that follows failed attempts tells the caller to return after 0.12 s only if another server may run it now, else as other refusals do.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -35,6 +35,9 @@
     /*! @brief Whether it was removed from the server list; the row is kept until the requests of this gateway there
      * have ended. */
     bool m_removed{false};
+    /*! @brief Whether the loader at its address last reported another incarnation; the platform lists an ended one
+     * until its entry lapses. */
+    bool m_replaced{false};
     std::vector<fleet::held_model> m_models{};
     /*! @brief Requests that this gateway may have in progress there when slots are scarce. */
     double m_quota{};
@@ -116,7 +119,8 @@
 inline constexpr double stale_report_penalty_ms = 400.0;
 
 /*! @brief Added to the predicted time of a runner whose load another region has told, for each ms of the report's age:
- * requests of the gateways there that are not counted yet. Where all choose by such reports, they choose the same ones. */
+ * requests of the gateways there that are not counted yet. Where all choose by such reports, they choose the same ones.
+ */
 inline constexpr double relayed_report_penalty = 0.25;
 
 /*! @brief Part of a runner's slots that is filled by quota only, as reports lag: three of sixteen slots. */
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -24,7 +24,8 @@
 
 /*! @brief Checks whether a backend server takes new requests and holds what a request requires. */
 [[nodiscard]] auto is_suitable(const server_load& row, const request_requirements& required) noexcept -> bool {
-    return !row.m_draining && !row.m_leaving && !row.m_removed && !row.m_loading && satisfies_version(row, required);
+    return !row.m_draining && !row.m_leaving && !row.m_removed && !row.m_replaced && !row.m_loading &&
+           satisfies_version(row, required);
 }
 
 } // namespace
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -113,7 +113,8 @@
         responder->respond(internal::unknown_path_response());
         return;
     }
-    const auto state = node::full_state(self.m_core, 0U, true);
+    const auto state = node::startup_state(self.m_core, adapter::query_value(incoming.m_target, "region"),
+                                           adapter::query_value(incoming.m_target, "servers") == "1");
     responder->respond(internal::text_response(state.SerializeAsString(), "application/x-protobuf"));
 }
 
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -42,9 +42,7 @@
         return;
     }
     if (failure.m_not_run && !item->m_may_have_run) {
-        constexpr duration retry_after = std::chrono::milliseconds{120};
-        const auto pause = retry_after_pause(self, *item);
-        end_with_response(self, item, refusal_response(503U, failure.m_reason, pause.value_or(retry_after)),
+        end_with_response(self, item, refusal_response(503U, failure.m_reason, retry_after_failure(self, *item)),
                           failure.m_reason);
         return;
     }
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -189,6 +189,10 @@
 auto dispatch_to(daemon& self, const std::shared_ptr<exchange>& item,
                  const std::shared_ptr<dispatch::server_load>& backend, const dispatch::choice& prediction) -> void;
 
+/*! @brief Returns when the caller of a request that no server ran should return: at once if another server may run it,
+ * else when one may have become available. */
+[[nodiscard]] auto retry_after_failure(daemon& self, const exchange& item) -> duration;
+
 /*! @brief Returns the `Retry-After` of a request if only pauses keep it from being sent, jitter included. */
 [[nodiscard]] auto retry_after_pause(daemon& self, const exchange& item) -> std::optional<duration>;
 
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -224,6 +224,17 @@
 
 } // namespace internal
 
+auto retry_after_failure(daemon& self, const exchange& item) -> duration {
+    constexpr duration another_server = std::chrono::milliseconds{120};
+    if (const auto pause = retry_after_pause(self, item)) {
+        return *pause;
+    }
+    const auto now = steady_now();
+    return internal::has_eligible_backend(self, item, now)
+               ? another_server
+               : internal::retry_after_for(self, item, internal::min_retry_after, now);
+}
+
 auto dispatch_to(daemon& self, const std::shared_ptr<exchange>& item,
                  const std::shared_ptr<dispatch::server_load>& backend, const dispatch::choice& prediction) -> void {
     const auto now = steady_now();
