Read only what a start needs from the store and from seeds

Callers were served late for seconds after a power cut of all at 98 gateways and 330 loaders: each process read the entries of all processes from the store, some 150 KB, and the whole state of a seed with all backend servers; each gateway also began two watches. At a link of 33 Mbit/s between regions that alone takes more than three seconds; registrations took 1.5 s, and weights waited behind them.

Change: - Entries of members stand under their role and region. A gateway reads those of all gateways, a loader those of its region's gateways, or of all if it has none. Gateways learn of loaders from their reports, as they did before. - The list is read once, after the own entry is written, not also before it. - A gateway begins its watches 0.1 s after its first listing, and leaves them to two others that the store lists; if these do not live it watches after 1.5 s, as before. What changes meanwhile counts as seen after a failure: the time of the write is a bound, not exact. - A seed answers with the gateways of the asker's region and the representatives of the others. Backend servers are left out for the first request. - A line for each member that is seen is written for the own region only.

The former prefix of members is not read any more: processes of the former form still list the new ones, new ones learn of the former from seeds and heartbeats.

Tests: test/node/startup.cpp.

--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -21,6 +21,8 @@
 /*! @brief Capacity of the send queue of one peer: a few seconds of pulses and reports. */
 constexpr int max_queued_messages = 256;
 constexpr duration bus_heartbeat_interval = std::chrono::seconds{2};
+/*! @brief Delay of the first watch of the store: until then a process has registered and knows who else watches. */
+constexpr duration first_watch_delay = std::chrono::milliseconds{100};
 /*! @brief Longest time for which operators' keys are held at the start. */
 constexpr duration startup_hold_time = std::chrono::milliseconds{1'200};
 /*! @brief Times over which processes register again in a new era: each writes twice, and the store limits the writes of
@@ -140,7 +142,7 @@
         }
         return;
     }
-    const auto name = item.m_key.substr(adapter::key::members.size());
+    const auto name = item.m_key.substr(item.m_key.rfind('/') + 1U);
     if (const auto found = self.m_members.find(name); found != self.m_members.end()) {
         found->second.m_listed = false;
     }
@@ -173,12 +175,37 @@
                                       self.m_random(), std::move(handlers));
 }
 
-/*! @brief Reads the list of members once; later changes arrive from the members themselves. */
-auto read_members(core& self) -> void {
-    self.m_store.range(adapter::key::members, {}, [&self](const adapter::page& page) {
+/*! @brief Leaves the watch to those that the store lists as watchers, before this process has heard of any. If they do
+ * not live, `update_store_watch` makes it a watcher. */
+auto settle_startup_watch(core& self) -> void {
+    if (self.m_follows_servers && !fleet::is_watcher(self.m_members, self.m_self, steady_now())) {
+        pause_store_watch(self);
+    }
+}
+
+[[nodiscard]] auto gateways_of_region(const core& self) -> std::string {
+    return std::string{adapter::key::gateways} + self.m_self.m_region + "/";
+}
+
+[[nodiscard]] auto own_member_key(const core& self) -> std::string {
+    const auto prefix = self.m_follows_servers ? adapter::key::gateways : adapter::key::loaders;
+    return std::string{prefix} + self.m_self.m_region + "/" + self.m_self.m_instance;
+}
+
+/*! @brief Reads the list of gateways once; later changes arrive from the members themselves. Loaders need those of
+ * their region only, and all if it has none: were each process to read all members, a restart of all would fill the
+ * links between regions. */
+auto read_members(core& self, const std::string& prefix) -> void {
+    self.m_store.range(prefix, {}, [&self, prefix](const adapter::page& page) {
+        if (page.m_reply == adapter::reply::ok && page.m_items.empty() && prefix != adapter::key::gateways) {
+            read_members(self, std::string{adapter::key::gateways});
+            return;
+        }
         if (page.m_reply == adapter::reply::ok) {
             on_member_list(self, page.m_items);
-            self.m_members_read = true;
+            if (!std::exchange(self.m_members_read, true)) {
+                settle_startup_watch(self);
+            }
             if (!self.m_watches_store && !self.m_store_reachable) {
                 update_store_contact(self, adapter::key::members, true);
             }
@@ -186,6 +213,10 @@
     });
 }
 
+auto read_members(core& self) -> void {
+    read_members(self, self.m_follows_servers ? std::string{adapter::key::gateways} : gateways_of_region(self));
+}
+
 /*! @brief Reads the operators' keys directly, for a loader that receives no pulses from a gateway. */
 auto read_operators(core& self) -> void {
     self.m_store.range(adapter::key::operators, {}, [&self](adapter::page page) {
@@ -218,7 +249,6 @@
 }
 
 auto follow_store(core& self) -> void {
-    read_members(self);
     self.m_loop.every(store_fallback_interval, [&self] { read_store_if_needed(self); });
     if (!self.m_follows_servers) {
         return;
@@ -239,8 +269,8 @@
             on_server_list(self, items, version);
         },
         [&self](const adapter::key_value& item) { on_server_item(self, item, true); });
-    self.m_server_follower->start();
-    self.m_operator_follower->start();
+    self.m_server_follower->start(first_watch_delay);
+    self.m_operator_follower->start(first_watch_delay);
 }
 
 } // namespace
@@ -287,8 +317,8 @@
     self.m_loop.after(internal::startup_hold_time, [&self] { apply_held_operator_items(self); });
     internal::follow_store(self);
     self.m_registration = std::make_shared<registration>(
-        self.m_loop, self.m_store, std::string{adapter::key::members} + self.m_self.m_instance,
-        adapter::encode_member(self.m_self), std::chrono::milliseconds{self.m_settings.m_store.m_lease_ms}, [&self] {
+        self.m_loop, self.m_store, internal::own_member_key(self), adapter::encode_member(self.m_self),
+        std::chrono::milliseconds{self.m_settings.m_store.m_lease_ms}, [&self] {
             self.m_events.write("member.registered", {{"era", static_cast<std::int64_t>(self.m_store.era())}});
             // In a new era the list is incomplete until all processes have registered again.
             const auto era_age = steady_now() - self.m_store_era_since;
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -243,6 +243,11 @@
 [[nodiscard]] auto full_state(const core& self, std::uint64_t known_configuration, bool with_servers)
     -> wire::fleet::State;
 
+/*! @brief Returns what a process of a region needs to start: the configuration, weights targets, the gateways of its
+ * region and the representatives of the others.
+ * @param with_servers Whether backend servers are included; without a region, all of the own state is returned. */
+[[nodiscard]] auto startup_state(const core& self, std::string_view region, bool with_servers) -> wire::fleet::State;
+
 /*! @brief Schedules a push to the other gateways of the region, with the changes read from the store. Loaders of the
  * region receive only the weights targets. No effect on a process that does not watch the store.
  * @param server Backend server that has changed; empty for none. */
@@ -251,6 +256,9 @@
 /*! @brief Decides whether this gateway watches the store, and pauses or resumes the followers accordingly. */
 auto update_store_watch(core& self) -> void;
 
+/*! @brief Leaves the watch of the store to other gateways of the region. */
+auto pause_store_watch(core& self) -> void;
+
 /*! @brief Requests the state of a seed, repeatedly until a configuration is known and a seed has answered or the
  * attempts are used up. At the start, the seeds are asked one after another until one knows a configuration. */
 auto request_seed_state(core& self) -> void;
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -30,7 +30,8 @@
     }
 }
 
-auto follower::start() -> void {
+auto follower::start(const duration first_watch_delay) -> void {
+    m_first_watch_delay = first_watch_delay;
     list({});
 }
 
@@ -64,10 +65,9 @@
 }
 
 auto follower::pause() -> void {
-    if (m_paused || m_version.m_revision == 0U) {
+    if (std::exchange(m_paused, true) || m_version.m_revision == 0U) {
         return;
     }
-    m_paused = true;
     ++m_generation;
     if (auto call = std::exchange(m_call, nullptr)) {
         call->cancel();
@@ -160,7 +160,21 @@
     m_write_time = {m_known_until, false};
     m_known_until = m_listing_requested_at;
     m_handlers.m_on_list(std::exchange(m_listed_items, {}), m_version);
-    watch();
+    if (m_paused) {
+        return;
+    }
+    const auto delay = std::exchange(m_first_watch_delay, duration::zero());
+    if (delay == duration::zero()) {
+        watch();
+        return;
+    }
+    // What changes until then is not seen as it happens, so its time is a bound, as after a failure.
+    m_failures = 1U;
+    m_loop.after(delay, [self = shared_from_this(), generation = m_generation] {
+        if (!self->m_stopped && !self->m_paused && self->m_generation == generation) {
+            self->watch();
+        }
+    });
 }
 
 auto follower::watch() -> void {
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -53,8 +53,8 @@
     follower(net::loop& loop, adapter::store& store, std::string prefix, duration watch_timeout, duration batch_delay,
              std::uint64_t seed, follower_handlers handlers);
 
-    /*! @brief Starts with a listing. */
-    auto start() -> void;
+    /*! @brief Starts with a listing. @param first_watch_delay Time after it in which `pause` spares the first watch. */
+    auto start(duration first_watch_delay = duration::zero()) -> void;
 
     /*! @brief Cancels the watch in progress and starts a new one, for example if a peer knows of changes that the watch
      * has not delivered. */
@@ -63,7 +63,7 @@
     /*! @brief Drops the call in progress and lists anew after a random delay. The known revision may fall. */
     auto relist() -> void;
 
-    /*! @brief Stops watching until `resume`; the known revision is kept. No effect before the first listing. */
+    /*! @brief Stops watching until `resume`; the known revision is kept. A listing that is in progress still ends. */
     auto pause() -> void;
 
     /*! @brief Continues after `pause` with a new listing. */
@@ -110,6 +110,8 @@
     fleet::arrival_time m_write_time{};
     time_point m_listing_requested_at{};
     time_point m_watch_requested_at{};
+    /*! @brief Delay of the first watch, until it begins. */
+    duration m_first_watch_delay{};
     bool m_contact_known{false};
     bool m_reachable{false};
     bool m_paused{false};
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -116,7 +116,11 @@
         row.m_leaving = false;
         row.m_ready = true;
         row.m_last_received = is_listed ? steady_now() : row.m_last_received;
-        self.m_events.write("member.seen", {{"member", value.m_instance}, {"listed", is_listed}});
+        // Members of other regions are many; a restart of all would write a line for each in every process.
+        self.m_counters.add("members_seen_total");
+        if (value.m_region == self.m_self.m_region) {
+            self.m_events.write("member.seen", {{"member", value.m_instance}, {"listed", is_listed}});
+        }
     }
     row.m_listed = row.m_listed || is_listed;
     // Gateways of a region connect to each other in both directions, to those of other regions when they first send
@@ -221,14 +225,22 @@
     if (must_watch == self.m_watches_store) {
         return;
     }
-    self.m_watches_store = must_watch;
-    self.m_events.write("store.watch", {{"watches", must_watch}});
+    if (!must_watch) {
+        pause_store_watch(self);
+        return;
+    }
+    self.m_watches_store = true;
+    self.m_events.write("store.watch", {{"watches", true}});
     for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
-        if (must_watch) {
-            each->resume();
-        } else {
-            each->pause();
-        }
+        each->resume();
+    }
+}
+
+auto pause_store_watch(core& self) -> void {
+    self.m_watches_store = false;
+    self.m_events.write("store.watch", {{"watches", false}});
+    for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
+        each->pause();
     }
 }
 
@@ -256,6 +268,24 @@
     return out;
 }
 
+auto startup_state(const core& self, const std::string_view region, const bool with_servers) -> wire::fleet::State {
+    auto out = full_state(self, 0U, with_servers || region.empty());
+    if (region.empty()) {
+        return out;
+    }
+    const auto now = steady_now();
+    out.clear_members();
+    for (const auto& [name, row] : self.m_members) {
+        const auto& member = row.m_member;
+        const auto is_wanted = member.m_region == region || fleet::is_representative(self.m_members, member, now);
+        const auto is_known = row.m_listed || now - row.m_last_received < fleet::heartbeat_timeout;
+        if (member.is_gateway() && is_known && is_wanted) {
+            to_wire(member, *out.add_members());
+        }
+    }
+    return out;
+}
+
 auto answer_to(const core& self, const wire::fleet::Pull& request) -> wire::fleet::State {
     wire::fleet::State out{};
     if (request.weights_only()) {
@@ -357,7 +387,9 @@
     limits.m_connect_time = seed_retry_interval;
     limits.m_body_bytes = max_state_bytes;
     net::http_request request{};
-    request.m_target = "/state";
+    // Servers are many; a gateway asks for them only if neither the store nor a first seed has told it of any.
+    const auto needs_servers = self.m_follows_servers && self.m_servers.m_rows.empty() && self.m_seed_requests > 1U;
+    request.m_target = "/state?region=" + self.m_self.m_region + "&servers=" + (needs_servers ? "1" : "0");
     self.m_http.fetch(*seed, std::move(request), limits,
                       [&self, requested_at = boot_now()](const net::call_end&, const net::http_response& response) {
                           constexpr std::uint16_t ok = 200U;
@@ -375,7 +407,9 @@
 } // namespace internal
 
 auto request_seed_state(core& self) -> void {
-    const auto has_enough_state = self.m_state_received || self.m_seed_requests >= internal::max_seed_requests;
+    const auto has_servers = !self.m_follows_servers || !self.m_servers.m_rows.empty();
+    const auto has_enough_state =
+        (self.m_state_received && has_servers) || self.m_seed_requests >= internal::max_seed_requests;
     if (internal::other_seeds(self).empty()) {
         apply_held_operator_items(self);
         return;
--- /dev/null
+++ b/test/node/startup.cpp
@@ -0,0 +1,104 @@
+#include <doctest/doctest.h>
+
+#include <fleet.pb.h>
+#include <net/fixture.hpp>
+#include <node/core.hpp>
+#include <platform/encode.hpp>
+#include <standin-site/store.hpp>
+
+namespace rhubarbwharf::node {
+
+namespace {
+
+[[nodiscard]] auto make_settings(const std::string& role, const std::string& name) -> config::node_settings {
+    config::node_settings out{};
+    out.m_role = role;
+    out.m_instance = name;
+    out.m_region = "ost";
+    out.m_data_centre = "ost-a";
+    out.m_listen.m_bus = "127.0.0.1:0";
+    out.m_store.m_address = "127.0.0.1:1";
+    return out;
+}
+
+auto add_member(core& self, const std::string& region, const std::string& name, const bool is_gateway) -> void {
+    fleet::member member{};
+    member.m_instance = name;
+    member.m_region = region;
+    member.m_data_centre = region + "-a";
+    member.m_incarnation = 7U;
+    member.m_bus_address = {"127.0.0.1", 1U};
+    if (is_gateway) {
+        member.m_caller_address = {"127.0.0.1", 1U};
+    }
+    update_member(self, member, true);
+}
+
+/*! @brief Value of the entry of a gateway in the store. */
+[[nodiscard]] auto gateway_entry(const std::string& region, const std::string& name) -> std::string {
+    fleet::member member{};
+    member.m_instance = name;
+    member.m_region = region;
+    member.m_data_centre = region + "-a";
+    member.m_incarnation = 7U;
+    member.m_caller_address = {"127.0.0.1", 1U};
+    member.m_bus_address = {"127.0.0.1", 1U};
+    return adapter::encode_member(member);
+}
+
+} // namespace
+
+// Load pattern: a power cut of all, 98 gateways and 330 loaders. Each read the entries of all, so that the links
+// between regions were full of them for seconds.
+TEST_CASE("the state that a process gets at its start does not grow with the loaders or the other regions") {
+    core self{make_settings("gateway", "edge-ost-10"), true};
+    for (const auto* const region : {"mitte", "nord", "ost", "sued", "west"}) {
+        for (auto index = 11; index < 31; ++index) {
+            add_member(self, region, "edge-" + std::string{region} + "-" + std::to_string(index), true);
+        }
+        for (auto index = 100; index < 166; ++index) {
+            add_member(self, region, "side-" + std::string{region} + "-" + std::to_string(index), false);
+        }
+    }
+    const auto state = startup_state(self, "west", false);
+    CHECK(state.members_size() == 20 + 4 * static_cast<int>(fleet::representatives_per_region));
+    CHECK(state.servers_size() == 0);
+    CHECK(startup_state(self, {}, false).members_size() == 5 * (20 + 66));
+}
+
+TEST_CASE("a loader reads the gateways of its region, and those of all regions if it has none") {
+    for (const auto& [own, listed] : {std::pair{"ost", 1U}, std::pair{"nowhere", 2U}}) {
+        auto settings = make_settings("loader", "side-1");
+        settings.m_region = own;
+        core self{settings, false};
+        standin_site::store platform_store{self.m_loop};
+        self.m_store.set_address(platform_store.listen());
+        platform_store.put("rhubarbwharf/members/gateways/ost/edge-1", gateway_entry("ost", "edge-1"));
+        platform_store.put("rhubarbwharf/members/gateways/west/edge-2", gateway_entry("west", "edge-2"));
+        REQUIRE(start(self));
+        REQUIRE(net::run_until(self.m_loop, [&] { return self.m_members_read; }));
+        CHECK(self.m_members.contains("edge-1"));
+        CHECK(self.m_members.size() == listed + 1U);
+    }
+}
+
+TEST_CASE("a gateway that starts beside two that are listed leaves the watch to them, and watches if they are silent") {
+    core self{make_settings("gateway", "edge-3"), true};
+    standin_site::store platform_store{self.m_loop};
+    self.m_store.set_address(platform_store.listen());
+    for (const auto* const name : {"edge-1", "edge-2"}) {
+        platform_store.put("rhubarbwharf/members/gateways/ost/" + std::string{name}, gateway_entry("ost", name));
+    }
+    platform_store.put("op/version/m", R"({"model":"m","version":2})");
+    REQUIRE(start(self));
+    REQUIRE(net::run_until(self.m_loop, [&] { return !self.m_watches_store; }));
+    REQUIRE(net::run_until(self.m_loop, [&] { return wanted_version(self, "m") == 2U; }));
+    REQUIRE(net::run_until(self.m_loop, [&] {
+        update_store_watch(self);
+        return self.m_watches_store;
+    }));
+    platform_store.put("op/version/m", R"({"model":"m","version":3})");
+    CHECK(net::run_until(self.m_loop, [&] { return wanted_version(self, "m") == 3U; }));
+}
+
+} // namespace rhubarbwharf::node
