Fetch no weights for a runner that does not answer

Cause: a piece that could not be staged counts as missing and is fetched at once.

Test: test/loader/staging.cpp, failed before (two fetches in progress).

--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -304,7 +304,8 @@
 
 auto fetch_pieces(daemon& self, model_state& model) -> void {
     const auto now = steady_now();
-    if (model.m_phase != load_phase::fetching) {
+    // What is fetched for a runner that does not answer can't be staged, and would be fetched again.
+    if (model.m_phase != load_phase::fetching || !self.m_runner_alive) {
         return;
     }
     internal::refresh_peers(self, model);
--- a/test/loader/staging.cpp
+++ b/test/loader/staging.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <thread>
 
@@ -114,4 +115,35 @@
     }
 }
 
+// Load pattern: runners that are taken away while a new version spreads. Their loaders stay, and each fetched the
+// version over and over from the gateways of its data centre, as nothing could be staged.
+TEST_CASE("no piece is fetched for a runner that does not answer, and fetching goes on once it does") {
+    fixture fixture{};
+    constexpr std::string_view configuration =
+        R"({"version":1,"routes":[],"services":[{"name":"s"}],"limits":{},"tenants":[]})";
+    auto& self = fixture.m_loader;
+    node::accept_configuration(self.m_core, configuration, "test");
+    REQUIRE(self.m_core.m_configuration != nullptr);
+    auto requests = 0U;
+    net::http_server gateway{self.m_core.m_loop, net::http_limits{},
+                             [&requests](const net::http_request&, const std::shared_ptr<net::responder>& responder) {
+                                 ++requests;
+                                 responder->respond({404U, {}, {}});
+                             }};
+    net::ensure_listening(gateway);
+    auto& row = self.m_core.m_members["gateway-1"];
+    row.m_member.m_instance = "gateway-1";
+    row.m_member.m_caller_address = net::local(1U);
+    row.m_member.m_bulk_address = net::local(gateway.port());
+    row.m_last_received = steady_now();
+    std::ranges::fill(fixture.model().m_pieces, piece_state::missing);
+    self.m_runner_alive = false;
+    fetch_pieces(self, fixture.model());
+    CHECK(fixture.model().m_active_fetches == 0U);
+    self.m_runner_alive = true;
+    fetch_pieces(self, fixture.model());
+    CHECK(fixture.model().m_active_fetches > 0U);
+    CHECK(fixture.wait_until([&] { return requests > 0U; }));
+}
+
 } // namespace rhubarbwharf::loader
