Find the representatives once for an answer to a process that starts

A seed worked out the representatives of a region for each member that it knows: with 430 members 430 walks over the table for each of the processes that start after a power cut of all. They are worked out once for each other region. Found by reading; test/node/startup.cpp holds what the answer contains.

--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -123,7 +123,8 @@
 /*! @brief Requests the load report of the runner, unless a request is in progress. */
 auto poll_runner(daemon& self) -> void;
 
-/*! @brief Sends the runner's load to all gateways. @param force Whether to send it even if it has not changed. */
+/*! @brief Sends the runner's load to the gateways of the region; to all in a small fleet, or if none of them lives.
+ * @param force Whether to send it even if it has not changed. */
 auto report_to_gateways(daemon& self, bool force) -> void;
 
 /*! @brief Updates the wanted version of each model from the configuration and the weights targets. */
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <fleet.pb.h>
@@ -275,14 +276,21 @@
     }
     const auto now = steady_now();
     out.clear_members();
+    std::set<std::string_view> other_regions{};
     for (const auto& [name, row] : self.m_members) {
         const auto& member = row.m_member;
-        const auto is_wanted = member.m_region == region || fleet::is_representative(self.m_members, member, now);
         const auto is_known = row.m_listed || now - row.m_last_received < fleet::heartbeat_timeout;
-        if (member.is_gateway() && is_known && is_wanted) {
+        if (member.m_region != region) {
+            other_regions.insert(member.m_region);
+        } else if (member.is_gateway() && is_known) {
             to_wire(member, *out.add_members());
         }
     }
+    for (const auto other : other_regions) {
+        for (const auto* const each : fleet::representatives(self.m_members, other, now)) {
+            to_wire(*each, *out.add_members());
+        }
+    }
     return out;
 }
 
