Announce a loader before its runner answers

Callers saw nothing of this; the store did: at a start of all, each of 138 loaders read the list of gateways and the operators' keys again every 2 s.

Cause: a gateway learns of a loader by the load that it reports, and sends heartbeats to known loaders only. A runner answers its first report about a second after its loader has started, later after a power cut, so the loader heard no gateway, took all of them for dead and read the store.

The test fails before.

Change: until its runner has reported, a loader sends the gateways of its region a load without an address, which carries only itself; gateways of the former form take it the same way.

--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -167,6 +167,29 @@
     self.m_core.m_events.write("settings.reloaded", {{"store", updated->m_store.m_address}});
 }
 
+/*! @brief Sends a frame to the gateways that use this runner's load. In a large fleet the gateways of the region tell
+ * the other regions; without one that lives, they hear it directly. */
+auto send_to_gateways(daemon& self, wire::fleet::Frame& frame, const time_point now) -> void {
+    const auto is_small = fleet::count_gateways(self.m_core.m_members) <= fleet::max_directly_reported_gateways;
+    if (!is_small && node::has_live_regional_gateway(self.m_core, now)) {
+        node::send_to_region(self.m_core, frame);
+    } else {
+        node::send_to_gateways(self.m_core, frame);
+    }
+}
+
+/*! @brief Makes this loader known to the gateways before its runner has reported a load: they send heartbeats only to
+ * loaders that they know, and a loader without any reads the store. */
+auto announce(daemon& self, const time_point now) -> void {
+    if (now - self.m_last_announced < announce_interval || fleet::count_gateways(self.m_core.m_members) == 0U) {
+        return;
+    }
+    self.m_last_announced = now;
+    wire::fleet::Frame frame{};
+    node::to_wire(self.m_core.m_self, *frame.mutable_load()->mutable_self());
+    send_to_gateways(self, frame, now);
+}
+
 } // namespace
 
 } // namespace internal
@@ -209,6 +232,9 @@
 }
 
 auto poll_runner(daemon& self) -> void {
+    if (!self.m_report_received) {
+        internal::announce(self, steady_now());
+    }
     if (steady_now() < self.m_runner_paused_until) {
         report_to_gateways(self, false);
         return;
@@ -248,14 +274,7 @@
     }
     self.m_last_reported = now;
     self.m_last_reported_load = std::move(text);
-    // In a large fleet the gateways of the region tell the other regions. Without one that lives, they hear it
-    // directly.
-    const auto is_small = fleet::count_gateways(self.m_core.m_members) <= fleet::max_directly_reported_gateways;
-    if (!is_small && node::has_live_regional_gateway(self.m_core, now)) {
-        node::send_to_region(self.m_core, frame);
-    } else {
-        node::send_to_gateways(self.m_core, frame);
-    }
+    internal::send_to_gateways(self, frame, now);
 }
 
 auto refresh_models(daemon& self) -> void {
--- a/test/loader/staging.cpp
+++ b/test/loader/staging.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <fleet.pb.h>
 #include <loader/daemon.hpp>
 #include <net/fixture.hpp>
 #include <rhubarbwharf/core/digest.hpp>
@@ -146,4 +147,30 @@
     CHECK(fixture.wait_until([&] { return requests > 0U; }));
 }
 
+// Load pattern: a power cut of all, after which runners need seconds to answer. Gateways knew no loader whose runner had
+// not reported, sent it no heartbeats, and each loader read the store every 2 s.
+TEST_CASE("gateways hear of a loader before its runner answers") {
+    daemon loader{settings(), {}};
+    loader.m_runner = {"127.0.0.1", 1U};
+    std::vector<std::string> heard{};
+    net::bus gateway{loader.m_core.m_loop, "edge-1", net::bus_limits{},
+                     [&](const std::string_view, const std::string_view bytes) {
+                         wire::fleet::Frame frame{};
+                         REQUIRE(frame.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())));
+                         CHECK(frame.load().address().empty());
+                         heard.push_back(frame.load().self().instance());
+                     }};
+    REQUIRE(gateway.listen({"127.0.0.1", 0U}) == code::ok);
+    REQUIRE(loader.m_core.m_bus.listen({"127.0.0.1", 0U}) == code::ok);
+    fleet::member member{};
+    member.m_instance = "edge-1";
+    member.m_incarnation = 7U;
+    member.m_caller_address = {"127.0.0.1", 1U};
+    member.m_bus_address = net::local(gateway.port());
+    node::update_member(loader.m_core, member, true);
+    poll_runner(loader);
+    REQUIRE(net::run_until(loader.m_core.m_loop, [&] { return !heard.empty(); }));
+    CHECK(heard == std::vector<std::string>{"loader-1"});
+}
+
 } // namespace rhubarbwharf::loader
