Make no call of the store at a start that nobody needs

Cause: a loader took a lease, wrote an entry and renewed the lease, though since control goes by region nobody reads loaders' entries: gateways know a loader from its reports. And a gateway began to watch both prefixes 100 ms after its start; where all start at once, registering takes longer, so that each watched, only to leave it to two of its region.

Change: loaders register no more and read the gateways of their region at once. A gateway's first watch begins when it has registered and knows the others, after a second at the latest.

--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t max_report_bytes = std::size_t{1024} * 1024U;
 /*! @brief Time after which an order counts as lost if the runner is not busy loading. */
 constexpr duration load_order_timeout = std::chrono::milliseconds{1'500};
-/*! @brief Time before the loop stops, in which the log is written and the lease is revoked. */
+/*! @brief Time before the loop stops, in which the log is written. */
 constexpr duration stop_delay = std::chrono::milliseconds{100};
 
 namespace {
@@ -146,7 +146,6 @@
 
 auto on_stop(daemon& self) -> void {
     self.m_core.m_events.write("loader.stopped", {});
-    self.m_core.m_registration->stop();
     self.m_core.m_loop.after(stop_delay, [&self] { self.m_core.m_loop.stop(); });
 }
 
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -21,14 +21,14 @@
 /*! @brief Capacity of the send queue of one peer: a few seconds of pulses and reports. */
 constexpr int max_queued_messages = 256;
 constexpr duration bus_heartbeat_interval = std::chrono::seconds{2};
-/*! @brief Delay of the first watch of the store: until then a process has registered and knows who else watches. */
-constexpr duration first_watch_delay = std::chrono::milliseconds{100};
+/*! @brief Longest delay of the first watch of the store. It begins once a process has registered and knows that no other
+ * one watches; where all start at once, that takes longer than a listing. */
+constexpr duration max_first_watch_delay = std::chrono::seconds{1};
 /*! @brief Longest time for which operators' keys are held at the start. */
 constexpr duration startup_hold_time = std::chrono::milliseconds{1'200};
-/*! @brief Times over which processes register again in a new era: each writes twice, and the store limits the writes of
- * all processes together. */
+/*! @brief Time over which gateways register again in a new era: each writes twice, and the store limits the writes of
+ * all of them together. */
 constexpr duration gateway_registration_spread = std::chrono::seconds{4};
-constexpr duration loader_registration_spread = std::chrono::seconds{30};
 
 namespace {
 
@@ -175,11 +175,18 @@
                                       self.m_random(), std::move(handlers));
 }
 
-/*! @brief Leaves the watch to those that the store lists as watchers, before this process has heard of any. If they do
- * not live, `update_store_watch` makes it a watcher. */
+/*! @brief Begins to watch, or leaves the watch to those that the store lists as watchers, before this process has heard
+ * of any. If they do not live, `update_store_watch` makes it a watcher. */
 auto settle_startup_watch(core& self) -> void {
-    if (self.m_follows_servers && !fleet::is_watcher(self.m_members, self.m_self, steady_now())) {
+    if (!self.m_follows_servers) {
+        return;
+    }
+    if (!fleet::is_watcher(self.m_members, self.m_self, steady_now())) {
         pause_store_watch(self);
+        return;
+    }
+    for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
+        each->begin_watch();
     }
 }
 
@@ -187,11 +194,6 @@
     return std::string{adapter::key::gateways} + self.m_self.m_region + "/";
 }
 
-[[nodiscard]] auto own_member_key(const core& self) -> std::string {
-    const auto prefix = self.m_follows_servers ? adapter::key::gateways : adapter::key::loaders;
-    return std::string{prefix} + self.m_self.m_region + "/" + self.m_self.m_instance;
-}
-
 /*! @brief Reads the list of gateways once; later changes arrive from the members themselves. Loaders need those of
  * their region only, and all if it has none: were each process to read all members, a restart of all would fill the
  * links between regions. */
@@ -269,8 +271,27 @@
             on_server_list(self, items, version);
         },
         [&self](const adapter::key_value& item) { on_server_item(self, item, true); });
-    self.m_server_follower->start(first_watch_delay);
-    self.m_operator_follower->start(first_watch_delay);
+    self.m_server_follower->start(max_first_watch_delay);
+    self.m_operator_follower->start(max_first_watch_delay);
+}
+
+/*! @brief Writes the own entry, from which the others know where to find this gateway. */
+auto register_gateway(core& self) -> void {
+    const auto key = std::string{adapter::key::gateways} + self.m_self.m_region + "/" + self.m_self.m_instance;
+    self.m_registration = std::make_shared<registration>(
+        self.m_loop, self.m_store, key, adapter::encode_member(self.m_self),
+        std::chrono::milliseconds{self.m_settings.m_store.m_lease_ms}, [&self] {
+            self.m_events.write("member.registered", {{"era", static_cast<std::int64_t>(self.m_store.era())}});
+            // In a new era the list is incomplete until all gateways have registered again.
+            const auto era_age = steady_now() - self.m_store_era_since;
+            if (self.m_store_era_since != time_point{} && era_age <= gateway_registration_spread) {
+                return;
+            }
+            // If two processes start together, the one that writes later reads the other's entry.
+            self.m_members_read = false;
+            read_members(self);
+        });
+    self.m_registration->start();
 }
 
 } // namespace
@@ -316,20 +337,11 @@
         [&self](const std::uint64_t former, const std::uint64_t era) { on_store_era(self, former, era); });
     self.m_loop.after(internal::startup_hold_time, [&self] { apply_held_operator_items(self); });
     internal::follow_store(self);
-    self.m_registration = std::make_shared<registration>(
-        self.m_loop, self.m_store, internal::own_member_key(self), adapter::encode_member(self.m_self),
-        std::chrono::milliseconds{self.m_settings.m_store.m_lease_ms}, [&self] {
-            self.m_events.write("member.registered", {{"era", static_cast<std::int64_t>(self.m_store.era())}});
-            // In a new era the list is incomplete until all processes have registered again.
-            const auto era_age = steady_now() - self.m_store_era_since;
-            if (self.m_store_era_since != time_point{} && era_age <= internal::loader_registration_spread) {
-                return;
-            }
-            // If two processes start together, the one that writes later reads the other's entry.
-            self.m_members_read = false;
-            internal::read_members(self);
-        });
-    self.m_registration->start();
+    if (self.m_follows_servers) {
+        internal::register_gateway(self);
+    } else {
+        internal::read_members(self);
+    }
     request_seed_state(self);
     return true;
 }
@@ -348,9 +360,7 @@
         }
     }
     if (self.m_registration) {
-        const auto spread = static_cast<std::uint64_t>(
-            (self.m_follows_servers ? internal::gateway_registration_spread : internal::loader_registration_spread)
-                .count());
+        constexpr auto spread = static_cast<std::uint64_t>(internal::gateway_registration_spread.count());
         self.m_registration->renew_in_new_era(duration{static_cast<duration::rep>(self.m_random() % spread)});
     }
 }
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -35,6 +35,13 @@
     list({});
 }
 
+auto follower::begin_watch() -> void {
+    m_first_watch_delay = duration::zero();
+    if (std::exchange(m_first_watch_pending, false) && !m_stopped && !m_paused) {
+        watch();
+    }
+}
+
 auto follower::stop() -> void {
     m_stopped = true;
     ++m_generation;
@@ -79,6 +86,7 @@
         return;
     }
     // A listing yields everything at once; a watch from an old revision may first fail as `compacted`.
+    m_first_watch_delay = duration::zero();
     list({});
 }
 
@@ -125,6 +133,7 @@
 
 auto follower::list(const std::string& after_key) -> void {
     if (after_key.empty()) {
+        m_first_watch_pending = false;
         m_listed_items.clear();
         m_listing_requested_at = steady_now();
     }
@@ -170,9 +179,10 @@
     }
     // What changes until then is not seen as it happens, so its time is a bound, as after a failure.
     m_failures = 1U;
+    m_first_watch_pending = true;
     m_loop.after(delay, [self = shared_from_this(), generation = m_generation] {
-        if (!self->m_stopped && !self->m_paused && self->m_generation == generation) {
-            self->watch();
+        if (self->m_generation == generation) {
+            self->begin_watch();
         }
     });
 }
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -56,6 +56,9 @@
     /*! @brief Starts with a listing. @param first_watch_delay Time after it in which `pause` spares the first watch. */
     auto start(duration first_watch_delay = duration::zero()) -> void;
 
+    /*! @brief Ends the delay of the first watch. */
+    auto begin_watch() -> void;
+
     /*! @brief Cancels the watch in progress and starts a new one, for example if a peer knows of changes that the watch
      * has not delivered. */
     auto restart_watch() -> void;
@@ -112,6 +115,8 @@
     time_point m_watch_requested_at{};
     /*! @brief Delay of the first watch, until it begins. */
     duration m_first_watch_delay{};
+    /*! @brief Whether the listing has ended and the first watch is delayed. */
+    bool m_first_watch_pending{false};
     bool m_contact_known{false};
     bool m_reachable{false};
     bool m_paused{false};
