Read at a start only what others cannot give, and wait for what arrives

Cause, congestion collapse: 98 gateways each listed `op/` and `servers/`, up to 235 loaders that heard no gateway listed `op/` every 2 s, and all asked the seeds for the configuration, across links of 33 Mbit/s that a region shares. Each call had a total time limit of 1 s (0.6 s at a seed), within which no copy arrived whole; what had arrived was thrown away and read again.

Change: the list of gateways is read first; only those that it names as watchers read the rest, the others get it by heartbeats, and become watchers after 1.5 s of silence as before. A page or a seed's answer that keeps arriving is waited for, a second without a byte still ends it. A loader asks seeds only if the store names no gateway, and reads the operators' keys after 2 to 4 s without a gateway, then ever more seldom.

--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -24,6 +24,8 @@
 /*! @brief Longest delay of the first watch of the store. It begins once a process has registered and knows that no other
  * one watches; where all start at once, that takes longer than a listing. */
 constexpr duration max_first_watch_delay = std::chrono::seconds{1};
+/*! @brief Longest delay between two reads of the list of gateways at the start while the store does not answer. */
+constexpr duration first_read_retry_delay = std::chrono::milliseconds{800};
 /*! @brief Longest time for which operators' keys are held at the start. */
 constexpr duration startup_hold_time = std::chrono::milliseconds{1'200};
 /*! @brief Time over which gateways register again in a new era: each writes twice, and the store limits the writes of
@@ -57,6 +59,13 @@
     return out;
 }
 
+/*! @brief Asks the seeds for the state, once; for a loader that found no gateway in the store. */
+auto ask_seeds(core& self) -> void {
+    if (self.m_seeds_tried == 0U) {
+        request_seed_state(self);
+    }
+}
+
 auto update_store_contact(core& self, const std::string_view prefix, const bool reachable) -> void {
     self.m_events.write(
         reachable ? "store.reached" : "store.lost",
@@ -175,10 +184,25 @@
                                       self.m_random(), std::move(handlers));
 }
 
-/*! @brief Begins to watch, or leaves the watch to those that the store lists as watchers, before this process has heard
- * of any. If they do not live, `update_store_watch` makes it a watcher. */
+/*! @brief Follows the store if the list of gateways, once read, names this one as a watcher; the others get the state
+ * from peers. If the listed watchers do not live, `update_store_watch` makes it one later. */
+auto begin_following(core& self) -> void {
+    if (std::exchange(self.m_following_begun, true)) {
+        return;
+    }
+    if (!fleet::is_watcher(self.m_members, self.m_self, steady_now())) {
+        pause_store_watch(self);
+        return;
+    }
+    for (const auto& each : {self.m_server_follower, self.m_operator_follower}) {
+        each->start(max_first_watch_delay);
+    }
+}
+
+/*! @brief Begins to watch, or leaves the watch to those that the store lists as watchers, now that the own entry is
+ * written. */
 auto settle_startup_watch(core& self) -> void {
-    if (!self.m_follows_servers) {
+    if (!self.m_follows_servers || !self.m_watches_store) {
         return;
     }
     if (!fleet::is_watcher(self.m_members, self.m_self, steady_now())) {
@@ -190,27 +214,58 @@
     }
 }
 
+/*! @brief Applies the list of gateways. */
+auto on_members_read(core& self, const std::vector<adapter::key_value>& items) -> void {
+    on_member_list(self, items);
+    if (self.m_follows_servers) {
+        begin_following(self);
+    } else if (items.empty()) {
+        ask_seeds(self);
+    }
+    if (self.m_registered && !std::exchange(self.m_members_read, true)) {
+        settle_startup_watch(self);
+    }
+    if (!self.m_watches_store && !self.m_store_reachable) {
+        update_store_contact(self, adapter::key::members, true);
+    }
+}
+
 [[nodiscard]] auto gateways_of_region(const core& self) -> std::string {
     return std::string{adapter::key::gateways} + self.m_self.m_region + "/";
 }
 
+auto read_members(core& self) -> void;
+
+/*! @brief Repeats the first read of the list of gateways, on which all else waits at the start. A loader asks the seeds
+ * meanwhile. */
+auto retry_first_read(core& self) -> void {
+    if (self.m_following_begun || self.m_members_read) {
+        return;
+    }
+    if (!self.m_follows_servers) {
+        ask_seeds(self);
+        return;
+    }
+    const auto jitter = duration{static_cast<duration::rep>(
+        self.m_random() % static_cast<std::uint64_t>(first_read_retry_delay.count()))};
+    self.m_loop.after(first_read_retry_delay / 2 + jitter, [&self] {
+        if (!self.m_following_begun) {
+            read_members(self);
+        }
+    });
+}
+
 /*! @brief Reads the list of gateways once; later changes arrive from the members themselves. Loaders need those of
  * their region only, and all if it has none: were each process to read all members, a restart of all would fill the
  * links between regions. */
 auto read_members(core& self, const std::string& prefix) -> void {
     self.m_store.range(prefix, {}, [&self, prefix](const adapter::page& page) {
-        if (page.m_reply == adapter::reply::ok && page.m_items.empty() && prefix != adapter::key::gateways) {
+        if (page.m_reply != adapter::reply::ok) {
+            retry_first_read(self);
+        } else if (page.m_items.empty() && prefix != adapter::key::gateways) {
             read_members(self, std::string{adapter::key::gateways});
-            return;
-        }
-        if (page.m_reply == adapter::reply::ok) {
-            on_member_list(self, page.m_items);
-            if (!std::exchange(self.m_members_read, true)) {
-                settle_startup_watch(self);
-            }
-            if (!self.m_watches_store && !self.m_store_reachable) {
-                update_store_contact(self, adapter::key::members, true);
-            }
+        } else {
+            on_members_read(self, page.m_items);
         }
     });
 }
@@ -242,10 +297,11 @@
     const auto gateway_alive = has_live_gateway(self, now);
     // A gateway that does not watch would not notice that a lost store answers again, and never become a watcher.
     const auto probes_store = self.m_follows_servers && !self.m_watches_store && !self.m_store_reachable;
-    if (!self.m_members_read || probes_store || (!gateway_alive && !self.m_follows_servers)) {
+    const auto is_alone = !self.m_follows_servers && is_due(self.m_store_fallback, gateway_alive, now, self.m_random());
+    if (!self.m_members_read || probes_store || is_alone) {
         read_members(self);
     }
-    if (!gateway_alive && !self.m_follows_servers) {
+    if (is_alone) {
         read_operators(self);
     }
 }
@@ -271,8 +327,6 @@
             on_server_list(self, items, version);
         },
         [&self](const adapter::key_value& item) { on_server_item(self, item, true); });
-    self.m_server_follower->start(max_first_watch_delay);
-    self.m_operator_follower->start(max_first_watch_delay);
 }
 
 /*! @brief Writes the own entry, from which the others know where to find this gateway. */
@@ -288,6 +342,7 @@
                 return;
             }
             // If two processes start together, the one that writes later reads the other's entry.
+            self.m_registered = true;
             self.m_members_read = false;
             read_members(self);
         });
@@ -333,16 +388,16 @@
     own.m_last_received = steady_now();
     own.m_ready = false;
     self.m_members[self.m_self.m_instance] = std::move(own);
+    self.m_registered = !self.m_follows_servers;
     self.m_store.set_era_handler(
         [&self](const std::uint64_t former, const std::uint64_t era) { on_store_era(self, former, era); });
     self.m_loop.after(internal::startup_hold_time, [&self] { apply_held_operator_items(self); });
     internal::follow_store(self);
+    internal::read_members(self);
     if (self.m_follows_servers) {
         internal::register_gateway(self);
-    } else {
-        internal::read_members(self);
+        request_seed_state(self);
     }
-    request_seed_state(self);
     return true;
 }
 
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -26,6 +26,7 @@
 
 #include <node/follower.hpp>
 #include <node/registration.hpp>
+#include <node/store_fallback.hpp>
 #include <platform/store.hpp>
 
 namespace rhubarbwharf::wire::fleet {
@@ -133,8 +134,14 @@
     std::uint64_t m_last_pushed_configuration{};
     /*! @brief Sum of the versions of the weights targets that were last pushed to loaders. */
     std::uint64_t m_last_pushed_weights{};
-    /*! @brief Whether the store's list of members has been read. */
+    /*! @brief Whether the list of gateways has been read once, and so followed the store or left that to others. */
+    bool m_following_begun{false};
+    /*! @brief Whether the own entry has been written; always true for a loader, which has none. */
+    bool m_registered{false};
+    /*! @brief Whether the store's list of gateways has been read since then. */
     bool m_members_read{false};
+    /*! @brief When a loader that hears no gateway reads the store next. */
+    store_fallback m_store_fallback{};
     bool m_push_scheduled{false};
     /*! @brief When a state, or its weights targets only, was last requested from a peer. */
     time_point m_last_state_pull{};
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -18,7 +18,10 @@
 /*! @brief Requests to seeds, counted from the start, after which a process that knows the configuration stops. Until
  * then it still requests the state of a seed, which contains the times at which versions were named. */
 constexpr unsigned max_seed_requests = 4U;
-/*! @brief Delay before the next request to a seed, and time limit of one request. */
+/*! @brief Longest time for a seed's answer, as long as bytes keep arriving: after a power cut of all, a large
+ * configuration crosses links that many processes share, and a call given up halfway is made again. */
+constexpr duration max_seed_time = std::chrono::seconds{6};
+/*! @brief Delay before the next request to a seed, and longest time without a byte of its answer. */
 constexpr duration seed_retry_interval = std::chrono::milliseconds{600};
 /*! @brief Bytes of a state: a configuration of at most 1 MiB, and some 300 bytes for each of 2,500 runners and 2,900
  * members, with room for four times as many. */
@@ -391,12 +394,14 @@
         return;
     }
     net::call_limits limits{};
-    limits.m_total_time = seed_retry_interval;
+    limits.m_total_time = max_seed_time;
+    limits.m_idle_time = seed_retry_interval;
     limits.m_connect_time = seed_retry_interval;
     limits.m_body_bytes = max_state_bytes;
     net::http_request request{};
-    // Servers are many; a gateway asks for them only if neither the store nor a first seed has told it of any.
-    const auto needs_servers = self.m_follows_servers && self.m_servers.m_rows.empty() && self.m_seed_requests > 1U;
+    // Servers are many; a gateway that reads them from the store asks for them only if that takes long.
+    const auto reads_store = self.m_watches_store && self.m_seed_requests <= 1U;
+    const auto needs_servers = self.m_follows_servers && self.m_servers.m_rows.empty() && !reads_store;
     request.m_target = "/state?region=" + self.m_self.m_region + "&servers=" + (needs_servers ? "1" : "0");
     self.m_http.fetch(*seed, std::move(request), limits,
                       [&self, requested_at = boot_now()](const net::call_end&, const net::http_response& response) {
