Let gateways read pieces from loaders that hold them, for runners that are added

Cause: where half of a region's loaders hold a version, others fetched it from them and not from the gateways, so that nothing would leave the origin or enter the region again. Nineteen new runners a region then drew 46 MB over the 28 links of 9.4 Mbit/s that carry the answers of runners that serve. Each fetch was slow, and a slow fetch lowers the number of concurrent ones to one, as if the own link were full.

Change: a gateway reads each piece of its share once from a loader of its region whose runner holds the version, by rendezvous order, and serves it to all others over its faster link; a loader that does not deliver it is not asked again for that piece, and the same request goes on to the origin's path. Loaders prefer gateways whoever holds the pieces.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -56,6 +56,8 @@
     time_point m_last_reported{};
     /*! @brief When its loader last reported to this gateway itself; the epoch if it never did. */
     time_point m_last_heard{};
+    /*! @brief Instance of that loader; empty if it never reported to this gateway itself. */
+    std::string m_loader{};
     /*! @brief When it last refused a request for lack of capacity. */
     time_point m_last_refused{};
     /*! @brief `m_other_requests` before a refusal raised it. */
--- a/include/rhubarbwharf/fleet/relay.hpp
+++ b/include/rhubarbwharf/fleet/relay.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -41,6 +42,11 @@
 /*! @brief Tells whether a member can relay weights: a live gateway that serves pieces and is not leaving. */
 [[nodiscard]] auto can_relay(const member_observation& row, time_point now) noexcept -> bool;
 
+/*! @brief Finds the first one of some members in rendezvous order of a part, so that the parts of a version are spread
+ * over them. @return Null if there is none. */
+[[nodiscard]] auto first_in_rendezvous_order(std::span<const member* const> members, const weights_part& part) noexcept
+    -> const member*;
+
 /**
  * @brief Finds the gateway from which a gateway downloads a part. Each region has one gateway that downloads the part
  * from outside the region, and one representative of all regions reads it from the origin, so that every byte leaves
--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -111,18 +111,15 @@
 /*! @brief Concurrent fetches from one peer or relay, so that its link is shared evenly. */
 inline constexpr unsigned max_fetches_per_peer = 2U;
 
-/*! @brief Share of a region's loaders that must hold the complete version before the others fetch it from them instead
- * of from the relays, so that no further byte of it leaves the origin or enters the region. */
-inline constexpr double sufficient_peer_share = 0.5;
-
 /**
  * @brief Chooses the next fetch.
  *
  * Each gateway of the data centre relays its share of the pieces over a link that is faster than a loader's, so that a
- * loader's own link carries a version only once. If no gateway answers, or enough loaders of the region hold the
- * version, one loader reads a piece from the origin, one loader brings it into each region, and the loaders of a region
- * exchange it. If a loader does not do its part, the next in rank takes over after a delay. The rarest pieces are
- * fetched first.
+ * loader's own link carries a version only once. A gateway reads a piece from a loader of the region whose runner holds
+ * the version, if there is one: where many empty runners are added, those that serve would otherwise send each of them
+ * whole copies over the links that carry their answers. If no gateway answers, one loader reads a piece from the
+ * origin, one loader brings it into each region, and the loaders of a region exchange it. If a loader does not do its
+ * part, the next in rank takes over after a delay. The rarest pieces are fetched first.
  *
  * @return The fetch; empty if none can be started now.
  */
--- a/src/fleet/relay.cpp
+++ b/src/fleet/relay.cpp
@@ -10,22 +10,6 @@
 
 namespace {
 
-/*! @brief Finds the first one of some gateways in rendezvous order of a part.
- * @return The gateway; null if there is none. */
-[[nodiscard]] auto first_in_rendezvous_order(const std::vector<const member*>& gateways, const weights_part& part)
-    -> const member* {
-    const member* best{};
-    std::uint64_t max_weight{};
-    for (const auto* const each : gateways) {
-        const auto value = rendezvous_weight(each->m_instance, part.m_version, part.m_index);
-        if (best == nullptr || value > max_weight) {
-            best = each;
-            max_weight = value;
-        }
-    }
-    return best;
-}
-
 [[nodiscard]] auto relays_of_region(const member_table& table, const std::string_view region, const time_point now)
     -> std::vector<const member*> {
     std::vector<const member*> out{};
@@ -74,6 +58,20 @@
     return out ^ (out >> half_bits);
 }
 
+auto first_in_rendezvous_order(const std::span<const member* const> members, const weights_part& part) noexcept
+    -> const member* {
+    const member* best{};
+    std::uint64_t max_weight{};
+    for (const auto* const each : members) {
+        const auto value = rendezvous_weight(each->m_instance, part.m_version, part.m_index);
+        if (best == nullptr || value > max_weight) {
+            best = each;
+            max_weight = value;
+        }
+    }
+    return best;
+}
+
 auto can_relay(const member_observation& row, const time_point now) noexcept -> bool {
     return row.m_member.is_gateway() && row.m_member.m_bulk_address.m_port != 0U && !row.m_leaving &&
            now - row.m_last_received <= heartbeat_timeout;
--- a/src/gateway/loads.cpp
+++ b/src/gateway/loads.cpp
@@ -87,6 +87,7 @@
     apply_load(backend, {update.running(), update.waiting(), update.busy() || !update.alive(), update.pace(), now},
                update.models());
     backend.m_last_heard = now;
+    backend.m_loader = peer;
     backend.m_replaced = false;
     if (update.leaving()) {
         node::mark_server_leaving(self.m_core, backend.m_id, {backend.m_started_ms, backend.m_address}, peer);
--- a/src/gateway/weights.cpp
+++ b/src/gateway/weights.cpp
@@ -189,6 +189,8 @@
 auto on_part_response(daemon& self, const part_key& key, const std::string_view source, const time_point requested_at,
                       net::http_response response) -> void {
     const auto from_origin = source.empty();
+    const auto sender = self.m_core.m_members.find(source);
+    const auto from_loader = sender != self.m_core.m_members.end() && !sender->second.m_member.is_gateway();
     if (from_origin) {
         --self.m_weights_relay.m_origin_calls;
         self.m_core.m_counters.add("origin_bytes_total", static_cast<double>(response.m_body.size()));
@@ -227,11 +229,15 @@
         for (const auto& each : std::exchange(part.m_waiters, {})) {
             each->respond({status_ok, {}, part.m_bytes});
         }
+    } else if (from_loader) {
+        part.m_avoids_loaders = true;
+        fetch_part(self, key);
     } else {
         part.m_unanswered_calls = from_origin ? 0U : part.m_unanswered_calls + (response.m_status == 0U ? 1U : 0U);
         refuse_waiters(part);
     }
-    if (held_bytes(*version) > max_version_bytes || (!from_origin && response.m_status == fleet::status_not_relayed)) {
+    const auto is_gateway_without = !from_origin && !from_loader && response.m_status == fleet::status_not_relayed;
+    if (held_bytes(*version) > max_version_bytes || is_gateway_without) {
         drop_oversized(self, *version, key, source);
     } else if (version->m_corrupt_pieces >= fleet::max_corrupt_pieces) {
         version->m_manifest.reset();
@@ -257,7 +263,29 @@
     return out == 0U ? max_version_bytes : out;
 }
 
-/*! @brief Requests a part from a gateway, or from the origin if `upstream` is null. */
+/*! @brief Finds a loader of the region whose runner holds the whole version of a piece. Its copy is read once for all
+ * loaders that this gateway serves. @return Null if there is none, or one has failed to deliver this piece. */
+[[nodiscard]] auto find_holder(const daemon& self, const part_key& key, const relayed_part& part, const time_point now)
+    -> const fleet::member* {
+    if (key.m_index == fleet::manifest_index || part.m_avoids_loaders) {
+        return nullptr;
+    }
+    std::vector<const fleet::member*> holders{};
+    for (const auto& [id, backend] : self.m_backends) {
+        const auto* const service = fleet::find_service(*self.m_core.m_configuration, backend->m_service);
+        const auto layers = service != nullptr && service->m_engine ? service->m_engine->m_layer_count : 1U;
+        const auto loader = self.m_core.m_members.find(backend->m_loader);
+        if (loader != self.m_core.m_members.end() && dispatch::is_reported_directly(*backend, now) &&
+            loader->second.m_member.m_region == self.m_core.m_self.m_region &&
+            loader->second.m_member.m_bulk_address.m_port != 0U &&
+            fleet::complete_version(backend->m_models, key.m_model, layers) == key.m_version) {
+            holders.push_back(&loader->second.m_member);
+        }
+    }
+    return fleet::first_in_rendezvous_order(holders, {key.m_version, key.m_index});
+}
+
+/*! @brief Requests a part from a gateway or a loader, or from the origin if `upstream` is null. */
 auto request_part(daemon& self, const part_key& key, const unsigned hops, const fleet::member* const upstream) -> void {
     self.m_weights_relay.m_origin_calls += upstream == nullptr ? 1U : 0U;
     net::call_limits limits{};
@@ -302,10 +330,12 @@
         return;
     }
     const auto* const origin = self.m_core.m_configuration ? fleet::find_origin(*self.m_core.m_configuration) : nullptr;
+    const auto now = steady_now();
     const auto use_origin = part.m_unanswered_calls >= max_unanswered_calls || part.m_hops >= max_hops;
-    const auto* const upstream = use_origin ? nullptr
-                                            : fleet::find_upstream(self.m_core.m_members, self.m_core.m_self,
-                                                                   {key.m_version, key.m_index}, steady_now());
+    const auto* upstream = self.m_core.m_configuration ? find_holder(self, key, part, now) : nullptr;
+    if (upstream == nullptr && !use_origin) {
+        upstream = fleet::find_upstream(self.m_core.m_members, self.m_core.m_self, {key.m_version, key.m_index}, now);
+    }
     if (upstream == nullptr && origin == nullptr) {
         refuse_waiters(part);
         return;
--- a/src/gateway/weights.hpp
+++ b/src/gateway/weights.hpp
@@ -36,6 +36,8 @@
     bool m_requested{false};
     /*! @brief Consecutive calls to other gateways that were not answered. */
     unsigned m_unanswered_calls{};
+    /*! @brief Whether a loader that should hold the piece has not delivered it; it is then fetched as from outside. */
+    bool m_avoids_loaders{false};
 };
 
 /*! @brief A version that is being relayed; its parts are cached in memory. */
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -91,20 +91,6 @@
                : std::optional{fetch{piece, std::nullopt, std::nullopt}};
 }
 
-/*! @brief Checks whether the links of the region's loaders with the complete version suffice for the others. */
-[[nodiscard]] auto peers_suffice(const plan_input& in) -> bool {
-    std::size_t loaders{1U};
-    std::size_t complete{};
-    for (const auto& each : in.m_peers) {
-        if (each.m_region != in.m_region) {
-            continue;
-        }
-        ++loaders;
-        complete += is_complete(each.m_pieces) && in.m_now >= each.m_avoid_until ? 1U : 0U;
-    }
-    return static_cast<double>(complete) >= sufficient_peer_share * static_cast<double>(loaders);
-}
-
 /*! @brief Fetch that the relays allow. */
 struct relay_choice {
     /*! @brief Whether any relay can be used, even if no further fetch from it can be started now. */
@@ -159,7 +145,7 @@
 
 auto next_fetch(const plan_input& in) -> std::optional<fetch> {
     const auto relayed = choose_relay(in, false);
-    if (relayed.m_usable && !peers_suffice(in)) {
+    if (relayed.m_usable) {
         return relayed.m_fetch;
     }
     std::optional<fetch> best{};
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -21,8 +21,8 @@
 /*! @brief Capacity of the send queue of one peer: a few seconds of pulses and reports. */
 constexpr int max_queued_messages = 256;
 constexpr duration bus_heartbeat_interval = std::chrono::seconds{2};
-/*! @brief Longest delay of the first watch of the store. It begins once a process has registered and knows that no other
- * one watches; where all start at once, that takes longer than a listing. */
+/*! @brief Longest delay of the first watch of the store. It begins once a process has registered and knows that no
+ * other one watches; where all start at once, that takes longer than a listing. */
 constexpr duration max_first_watch_delay = std::chrono::seconds{1};
 /*! @brief Longest delay between two reads of the list of gateways at the start while the store does not answer. */
 constexpr duration first_read_retry_delay = std::chrono::milliseconds{800};
@@ -246,8 +246,8 @@
         ask_seeds(self);
         return;
     }
-    const auto jitter = duration{static_cast<duration::rep>(
-        self.m_random() % static_cast<std::uint64_t>(first_read_retry_delay.count()))};
+    const auto jitter = duration{
+        static_cast<duration::rep>(self.m_random() % static_cast<std::uint64_t>(first_read_retry_delay.count()))};
     self.m_loop.after(first_read_retry_delay / 2 + jitter, [&self] {
         if (!self.m_following_begun) {
             read_members(self);
--- a/src/node/store_fallback.hpp
+++ b/src/node/store_fallback.hpp
@@ -21,8 +21,8 @@
  * @brief Tells whether a loader is to read the store, checked periodically.
  *
  * Load pattern: after a power cut of all, hundreds of loaders hear no gateway for seconds. Each read of the operators'
- * keys is as large as the configuration, so that reads at a fixed interval keep the links to the store's region full, and
- * with them the gateways from reading the configuration.
+ * keys is as large as the configuration, so that reads at a fixed interval keep the links to the store's region full,
+ * and with them the gateways from reading the configuration.
  * @param gateway_alive Whether a gateway has been heard lately.
  * @param random Random bits, which spread the reads over half of the delay.
  */
--- a/test/gateway/weights.cpp
+++ b/test/gateway/weights.cpp
@@ -197,4 +197,81 @@
     CHECK(here.m_gateway.m_weights_relay.m_versions.empty());
 }
 
+namespace {
+
+/*! @brief Adds a runner of the gateway's region that holds the version, with its loader. */
+auto add_holder(fixture& here, const net::http_server& loader, const std::string& region) -> void {
+    fleet::member member{};
+    member.m_instance = "side-" + region;
+    member.m_region = region;
+    member.m_incarnation = 7U;
+    member.m_bulk_address = net::local(loader.port());
+    node::update_member(here.m_gateway.m_core, member, true);
+    auto backend = std::make_shared<dispatch::server_load>();
+    backend->m_id = "i-" + region;
+    backend->m_loader = member.m_instance;
+    backend->m_last_heard = steady_now();
+    backend->m_models = {{"m", version, 1U}};
+    here.m_gateway.m_backends.emplace(backend->m_id, backend);
+}
+
+} // namespace
+
+// Load pattern: empty runners are added to a region whose others hold the version.
+TEST_CASE("a piece that a runner of the region holds is read from its loader, once for all, and not from the origin") {
+    fixture here{};
+    unsigned reads{};
+    net::http_server loader{here.m_gateway.m_core.m_loop, net::http_limits{},
+                            [&](const net::http_request& request, const std::shared_ptr<net::responder>& responder) {
+                                ++reads;
+                                const auto index = adapter::query_value(request.m_target, "index");
+                                responder->respond({200U, {}, unpadded_piece(std::stoul(index))});
+                            }};
+    net::ensure_listening(loader);
+    SUBCASE("a loader of the region") {
+        add_holder(here, loader, "region-1");
+        for (const auto piece : {0U, 1U, 1U, 0U}) {
+            here.fetch_piece(piece);
+        }
+        REQUIRE(here.wait(4U));
+        CHECK(here.m_piece_requests == 0U);
+        CHECK(reads == 2U);
+    }
+    SUBCASE("a loader of another region is not asked") {
+        add_holder(here, loader, "region-2");
+        here.fetch_piece(0U);
+        REQUIRE(here.wait(1U));
+        CHECK(here.m_piece_requests == 1U);
+        CHECK(reads == 0U);
+    }
+    for (const auto& each : here.m_responses) {
+        CHECK(each.m_status == 200U);
+    }
+}
+
+TEST_CASE("a piece that a loader delivers corrupt, or not at all, is read from the origin for the same request") {
+    fixture here{};
+    net::http_response answer{};
+    SUBCASE("corrupt") {
+        answer = {200U, {}, "other bytes"};
+    }
+    SUBCASE("refused") {
+        answer = net::problem(code::chunk_unavailable, outcome::not_run, {}, duration::zero());
+    }
+    SUBCASE("not found") {
+        answer = {404U, {}, {}};
+    }
+    net::http_server loader{here.m_gateway.m_core.m_loop, net::http_limits{},
+                            [&](const net::http_request&, const std::shared_ptr<net::responder>& responder) {
+                                responder->respond(answer);
+                            }};
+    net::ensure_listening(loader);
+    add_holder(here, loader, "region-1");
+    here.fetch_piece(2U);
+    REQUIRE(here.wait(1U));
+    CHECK(here.m_responses[0].m_status == 200U);
+    CHECK(here.m_responses[0].m_body == unpadded_piece(2U));
+    CHECK(here.m_piece_requests == 1U);
+}
+
 } // namespace rhubarbwharf::gateway
--- a/test/loader/staging.cpp
+++ b/test/loader/staging.cpp
@@ -147,8 +147,8 @@
     CHECK(fixture.wait_until([&] { return requests > 0U; }));
 }
 
-// Load pattern: a power cut of all, after which runners need seconds to answer. Gateways knew no loader whose runner had
-// not reported, sent it no heartbeats, and each loader read the store every 2 s.
+// Load pattern: a power cut of all, after which runners need seconds to answer. Gateways knew no loader whose runner
+// had not reported, sent it no heartbeats, and each loader read the store every 2 s.
 TEST_CASE("gateways hear of a loader before its runner answers") {
     daemon loader{settings(), {}};
     loader.m_runner = {"127.0.0.1", 1U};
