Let a server count as replaced only while its successor's loader reports

Cause: a flag that only a report of the same incarnation cleared.

Change: the flag is a time, 1.4 s after the last report of another incarnation, as long as a report counts at all. While the loader of the new incarnation reports, every 450 ms at most, the ended one stays out as before.

The test fails on the former code.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -35,9 +35,9 @@
     /*! @brief Whether it was removed from the server list; the row is kept until the requests of this gateway there
      * have ended. */
     bool m_removed{false};
-    /*! @brief Whether the loader at its address last reported another incarnation; the platform lists an ended one
-     * until its entry lapses. */
-    bool m_replaced{false};
+    /*! @brief Until when it counts as ended, as the loader at its address has reported another incarnation; the platform
+     * lists an ended one until its entry lapses. */
+    time_point m_replaced_until{};
     std::vector<fleet::held_model> m_models{};
     /*! @brief Requests that this gateway may have in progress there when slots are scarce. */
     double m_quota{};
@@ -117,6 +117,9 @@
 
 /*! @brief Age from which a report is stale: three reports were missed, and the backend server may be unreachable. */
 inline constexpr duration stale_report_age = std::chrono::milliseconds{1'400};
+/*! @brief Time for which a backend server counts as ended after a report of another incarnation at its address: while
+ * that one's loader reports. A report that was sent just before a restart does not keep the new incarnation out. */
+inline constexpr duration replacement_memory = stale_report_age;
 /*! @brief Added to the predicted time of a backend server whose last report is stale, in ms. */
 inline constexpr double stale_report_penalty_ms = 400.0;
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -23,8 +23,9 @@
 }
 
 /*! @brief Checks whether a backend server takes new requests and holds what a request requires. */
-[[nodiscard]] auto is_suitable(const server_load& row, const request_requirements& required) noexcept -> bool {
-    return !row.m_draining && !row.m_leaving && !row.m_removed && !row.m_replaced && !row.m_loading &&
+[[nodiscard]] auto is_suitable(const server_load& row, const request_requirements& required,
+                               const time_point now) noexcept -> bool {
+    return !row.m_draining && !row.m_leaving && !row.m_removed && now >= row.m_replaced_until && !row.m_loading &&
            satisfies_version(row, required);
 }
 
@@ -65,7 +66,7 @@
 
 auto is_eligible(const server_load& row, const request_requirements& required, const time_point now) noexcept -> bool {
     const auto already_tried = std::ranges::find(required.m_tried_servers, row.m_id) != required.m_tried_servers.end();
-    return is_suitable(row, required) && !already_tried && now >= row.m_paused_until && is_usable(row.m_health, now);
+    return is_suitable(row, required, now) && !already_tried && now >= row.m_paused_until && is_usable(row.m_health, now);
 }
 
 auto time_until_resumed(const std::span<const std::shared_ptr<server_load>> rows, const request_requirements& required,
@@ -73,7 +74,7 @@
     std::optional<time_point> first{};
     auto any_paused = false;
     for (const auto& row : rows) {
-        if (!is_suitable(*row, required)) {
+        if (!is_suitable(*row, required, now)) {
             continue;
         }
         if (is_eligible(*row, required, now)) {
--- a/src/gateway/loads.cpp
+++ b/src/gateway/loads.cpp
@@ -61,11 +61,12 @@
 } // namespace
 
 auto on_load(daemon& self, const std::string_view peer, const wire::fleet::Load& update) -> void {
+    const auto now = steady_now();
     if (update.has_self()) {
         node::update_member(self.m_core, node::from_wire(update.self()), false);
     }
     if (const auto sender = self.m_core.m_members.find(peer); sender != self.m_core.m_members.end()) {
-        sender->second.m_last_received = steady_now();
+        sender->second.m_last_received = now;
     }
     const auto address = net::parse_endpoint(update.address());
     std::shared_ptr<dispatch::server_load> reported{};
@@ -75,20 +76,23 @@
         }
         if (each->m_started_ms == update.started()) {
             reported = each;
-        } else if (!std::exchange(each->m_replaced, true)) {
-            self.m_core.m_events.write("server.replaced", {{"server", id}, {"source", peer}});
+        } else {
+            const auto was_replaced = now < each->m_replaced_until;
+            each->m_replaced_until = now + dispatch::replacement_memory;
+            if (!was_replaced) {
+                self.m_core.m_events.write("server.replaced", {{"server", id}, {"source", peer}});
+            }
         }
     }
     if (!reported) {
         return;
     }
     auto& backend = *reported;
-    const auto now = steady_now();
     apply_load(backend, {update.running(), update.waiting(), update.busy() || !update.alive(), update.pace(), now},
                update.models());
     backend.m_last_heard = now;
     backend.m_loader = peer;
-    backend.m_replaced = false;
+    backend.m_replaced_until = {};
     if (update.leaving()) {
         node::mark_server_leaving(self.m_core, backend.m_id, {backend.m_started_ms, backend.m_address}, peer);
     }
--- a/test/gateway/loads.cpp
+++ b/test/gateway/loads.cpp
@@ -80,6 +80,15 @@
     CHECK_FALSE(is_eligible(first));
 }
 
+TEST_CASE("a last report of a former incarnation keeps the new one out only until the next report is due") {
+    daemon self{settings(), {}};
+    static_cast<void>(add_server(self, "i-1", 1'000U, 5U));
+    auto& started = add_server(self, "i-2", 2'000U, 6U);
+    internal::on_load(self, "loader-1", load_of(1'000U, 0U));
+    REQUIRE_FALSE(is_eligible(started));
+    CHECK(dispatch::is_eligible(started, {}, steady_now() + dispatch::stale_report_age));
+}
+
 TEST_CASE("a load that another region tells counts from its report, and never replaces a later one") {
     daemon self{settings(), {}};
     auto& row = add_server(self, "i-1", 1'000U, 5U);
