--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -66,7 +66,8 @@
 
 auto is_eligible(const server_load& row, const request_requirements& required, const time_point now) noexcept -> bool {
     const auto already_tried = std::ranges::find(required.m_tried_servers, row.m_id) != required.m_tried_servers.end();
-    return is_suitable(row, required, now) && !already_tried && now >= row.m_paused_until && is_usable(row.m_health, now);
+    return is_suitable(row, required, now) && !already_tried && now >= row.m_paused_until &&
+           is_usable(row.m_health, now);
 }
 
 auto time_until_resumed(const std::span<const std::shared_ptr<server_load>> rows, const request_requirements& required,
