--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -35,8 +35,8 @@
     /*! @brief Whether it was removed from the server list; the row is kept until the requests of this gateway there
      * have ended. */
     bool m_removed{false};
-    /*! @brief Until when it counts as ended, as the loader at its address has reported another incarnation; the platform
-     * lists an ended one until its entry lapses. */
+    /*! @brief Until when it counts as ended, as the loader at its address has reported another incarnation; the
+     * platform lists an ended one until its entry lapses. */
     time_point m_replaced_until{};
     std::vector<fleet::held_model> m_models{};
     /*! @brief Requests that this gateway may have in progress there when slots are scarce. */
