Bound the calls of a gateway that starts during an outage

Cause: the periodic check reads the list of gateways too, and each read that failed began a sequence of retries of its own, so that the calls of a gateway grew with the length of the outage. And a gateway whose first entry was written within four seconds of a new era never took itself for registered, and read the list every two seconds from then on.

Change: one retry is pending at a time; the entry counts as written before the look at the era.

--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -246,9 +246,14 @@
         ask_seeds(self);
         return;
     }
+    // The periodic check reads as well; each failure must not begin a sequence of retries of its own.
+    if (std::exchange(self.m_first_read_retry_pending, true)) {
+        return;
+    }
     const auto jitter = duration{
         static_cast<duration::rep>(self.m_random() % static_cast<std::uint64_t>(first_read_retry_delay.count()))};
     self.m_loop.after(first_read_retry_delay / 2 + jitter, [&self] {
+        self.m_first_read_retry_pending = false;
         if (!self.m_following_begun) {
             read_members(self);
         }
@@ -336,13 +341,13 @@
         self.m_loop, self.m_store, key, adapter::encode_member(self.m_self),
         std::chrono::milliseconds{self.m_settings.m_store.m_lease_ms}, [&self] {
             self.m_events.write("member.registered", {{"era", static_cast<std::int64_t>(self.m_store.era())}});
+            self.m_registered = true;
             // In a new era the list is incomplete until all gateways have registered again.
             const auto era_age = steady_now() - self.m_store_era_since;
             if (self.m_store_era_since != time_point{} && era_age <= gateway_registration_spread) {
                 return;
             }
             // If two processes start together, the one that writes later reads the other's entry.
-            self.m_registered = true;
             self.m_members_read = false;
             read_members(self);
         });
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -134,8 +134,11 @@
     std::uint64_t m_last_pushed_configuration{};
     /*! @brief Sum of the versions of the weights targets that were last pushed to loaders. */
     std::uint64_t m_last_pushed_weights{};
-    /*! @brief Whether the list of gateways has been read once, and so followed the store or left that to others. */
+    /*! @brief Whether this process has begun to follow the store, or left that to others: decided by the first list of
+     * gateways that it reads. */
     bool m_following_begun{false};
+    /*! @brief Whether that read has failed and is repeated soon. */
+    bool m_first_read_retry_pending{false};
     /*! @brief Whether the own entry has been written; always true for a loader, which has none. */
     bool m_registered{false};
     /*! @brief Whether the store's list of gateways has been read since then. */
--- a/test/node/startup.cpp
+++ b/test/node/startup.cpp
@@ -171,4 +171,38 @@
     CHECK(read->m_version.m_revision == 7U);
 }
 
+// Load pattern: gateways start while the store is down. Every failed read began a further sequence of retries, so that
+// the calls of each gateway grew with the length of the outage.
+TEST_CASE("a gateway that starts during an outage calls the store at a rate that does not grow") {
+    core self{make_settings("gateway", "edge-1"), true};
+    standin_site::store platform_store{self.m_loop};
+    self.m_store.set_address(platform_store.listen());
+    standin_site::store_faults faults{};
+    faults.m_unavailable = true;
+    platform_store.set_faults(faults);
+    REQUIRE(start(self));
+    const auto begin = steady_now();
+    const auto run_for = [&](const duration time) {
+        const auto calls = platform_store.call_count();
+        REQUIRE(net::run_until(self.m_loop, [&] { return steady_now() - begin > time; }));
+        return platform_store.call_count() - calls;
+    };
+    // Reads 0.4 s apart at least and each 2 s, leases 0.7 s apart.
+    constexpr std::uint64_t max_calls_in_twelve_s = 12U * 10U / 4U + 12U / 2U + 12U * 10U / 7U + 1U;
+    CHECK(run_for(std::chrono::seconds{12}) <= max_calls_in_twelve_s);
+    platform_store.set_faults({});
+    CHECK(net::run_until(self.m_loop, [&] { return self.m_members_read; }));
+    CHECK(steady_now() - begin < std::chrono::seconds{15});
+}
+
+TEST_CASE("a gateway whose first entry is written in a new era of the store reads the list of gateways no further") {
+    core self{make_settings("gateway", "edge-1"), true};
+    standin_site::store platform_store{self.m_loop};
+    self.m_store.set_address(platform_store.listen());
+    self.m_store_era_since = steady_now();
+    REQUIRE(start(self));
+    REQUIRE(net::run_until(self.m_loop, [&] { return self.m_members_read; }));
+    CHECK(steady_now() - self.m_store_era_since < std::chrono::seconds{4});
+}
+
 } // namespace rhubarbwharf::node
