--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -24,7 +24,7 @@
 /*! @brief Longest delay of the first watch of the store. It begins once a process has registered and knows that no
  * other one watches; where all start at once, that takes longer than a listing. */
 constexpr duration max_first_watch_delay = std::chrono::seconds{1};
-/*! @brief Longest delay between two reads of the list of gateways at the start while the store does not answer. */
+/*! @brief Mean delay between two reads of the list of gateways at the start while the store does not answer. */
 constexpr duration first_read_retry_delay = std::chrono::milliseconds{800};
 /*! @brief Longest time for which operators' keys are held at the start. */
 constexpr duration startup_hold_time = std::chrono::milliseconds{1'200};
