Say who watches the store after a start

Found by reading the change once more: since the store's list of gateways decides it, not every gateway watches. A comment only; it was built, tests were not run again.

--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -13,7 +13,8 @@
 
 namespace internal {
 
-/*! @brief Time after the start in which every gateway watches the store, as it may not know the other gateways yet. */
+/*! @brief Time after the start in which the store's list of gateways decides who watches, as heartbeats may not have
+ * arrived yet. */
 constexpr duration startup_watch_time = std::chrono::milliseconds{1'500};
 /*! @brief Requests to seeds, counted from the start, after which a process that knows the configuration stops. Until
  * then it still requests the state of a seed, which contains the times at which versions were named. */
