--- a/app/standin-site/store.cpp
+++ b/app/standin-site/store.cpp
@@ -244,6 +244,8 @@
         auto body = changes_for(each);
         if (body.at("events").as_array().empty()) {
             m_watchers.push_back(std::move(each));
+        } else if (m_faults.m_lose_changes) {
+            m_lost_watches.push_back(std::move(each.m_responder));
         } else {
             each.m_responder->respond(make_answer(internal::ok, body));
         }
@@ -273,7 +275,9 @@
     auto waiting = std::move(m_watchers);
     m_watchers.clear();
     for (auto& each : waiting) {
-        if (now >= each.m_deadline) {
+        if (now >= each.m_deadline && m_faults.m_lose_changes) {
+            m_lost_watches.push_back(std::move(each.m_responder));
+        } else if (now >= each.m_deadline) {
             each.m_responder->respond(make_answer(internal::ok, changes_for(each)));
         } else {
             m_watchers.push_back(std::move(each));
--- a/app/standin-site/store.hpp
+++ b/app/standin-site/store.hpp
@@ -33,6 +33,8 @@
     unsigned m_lose_reply_every{};
     /*! @brief Leaves the era out of the responses. */
     bool m_omit_era{false};
+    /*! @brief Loses the changes for pending watches: their connections stay open and silent for good. */
+    bool m_lose_changes{false};
 };
 
 /*! @brief In-memory key-value store with leases and watches; linearizable, as it runs on one thread. */
@@ -128,6 +130,8 @@
     std::vector<watcher> m_watchers{};
     std::map<std::uint64_t, lease> m_leases{};
     std::vector<responder_ptr> m_unanswered{};
+    /*! @brief Watches whose changes were lost. */
+    std::vector<responder_ptr> m_lost_watches{};
     store_faults m_faults{};
     std::uint64_t m_revision{1U};
     std::uint64_t m_compacted_revision{};
--- /dev/null
+++ b/test/node/lost_changes.cpp
@@ -0,0 +1,92 @@
+#include <doctest/doctest.h>
+
+#include <net/fixture.hpp>
+#include <node/core.hpp>
+#include <standin-site/store.hpp>
+
+namespace rhubarbwharf::node {
+
+namespace {
+
+/*! @brief Shortest silence of the store in which the entry of a server can lapse: its heartbeat is 1.2 s, and three may
+ * be missed. */
+constexpr duration shortest_outage = std::chrono::milliseconds{2'400};
+/*! @brief Time after a disturbance of the store from which the platform's time limits count. */
+constexpr duration stable_window = std::chrono::milliseconds{3'000};
+
+const std::string server_key = "servers/s1";
+
+[[nodiscard]] auto entry(const std::string& state) -> std::string {
+    return R"({"service":"s","address":"127.0.0.1:9","zone":"z","slots":4,"born":12,"state":")" + state + "\"}";
+}
+
+[[nodiscard]] auto gateway_settings() -> config::node_settings {
+    config::node_settings out{};
+    out.m_role = "gateway";
+    out.m_instance = "gateway-1";
+    out.m_region = "here";
+    out.m_listen.m_bus = "127.0.0.1:0";
+    out.m_store.m_address = "127.0.0.1:1";
+    return out;
+}
+
+/*! @brief A gateway that watches a stand-in store, which lists one server. */
+struct watching_gateway {
+    core m_self{gateway_settings(), true};
+    standin_site::store m_platform_store{m_self.m_loop};
+
+    watching_gateway() {
+        m_self.m_store.set_address(m_platform_store.listen());
+        m_platform_store.put(server_key, entry("ready"));
+        REQUIRE(start(m_self));
+        REQUIRE(wait_until([this] { return is_known() && m_self.m_registered; }));
+        // The first watch begins up to a second after the listing.
+        let_pass(std::chrono::milliseconds{1'500});
+        m_platform_store.put(server_key, entry("ready"));
+        let_pass(std::chrono::milliseconds{1'000});
+    }
+
+    [[nodiscard]] auto wait_until(const std::function<bool()>& holds) -> bool {
+        return net::run_until(m_self.m_loop, holds);
+    }
+
+    auto let_pass(const duration time) -> void {
+        const auto end = steady_now() + time;
+        REQUIRE(wait_until([end] { return steady_now() >= end; }));
+    }
+
+    [[nodiscard]] auto is_known() const -> bool { return m_self.m_servers.m_rows.contains("s1"); }
+
+    [[nodiscard]] auto is_draining() const -> bool {
+        const auto row = m_self.m_servers.m_rows.find("s1");
+        return row != m_self.m_servers.m_rows.end() && row->second.m_draining;
+    }
+
+    /*! @brief Makes the store silent for a while, in which an entry lapses and its watchers' answers are lost. */
+    auto lose_entry_in_outage(const duration outage) -> void {
+        standin_site::store_faults faults{};
+        faults.m_unresponsive = true;
+        faults.m_lose_changes = true;
+        m_platform_store.set_faults(faults);
+        let_pass(outage / 2);
+        m_platform_store.remove(server_key);
+        let_pass(outage / 2);
+        m_platform_store.set_faults({});
+    }
+};
+
+} // namespace
+
+TEST_CASE("a server's draining is known although the answer to the watch before it was lost in an outage") {
+    watching_gateway fixture{};
+    fixture.lose_entry_in_outage(shortest_outage);
+    const auto returned = steady_now();
+    fixture.m_platform_store.put(server_key, entry("ready"));
+    fixture.let_pass(returned + stable_window - steady_now());
+    fixture.m_platform_store.put(server_key, entry("draining"));
+    const auto drain_limit = std::chrono::milliseconds{fixture.m_self.m_settings.m_bounds.m_drain_ms};
+    fixture.let_pass(drain_limit);
+    CHECK(fixture.is_draining());
+}
+
+} // namespace rhubarbwharf::node
