Replace a watch whose response may have been lost in an outage

Callers were sent to a server for more than 2 s after it had said that it drains, and for seconds after it had ended (DRAIN).

Cause: while the store is silent, the leases of runners end; the responses to the watches that this ends are lost, and their connections stay open. A follower waited for its own time limit, 20 s and 2 s more. Nothing else told it, as the outage fell between the renewals of leases or their failure had no consequence. In the record no watcher of any region learned of a server between 24.8 and 39.4 s, and store.lost is in no log.

Change: the store's client tells when a call has ended without a response and when the next one gets one. Then watches that began before are replaced by new ones from the same revision, and the time of what these find is a bound. A watcher renews its lease every 1.5 s, a tenth of a call, so that an outage in which an entry can lapse (2.4 s) is always noticed, and its end within 1.5 s: before the 3 s after which time limits count. The store then also counts as lost, so that lapsed entries are held until they can be back.

--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -18,6 +18,11 @@
 constexpr time_point distant_past{duration{1}};
 /*! @brief Interval between checks whether the store has to be read directly. */
 constexpr duration store_fallback_interval = std::chrono::milliseconds{2'000};
+/*! @brief Interval of the probes that a watcher sends to the store: an outage in which an entry can lapse lasts 2.4 s
+ * or more, so that a probe falls into it, and the first answer after it comes within the 3 s from which time limits
+ * count.
+ */
+constexpr duration store_probe_interval = std::chrono::milliseconds{1'500};
 /*! @brief Capacity of the send queue of one peer: a few seconds of pulses and reports. */
 constexpr int max_queued_messages = 256;
 constexpr duration bus_heartbeat_interval = std::chrono::seconds{2};
@@ -77,6 +82,25 @@
     self.m_counters.set("store_reachable", reachable ? 1.0 : 0.0);
 }
 
+/*! @brief Notes that the store has left a call without a response, or responds again. A watch that began before may
+ * have lost its response meanwhile and would wait in vain, so it is replaced. */
+auto on_store_contact(core& self, const bool answers) -> void {
+    if (!answers) {
+        self.m_store_unanswered_at = steady_now();
+    }
+    if (self.m_store_reachable != answers) {
+        update_store_contact(self, "calls", answers);
+    }
+    if (!answers) {
+        return;
+    }
+    for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
+        if (each) {
+            each->replace_watch(self.m_store_unanswered_at);
+        }
+    }
+}
+
 /*! @brief Applies a key written by an operator, or holds it at the start. @param written When it was written. */
 auto on_operator_item(core& self, const adapter::key_value& item, const fleet::arrival_time& written) -> void {
     if (item.m_removed) {
@@ -179,6 +203,12 @@
     handlers.m_arrival = [&self] {
         return arrival_now(self);
     };
+    handlers.m_on_watch_replaced = [&self, prefix](const duration age) {
+        self.m_events.write(
+            "store.watch_replaced",
+            {{"prefix", prefix}, {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+        self.m_counters.add("store_watches_replaced_total", 1.0, prefix);
+    };
     const auto watch_timeout = std::chrono::milliseconds{self.m_settings.m_store.m_watch_ms};
     return std::make_shared<follower>(self.m_loop, self.m_store, std::string{prefix}, watch_timeout, batch_delay,
                                       self.m_random(), std::move(handlers));
@@ -352,6 +382,11 @@
             read_members(self);
         });
     self.m_registration->start();
+    self.m_loop.every(store_probe_interval, [&self] {
+        if (self.m_watches_store) {
+            self.m_registration->probe();
+        }
+    });
 }
 
 } // namespace
@@ -396,6 +431,7 @@
     self.m_registered = !self.m_follows_servers;
     self.m_store.set_era_handler(
         [&self](const std::uint64_t former, const std::uint64_t era) { on_store_era(self, former, era); });
+    self.m_store.set_contact_handler([&self](const bool answers) { internal::on_store_contact(self, answers); });
     self.m_loop.after(internal::startup_hold_time, [&self] { apply_held_operator_items(self); });
     internal::follow_store(self);
     internal::read_members(self);
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -120,6 +120,8 @@
     bool m_store_reachable{false};
     /*! @brief When the store last became reachable; the epoch if it never was. */
     time_point m_store_reachable_since{};
+    /*! @brief When a call of the store last ended without a response, after others had got one. */
+    time_point m_store_unanswered_at{};
     /*! @brief When the present era of the store became known; the epoch if it is the first one. */
     time_point m_store_era_since{};
     /*! @brief Smoothed rate of requests that reach this gateway, per second. */
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -28,6 +28,10 @@
             return fleet::arrival_time{steady_now(), true};
         };
     }
+    if (!m_handlers.m_on_watch_replaced) {
+        m_handlers.m_on_watch_replaced = [](duration) {
+        };
+    }
 }
 
 auto follower::start(const duration first_watch_delay) -> void {
@@ -50,12 +54,14 @@
     }
 }
 
-auto follower::restart_watch() -> void {
-    if (m_stopped || !m_call) {
+auto follower::replace_watch(const time_point began_until) -> void {
+    if (m_stopped || !m_call || m_watch_requested_at > began_until) {
         return;
     }
     ++m_generation;
     std::exchange(m_call, nullptr)->cancel();
+    m_failures = std::max(m_failures, 1U);
+    m_handlers.m_on_watch_replaced(steady_now() - m_watch_requested_at);
     watch();
 }
 
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -27,6 +27,8 @@
     std::function<void(adapter::key_value)> m_on_change{};
     /*! @brief Called with whether the store answers, each time that this changes. */
     std::function<void(bool)> m_on_reachability{};
+    /*! @brief Called with the age of a watch that is replaced; may be empty. */
+    std::function<void(duration)> m_on_watch_replaced{};
     /*! @brief Returns when a response that is handled now reached this machine; empty if that is always now. */
     std::function<fleet::arrival_time()> m_arrival{};
 };
@@ -59,9 +61,9 @@
     /*! @brief Ends the delay of the first watch. */
     auto begin_watch() -> void;
 
-    /*! @brief Cancels the watch in progress and starts a new one, for example if a peer knows of changes that the watch
-     * has not delivered. */
-    auto restart_watch() -> void;
+    /*! @brief Replaces a watch that began at a time or earlier by a new one, as the response to it may be lost. Changes
+     * that the new one finds were written at an unknown time since the last known one. */
+    auto replace_watch(time_point began_until) -> void;
 
     /*! @brief Drops the call in progress and lists anew after a random delay. The known revision may fall. */
     auto relist() -> void;
--- a/src/node/registration.cpp
+++ b/src/node/registration.cpp
@@ -81,6 +81,12 @@
     });
 }
 
+auto registration::probe() -> void {
+    if (!m_stopped && m_lease_id != 0U && m_lease_era == m_store.era()) {
+        m_store.renew_lease(m_lease_id, [](const adapter::lease&) {});
+    }
+}
+
 auto registration::schedule(const duration delay, void (registration::*step)()) -> void {
     if (m_stopped) {
         return;
--- a/src/node/registration.hpp
+++ b/src/node/registration.hpp
@@ -39,6 +39,9 @@
      * @param delay Time until then. */
     auto renew_in_new_era(duration delay) -> void;
 
+    /*! @brief Renews the lease beside the schedule, to learn by a cheap call whether the store answers. */
+    auto probe() -> void;
+
     /*! @brief Ends the lease, which removes the entry. */
     auto stop() -> void;
 
--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -89,4 +89,15 @@
     CHECK(fixture.is_draining());
 }
 
+TEST_CASE("a server whose entry lapsed in an outage stays in use until it can have written it again") {
+    watching_gateway fixture{};
+    fixture.lose_entry_in_outage(shortest_outage);
+    REQUIRE(fixture.wait_until([&] { return fixture.m_self.m_pending_removals.contains("s1"); }));
+    CHECK(fixture.is_known());
+    fixture.m_platform_store.put(server_key, entry("ready"));
+    REQUIRE(fixture.wait_until([&] { return !fixture.m_self.m_pending_removals.contains("s1"); }));
+    fixture.let_pass(stable_window);
+    CHECK(fixture.is_known());
+}
+
 } // namespace rhubarbwharf::node
