Replace the watch of servers when a peer knows what it has not delivered

Only gateways of the same region compared what they know of servers; if the watches of both watchers of a region had died, the region learned of nothing for 22 s, although the others knew.

Change: heartbeats state the highest known revision of the list of servers. A watcher that misses a told revision for 0.7 s, longer than a batch of changes, begins its watch anew: one call, no state crosses regions.

The decision is fleet::note_told_version, with its own test.

--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -151,6 +151,26 @@
 [[nodiscard]] auto is_leaving(const leaving_table& table, std::string_view id, std::uint64_t started_ms) noexcept
     -> bool;
 
+/*! @brief Version of the list of backend servers that a peer knows and this process does not. */
+struct missed_version {
+    store_version m_version{};
+    /*! @brief Since when it is missed. */
+    time_point m_since{};
+};
+
+/*! @brief Time for which a working watch may miss a version: it reads changes in batches 0.5 s apart. */
+inline constexpr duration max_watch_lag = std::chrono::milliseconds{700};
+
+/**
+ * @brief Records which version of the list of backend servers a peer knows.
+ * @param missed Highest version that is missed so far.
+ * @param known Version that this process knows.
+ * @param told Version that the peer knows.
+ * @return Whether a version has been missed for longer than `max_watch_lag`; the time counts anew then.
+ */
+[[nodiscard]] auto note_told_version(missed_version& missed, store_version known, store_version told,
+                                     time_point now) noexcept -> bool;
+
 /*! @brief Computes an order-independent digest of ids and versions, by which tables of two processes are compared. */
 [[nodiscard]] auto fingerprint(const server_table& table) noexcept -> std::uint64_t;
 
--- a/src/fleet/server.cpp
+++ b/src/fleet/server.cpp
@@ -89,6 +89,18 @@
     table.m_listing_version = std::max(table.m_listing_version, version);
 }
 
+auto note_told_version(missed_version& missed, const store_version known, const store_version told,
+                       const time_point now) noexcept -> bool {
+    if (missed.m_version <= known) {
+        missed = {told, now};
+    }
+    if (missed.m_version <= known || now - missed.m_since < max_watch_lag) {
+        return false;
+    }
+    missed.m_since = now;
+    return true;
+}
+
 auto merge_leaving(leaving_table& table, const std::string_view id, leaving_server value) -> bool {
     if (is_leaving(table, id, value.m_started_ms)) {
         return false;
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -160,6 +160,8 @@
     core_handlers m_handlers{};
     std::shared_ptr<follower> m_operator_follower{};
     std::shared_ptr<follower> m_server_follower{};
+    /*! @brief Version of the list of backend servers that the own watch has not delivered. */
+    fleet::missed_version m_missed_version{};
     /*! @brief Entry of a gateway in the store; null for a loader, which gateways know from its reports. */
     std::shared_ptr<registration> m_registration{};
 };
--- a/src/node/pulse.cpp
+++ b/src/node/pulse.cpp
@@ -77,6 +77,25 @@
     return self.m_follows_servers && is_local && is_stable && fingerprint != own;
 }
 
+/*! @brief Returns the version up to which the list of backend servers is known. */
+[[nodiscard]] auto known_server_version(const core& self) -> fleet::store_version {
+    const auto followed = self.m_server_follower ? self.m_server_follower->version() : fleet::store_version{};
+    return std::max(self.m_servers.m_version, followed);
+}
+
+/*! @brief Replaces the watch of the backend servers if a peer knows what it should have delivered: its response may be
+ * lost, and nothing else shows it if no other call was affected. */
+auto check_server_watch(core& self, const wire::fleet::Pulse& message, const time_point now) -> void {
+    const auto follows_same_era = message.store_era() == self.m_store.era();
+    if (!self.m_watches_store || !self.m_server_follower || !follows_same_era) {
+        return;
+    }
+    const fleet::store_version told{message.store_era(), message.server_revision()};
+    if (fleet::note_told_version(self.m_missed_version, known_server_version(self), told, now)) {
+        self.m_server_follower->replace_watch(now);
+    }
+}
+
 auto add_leaving_servers(const core& self, wire::fleet::Pulse& out) -> void {
     for (const auto& [id, server] : self.m_leaving_servers) {
         const auto row = self.m_servers.m_rows.find(id);
@@ -207,6 +226,7 @@
     message.set_configuration(configuration_version(self));
     message.set_weights(weights_version_sum(self));
     message.set_servers(digests_of_servers(self).m_revisions);
+    message.set_server_revision(self.m_servers.m_version.m_revision);
     message.set_server_versions(digests_of_servers(self).m_versions);
     message.set_store_era(self.m_store.era());
     message.set_reaches_store(self.m_store_reachable);
@@ -261,6 +281,7 @@
         mark_server_leaving(self, each.id(), from_wire(each), from);
     }
     const auto status = note_sender(self, from, message, now);
+    check_server_watch(self, message, now);
     if (now - self.m_last_state_pull < min_pull_interval) {
         return;
     }
--- a/test/fleet/server.cpp
+++ b/test/fleet/server.cpp
@@ -175,4 +175,19 @@
     CHECK(bound.m_written_at == earliest);
 }
 
+TEST_CASE("a version that a peer knows is missed once a working watch would have delivered it") {
+    constexpr store_version known{1U, 7U};
+    constexpr store_version told{1U, 9U};
+    const auto now = time_point{std::chrono::hours{1}};
+    missed_version missed{};
+    CHECK_FALSE(note_told_version(missed, known, known, now));
+    CHECK_FALSE(note_told_version(missed, known, told, now + max_watch_lag));
+    // A peer that lags behind does not end the time.
+    CHECK_FALSE(note_told_version(missed, known, known, now + max_watch_lag * 3 / 2));
+    CHECK(note_told_version(missed, known, told, now + max_watch_lag * 2));
+    CHECK_FALSE(note_told_version(missed, known, told, now + max_watch_lag * 2));
+    CHECK_FALSE(note_told_version(missed, told, told, now + max_watch_lag * 4));
+    CHECK_FALSE(note_told_version(missed, told, known, now + max_watch_lag * 6));
+}
+
 } // namespace rhubarbwharf::fleet
--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <fleet.pb.h>
 #include <net/fixture.hpp>
 #include <node/core.hpp>
 #include <standin-site/store.hpp>
@@ -100,4 +101,29 @@
     CHECK(fixture.is_known());
 }
 
+TEST_CASE("a change that only this watcher has lost is read once a gateway of another region tells its version") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    standin_site::store_faults faults{};
+    faults.m_lose_changes = true;
+    fixture.m_platform_store.set_faults(faults);
+    const auto revision = fixture.m_platform_store.put(server_key, entry("draining"));
+    fixture.m_platform_store.set_faults({});
+    wire::fleet::Frame frame{};
+    frame.set_protocol(frame_protocol_version);
+    auto& pulse = *frame.mutable_pulse();
+    pulse.mutable_self()->set_instance("gateway-9");
+    pulse.mutable_self()->set_region("there");
+    pulse.mutable_self()->set_callers("127.0.0.1:9");
+    pulse.set_store_era(self.m_store.era());
+    pulse.set_server_revision(revision);
+    const auto bytes = frame.SerializeAsString();
+    on_message(self, "gateway-9", bytes);
+    self.m_loop.every(std::chrono::milliseconds{300}, [&] { on_message(self, "gateway-9", bytes); });
+    const auto drain_limit = std::chrono::milliseconds{self.m_settings.m_bounds.m_drain_ms};
+    const auto told_at = steady_now();
+    CHECK(fixture.wait_until([&] { return fixture.is_draining(); }));
+    CHECK(steady_now() - told_at < drain_limit);
+}
+
 } // namespace rhubarbwharf::node
