Let a request at a silent server wait in the queue for a second one

Callers whose request was at a runner that stood still got no answer and left; the runner then ran the requests for nobody (GONE).

Cause: a hedge was tried at single instants, once for each further silence of 0.9 s or more. While a fleet is full, a place that comes free goes to the queue in the same instant, so that a hedge never found one; the request hung on the runner until its caller left after 3.2 s. In the record three hedges found a place in the first second, and none in the next two and a half.

Class: work that was accepted depends on one server that shows no sign of life, as its second place is only looked for at instants.

Change: a hedge that finds no place waits in the queue of its service, before others and as long as its caller does; it is withdrawn when the server goes on. The attempt at the silent server goes on meanwhile. request.hedge_waits and hedges_queued_total tell of it.

--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -102,17 +102,11 @@
     state.m_silence = std::min(silence_of(*item, *current, now), now - item->m_silence_checked_at);
     state.m_attempts = item->m_tried_servers.size() - item->m_unsent_attempts;
     state.m_max_attempts = route.m_max_attempts;
-    if (item->m_tried_servers.size() >= max_tried_servers || !dispatch::needs_hedge(state)) {
-        return;
-    }
-    item->m_silence_checked_at = now;
-    if (!hedge(self, item)) {
-        return;
+    const auto is_due = item->m_tried_servers.size() < max_tried_servers && dispatch::needs_hedge(state);
+    if (is_due && !item->m_hedge_waits) {
+        item->m_silence_checked_at = now;
+        hedge(self, item);
     }
-    self.m_core.m_events.write("request.hedged", {{"id", item->m_attempt_id},
-                                                  {"silent", current->m_backend->m_id},
-                                                  {"silent_ms", to_ms(silence_of(*item, *current, now))},
-                                                  {"server", item->m_hedge->m_backend->m_id}});
 }
 
 } // namespace
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -86,6 +86,9 @@
     std::shared_ptr<attempt> m_attempt{};
     /*! @brief Second attempt, made because `m_attempt` is silent; the first of both that delivers is kept. */
     std::shared_ptr<attempt> m_hedge{};
+    /*! @brief Whether the request waits in the queue for a second backend server although `m_attempt` is in progress.
+     */
+    bool m_hedge_waits{false};
     /*! @brief Tried backend servers that got no byte of the request, so that they do not count as attempts. */
     std::size_t m_unsent_attempts{};
     /*! @brief Whether an earlier attempt may have run the request. */
@@ -196,9 +199,12 @@
 /*! @brief Returns the `Retry-After` of a request if only pauses keep it from being sent, jitter included. */
 [[nodiscard]] auto retry_after_pause(daemon& self, const exchange& item) -> std::optional<duration>;
 
-/*! @brief Sends a request to a second backend server beside the attempt in progress.
- * @return False if no backend server that has not been tried has capacity. */
-[[nodiscard]] auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> bool;
+/*! @brief Sends a request to a second backend server beside the attempt in progress, or lets it wait in the queue for
+ * one with capacity. */
+auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> void;
+
+/*! @brief Ends the wait of a request for a second backend server, as it is no longer needed. */
+auto withdraw_hedge(daemon& self, exchange& item) -> void;
 
 /*! @brief Cancels one attempt of an exchange and removes it from the load of its backend server. If another one is in
  * progress, that one becomes `m_attempt`.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -121,6 +121,7 @@
     const auto is_too_large = received.is_event_too_large();
     if (!events.empty()) {
         on_delivery(self, *item, *current, false);
+        withdraw_hedge(self, *item);
         keep_attempt(self, item, current);
         forward_events(self, *item, *current, events);
     }
@@ -258,6 +259,9 @@
             on_server_alive(self, *current->m_backend);
             on_server_headers(self, *current->m_backend, head);
             on_head(*item, *current, head);
+            if (!current->m_is_stream) {
+                withdraw_hedge(self, *item);
+            }
         }
     };
     out.m_on_part = [&self, item, current, is_current](const std::string_view part) {
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <gateway/parts.hpp>
 #include <platform/names.hpp>
@@ -102,9 +103,12 @@
     out.m_request = item.m_id;
     out.m_priority = item.m_priority;
     out.m_arrived = item.m_arrived_at;
-    if (item.m_stream_started) {
-        out.m_send_deadline = std::min<time_point>(
-            item.m_deadline - response_time, item.m_last_event_at + max_stream_wait(*item.m_route) - first_byte_time);
+    // A request whose server is silent or broke off goes before others while its caller still waits.
+    if (item.m_stream_started || item.m_attempt) {
+        const auto waits_since = item.m_stream_started ? item.m_last_event_at : item.m_arrived_at;
+        const auto max_wait = item.m_route->m_streaming ? max_stream_wait(*item.m_route) : item.m_route->m_timeout;
+        out.m_send_deadline =
+            std::min<time_point>(item.m_deadline - response_time, waits_since + max_wait - first_byte_time);
         out.m_on_time_deadline = out.m_send_deadline;
         return out;
     }
@@ -201,9 +205,37 @@
     return retry_after.has_value();
 }
 
+/*! @brief Sends a request to a second backend server if possible. */
+[[nodiscard]] auto send_hedge(daemon& self, service_state& state, const std::shared_ptr<exchange>& item,
+                              const time_point now) -> dispatch::send_result {
+    if (has_crashed_part(self, *item)) {
+        return dispatch::send_result::no_server;
+    }
+    const auto chosen = choose_backend(self, *item, now);
+    if (!chosen) {
+        return has_eligible_backend(self, *item, now) ? dispatch::send_result::no_capacity
+                                                      : dispatch::send_result::no_server;
+    }
+    if (!dispatch::try_acquire_retry(state.m_retry_budget, now)) {
+        return dispatch::send_result::no_server;
+    }
+    withdraw_hedge(self, *item);
+    const auto& silent = *item->m_attempt;
+    dispatch_to(self, item, state.m_backends[chosen->m_index], *chosen);
+    self.m_core.m_events.write("request.hedged",
+                               {{"id", item->m_attempt_id},
+                                {"silent", silent.m_backend->m_id},
+                                {"silent_ms", to_ms(now - std::max(item->m_last_event_at, silent.m_sent_at))},
+                                {"server", item->m_hedge->m_backend->m_id}});
+    return dispatch::send_result::ended;
+}
+
 /*! @brief Sends or refuses a waiting request if possible. */
 [[nodiscard]] auto send_queued(daemon& self, service_state& state, const std::shared_ptr<exchange>& item,
                                const time_point now) -> dispatch::send_result {
+    if (item->m_hedge_waits) {
+        return send_hedge(self, state, item, now);
+    }
     if (const auto chosen = choose_backend(self, *item, now)) {
         dispatch::erase(state.m_queue, item->m_id);
         dispatch_to(self, item, state.m_backends[chosen->m_index], *chosen);
@@ -293,21 +325,34 @@
     return std::min(*resumed + internal::retry_after_jitter(self), internal::max_honoured_retry_after(item, now));
 }
 
-auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> bool {
+auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> void {
     const auto now = steady_now();
     auto& state = self.m_services[item->m_service->m_name];
-    if (has_crashed_part(self, *item)) {
-        return false;
+    if (internal::send_hedge(self, state, item, now) != dispatch::send_result::no_capacity) {
+        return;
     }
-    const auto chosen = internal::choose_backend(self, *item, now);
-    if (!chosen || !dispatch::try_acquire_retry(state.m_retry_budget, now)) {
-        return false;
+    const auto entry = internal::queue_entry(*item);
+    if (entry.m_send_deadline <= now) {
+        return;
+    }
+    dispatch::push(state.m_queue, entry);
+    item->m_hedge_waits = true;
+    self.m_core.m_events.write("request.hedge_waits",
+                               {{"id", item->m_attempt_id},
+                                {"silent", item->m_attempt->m_backend->m_id},
+                                {"waiting", static_cast<std::int64_t>(state.m_queue.m_waiting.size())},
+                                {"limit_ms", internal::to_ms(entry.m_send_deadline - now)}});
+    self.m_core.m_counters.add("hedges_queued_total");
+}
+
+auto withdraw_hedge(daemon& self, exchange& item) -> void {
+    if (std::exchange(item.m_hedge_waits, false)) {
+        dispatch::erase(self.m_services[item.m_service->m_name].m_queue, item.m_id);
     }
-    dispatch_to(self, item, state.m_backends[chosen->m_index], *chosen);
-    return true;
 }
 
 auto schedule(daemon& self, const std::shared_ptr<exchange>& item) -> void {
+    withdraw_hedge(self, *item);
     if (!admit_parts(self, item)) {
         return;
     }
@@ -354,6 +399,9 @@
     for (const auto& each : dispatch::expire(state.m_queue, now)) {
         if (const auto item = self.m_exchanges.find(each.m_request); item != self.m_exchanges.end()) {
             const auto queued = item->second;
+            if (std::exchange(queued->m_hedge_waits, false)) {
+                continue;
+            }
             internal::refuse(self, queued, dispatch::expected_wait(state.m_queue, each, now),
                              "no place came free in time");
         }
@@ -366,7 +414,7 @@
             continue;
         }
         const auto queued = item->second;
-        if (!admit_parts(self, queued)) {
+        if (!queued->m_hedge_waits && !admit_parts(self, queued)) {
             continue;
         }
         if (!dispatch::continues_after(scan, internal::send_queued(self, state, queued, now))) {
