Send no further request to a server that neither reacts nor reports

A runner that reports is not silent however long its answers take, and a server that was idle is not awaited. Requests wait in the queue meanwhile, as such a server may still go on.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -69,6 +69,10 @@
     /*! @brief Ratio of its processing times to the normal ones. */
     double m_slowdown{1.0};
     health m_health{};
+    /*! @brief Whether this gateway awaits something from it. */
+    bool m_is_awaited{false};
+    /*! @brief When it last sent something, or when the first request was sent to which it has not reacted since. */
+    time_point m_awaited_since{};
 };
 
 /*! @brief What a request requires of a backend server. */
@@ -201,6 +205,24 @@
 /*! @brief Restores the load of the backend servers that have not refused a request for `refusal_memory`. */
 auto expire_refusals(std::span<const std::shared_ptr<server_load>> rows, time_point now) noexcept -> void;
 
+/*! @brief Records that a request is sent to a backend server, before it counts as one of this gateway's. */
+auto record_request(server_load& row, time_point now) noexcept -> void;
+
+/*! @brief Records that a backend server has sent something. */
+auto record_sign_of_life(server_load& row, time_point now) noexcept -> void;
+
+/*! @brief Records that a request at a backend server has ended, whether answered or not. */
+auto record_request_end(server_load& row, time_point now) noexcept -> void;
+
+/**
+ * @brief Tells whether a backend server neither reacts to requests of this gateway nor reports: its machine may stand
+ * still.
+ *
+ * Load pattern: a runner stands still with all slots taken, and the fleet is full. Each request whose caller leaves
+ * seems to free a slot there; a new request would wait as long as the former one.
+ */
+[[nodiscard]] auto is_silent(const server_load& row, time_point now) noexcept -> bool;
+
 /*! @brief Tells whether this gateway may send a backend server one more request. */
 [[nodiscard]] auto has_capacity(const server_load& row, const placement_options& options) noexcept -> bool;
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -105,6 +105,28 @@
     }
 }
 
+auto record_request(server_load& row, const time_point now) noexcept -> void {
+    if (!std::exchange(row.m_is_awaited, true)) {
+        row.m_awaited_since = now;
+    }
+    ++row.m_own_requests;
+}
+
+auto record_sign_of_life(server_load& row, const time_point now) noexcept -> void {
+    row.m_awaited_since = now;
+}
+
+auto record_request_end(server_load& row, const time_point now) noexcept -> void {
+    row.m_own_requests -= std::min(row.m_own_requests, 1U);
+    // What a silent server is awaited for is remembered, so that it gets a single request until it reacts.
+    row.m_is_awaited = row.m_own_requests > 0U || is_silent(row, now);
+}
+
+auto is_silent(const server_load& row, const time_point now) noexcept -> bool {
+    return row.m_is_awaited && now - row.m_awaited_since > stale_report_age &&
+           now - row.m_last_reported > stale_report_age;
+}
+
 auto has_capacity(const server_load& row, const placement_options& options) noexcept -> bool {
     const auto slots = static_cast<double>(row.m_slots);
     const auto requests = estimate_load(row);
@@ -164,7 +186,8 @@
         const auto& row = *rows[index];
         // A linear congruential step derives different bits for each candidate from the one random number.
         random = random * 6'364'136'223'846'793'005ULL + 1'442'695'040'888'963'407ULL;
-        if (!is_eligible(row, required, now) || !has_capacity(row, options)) {
+        const auto is_stuck = row.m_own_requests > 0U && is_silent(row, now);
+        if (is_stuck || !is_eligible(row, required, now) || !has_capacity(row, options)) {
             continue;
         }
         const auto first_byte_ms = predict_first_byte_ms(row, engine, required.m_prompt_tokens);
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -142,7 +142,7 @@
 /*! @brief Removes an attempt from the load of its backend server. */
 auto release_load(const attempt& ended) -> void {
     auto& backend = *ended.m_backend;
-    backend.m_own_requests -= std::min(backend.m_own_requests, 1U);
+    dispatch::record_request_end(backend, steady_now());
     backend.m_unread_prompt_tokens = std::max(0.0, backend.m_unread_prompt_tokens - ended.m_unread_tokens);
     dispatch::release_probe(backend.m_health);
 }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -256,6 +256,7 @@
     net::call_handlers out{};
     out.m_on_head = [&self, item, current, is_current](const net::http_response& head) {
         if (is_current()) {
+            dispatch::record_sign_of_life(*current->m_backend, steady_now());
             on_server_alive(self, *current->m_backend);
             on_server_headers(self, *current->m_backend, head);
             on_head(*item, *current, head);
@@ -266,6 +267,7 @@
     };
     out.m_on_part = [&self, item, current, is_current](const std::string_view part) {
         if (is_current()) {
+            dispatch::record_sign_of_life(*current->m_backend, steady_now());
             on_server_alive(self, *current->m_backend);
             on_body_part(self, item, current, part);
         }
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -274,7 +274,7 @@
     current->m_backend = backend;
     current->m_sent_at = now;
     current->m_unread_tokens = item->m_prompt_tokens;
-    ++backend->m_own_requests;
+    dispatch::record_request(*backend, now);
     backend->m_unread_prompt_tokens += current->m_unread_tokens;
     dispatch::record_attempt(backend->m_health, now);
     if (item->m_attempt) {
