--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -119,6 +119,10 @@
     if (m_leaving_since != time_point{}) {
         response.m_headers.push_back({std::string{adapter::field::leaving}, "1"});
     }
+    if (m_faults.m_limit_per_s > 0.0) {
+        response.m_headers.push_back(
+            {std::string{adapter::field::server_limit}, std::to_string(m_faults.m_limit_per_s)});
+    }
 }
 
 auto server::refuse(const responder_ptr& responder) -> void {
@@ -321,6 +325,9 @@
     if (now > m_pause_requested_at + pause_notice && now < m_pause_requested_until) {
         ++m_observations.m_arrivals_in_pause;
     }
+    if (m_faults.m_limit_per_s > 0.0) {
+        m_observations.m_limited_arrivals[m_options.m_id].push_back(now);
+    }
     m_observations.m_last_arrival_when_leaving =
         m_leaving_since == time_point{} ? m_observations.m_last_arrival_when_leaving : now;
     const auto is_nth_request = [this](const unsigned n) {
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -27,6 +27,8 @@
     std::map<std::string, unsigned> m_executions{};
     /*! @brief Requests received, by server id. */
     std::map<std::string, unsigned> m_arrivals{};
+    /*! @brief Arrivals of requests at servers that name a limit, by server id. */
+    std::map<std::string, std::vector<time_point>> m_limited_arrivals{};
     /*! @brief Requests that reached a server later than 0.5 s after it had asked for a pause and before its end. */
     unsigned m_arrivals_in_pause{};
     /*! @brief When a request last reached a server that had announced leaving; the epoch if none did. */
@@ -77,6 +79,8 @@
     unsigned m_unanswered_reads{};
     /*! @brief Value of the header with which reports are refused for a while; empty disables the fault. */
     std::string m_report_retry_after{};
+    /*! @brief Requests a second that the server names in its responses; 0 omits the header. */
+    double m_limit_per_s{};
 };
 
 /*! @brief Properties of one server. */
