Divide the limit that a backend server names among a few gateways

Cause: nobody read the header; and a gateway that limits only itself is one of many. Change, as one mechanism: - A limit is learned from any response, by incarnation. A lower one counts at once; a higher one, or none, only from a response to a request sent after the known one was received, as responses overtake each other. Heartbeats tell it with its age, lifted ones for 10 s. - 1.5 times the limit, and 3, gateways of the server's region hold equal shares as token buckets of one turn, chosen by rendezvous hashing. A new share begins without a turn, and none are saved up during a standstill. - Every request uses a turn: first attempts, queued ones, retries, hedges, resumed streams. A server without a turn has no place for the queue. - Where all servers that could run a request are limited and none has a turn in time, it is refused at once with the time of the next turn. - Log lines, metrics, /dump and pages.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -12,6 +12,7 @@
 #include <rhubarbwharf/core/time.hpp>
 #include <rhubarbwharf/dispatch/fwd.hpp>
 #include <rhubarbwharf/dispatch/health.hpp>
+#include <rhubarbwharf/dispatch/turns.hpp>
 #include <rhubarbwharf/fleet/configuration.hpp>
 #include <rhubarbwharf/fleet/server.hpp>
 #include <rhubarbwharf/net/http.hpp>
@@ -69,6 +70,8 @@
     /*! @brief Ratio of its processing times to the normal ones. */
     double m_slowdown{1.0};
     health m_health{};
+    /*! @brief This gateway's share in the limit that it has named; nothing if it has named none. */
+    std::optional<turn_share> m_turns{};
     /*! @brief Whether this gateway awaits something from it. */
     bool m_is_awaited{false};
     /*! @brief When it last sent something, or when the first request was sent to which it has not reacted since. */
@@ -186,6 +189,23 @@
 [[nodiscard]] auto time_until_resumed(std::span<const std::shared_ptr<server_load>> rows,
                                       const request_requirements& required, time_point now) -> std::optional<duration>;
 
+/*! @brief When requests can be sent to backend servers that have all named a limit. */
+struct turn_outlook {
+    /*! @brief Time until the first turn; `duration::max()` if this gateway holds no share. */
+    duration m_first{};
+    /*! @brief Turns per second of this gateway at all of them. */
+    double m_per_s{};
+};
+
+/*! @brief Returns when a request has a turn. @return Nothing if a backend server that could run it has named no limit,
+ * or if none could run it. */
+[[nodiscard]] auto find_turns(std::span<const std::shared_ptr<server_load>> rows, const request_requirements& required,
+                              time_point now) -> std::optional<turn_outlook>;
+
+/*! @brief Returns the time until a request has a turn behind others that wait. @return `duration::max()` if it never
+ * has one. */
+[[nodiscard]] auto wait_for_turn(const turn_outlook& outlook, std::size_t waiting) noexcept -> duration;
+
 /*! @brief Tells whether any backend server holds the model in a version that the request accepts, even if it cannot run
  * the request now. */
 [[nodiscard]] auto is_version_held(std::span<const std::shared_ptr<server_load>> rows,
@@ -205,7 +225,7 @@
 /*! @brief Restores the load of the backend servers that have not refused a request for `refusal_memory`. */
 auto expire_refusals(std::span<const std::shared_ptr<server_load>> rows, time_point now) noexcept -> void;
 
-/*! @brief Records that a request is sent to a backend server, before it counts as one of this gateway's. */
+/*! @brief Records that a request is sent to a backend server: it counts as one of this gateway's, and uses a turn. */
 auto record_request(server_load& row, time_point now) noexcept -> void;
 
 /*! @brief Records that a backend server has sent something. */
--- a/include/rhubarbwharf/fleet/fwd.hpp
+++ b/include/rhubarbwharf/fleet/fwd.hpp
@@ -28,5 +28,6 @@
 struct arrival_time;
 struct stall;
 struct stall_record;
+struct server_limit;
 
 } // namespace rhubarbwharf::fleet
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -88,6 +88,31 @@
     return any_paused && first ? std::optional{*first - now} : std::nullopt;
 }
 
+auto find_turns(const std::span<const std::shared_ptr<server_load>> rows, const request_requirements& required,
+                const time_point now) -> std::optional<turn_outlook> {
+    std::optional<turn_outlook> out{};
+    for (const auto& row : rows) {
+        if (!is_eligible(*row, required, now)) {
+            continue;
+        }
+        if (!row->m_turns) {
+            return std::nullopt;
+        }
+        out = out.value_or(turn_outlook{duration::max(), 0.0});
+        out->m_first = std::min(out->m_first, time_until_turn(*row->m_turns, now));
+        out->m_per_s += row->m_turns->m_per_s;
+    }
+    return out;
+}
+
+auto wait_for_turn(const turn_outlook& outlook, const std::size_t waiting) noexcept -> duration {
+    if (outlook.m_per_s <= 0.0) {
+        return duration::max();
+    }
+    const std::chrono::duration<double> behind_others{static_cast<double>(waiting) / outlook.m_per_s};
+    return outlook.m_first + std::chrono::duration_cast<duration>(behind_others);
+}
+
 auto record_refusal(server_load& row, const time_point now) noexcept -> void {
     if (!std::exchange(row.m_counts_as_full, true)) {
         row.m_other_requests_before = row.m_other_requests;
@@ -109,6 +134,9 @@
     if (!std::exchange(row.m_is_awaited, true)) {
         row.m_awaited_since = now;
     }
+    if (row.m_turns) {
+        take_turn(*row.m_turns, now);
+    }
     ++row.m_own_requests;
 }
 
@@ -187,7 +215,8 @@
         // A linear congruential step derives different bits for each candidate from the one random number.
         random = random * 6'364'136'223'846'793'005ULL + 1'442'695'040'888'963'407ULL;
         const auto is_stuck = row.m_own_requests > 0U && is_silent(row, now);
-        if (is_stuck || !is_eligible(row, required, now) || !has_capacity(row, options)) {
+        const auto has_no_turn = row.m_turns && !has_turn(*row.m_turns, now);
+        if (is_stuck || has_no_turn || !is_eligible(row, required, now) || !has_capacity(row, options)) {
             continue;
         }
         const auto first_byte_ms = predict_first_byte_ms(row, engine, required.m_prompt_tokens);
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -37,6 +37,11 @@
         out += net::json_string(id) + ",\"service\":" + net::json_string(backend->m_service);
         out += ",\"load\":" + std::to_string(dispatch::estimate_load(*backend)) +
                ",\"own\":" + std::to_string(backend->m_own_requests);
+        if (backend->m_turns) {
+            const auto limit = fleet::limit_of(self.m_core.m_server_limits, id, backend->m_started_ms);
+            out += ",\"limit_per_s\":" + std::to_string(limit) +
+                   ",\"own_limit_per_s\":" + std::to_string(backend->m_turns->m_per_s);
+        }
         out += ",\"draining\":" + std::string{backend->m_draining ? "true" : "false"};
         out += ",\"usable\":" + std::string{dispatch::is_usable(backend->m_health, now) ? "true" : "false"} + "}";
     }
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -2,6 +2,7 @@
 #include <functional>
 
 #include <fleet.pb.h>
+#include <gateway/limits.hpp>
 #include <gateway/loads.hpp>
 #include <gateway/parts.hpp>
 #include <node/wire.hpp>
@@ -74,6 +75,7 @@
     if (steady_now() - backend.m_last_reported > dispatch::stale_report_age) {
         backend.m_models = entry.m_models;
     }
+    update_turns(self, backend);
     dispatch_queued(self, backend.m_service);
 }
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -2,6 +2,7 @@
 #include <charconv>
 #include <utility>
 
+#include <gateway/limits.hpp>
 #include <gateway/parts.hpp>
 #include <platform/names.hpp>
 
@@ -259,6 +260,7 @@
             dispatch::record_sign_of_life(*current->m_backend, steady_now());
             on_server_alive(self, *current->m_backend);
             on_server_headers(self, *current->m_backend, head);
+            on_limit_header(self, *current->m_backend, head, current->m_sent_at);
             on_head(*item, *current, head);
             if (!current->m_is_stream) {
                 withdraw_hedge(self, *item);
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include <fleet.pb.h>
+#include <gateway/limits.hpp>
 #include <gateway/parts.hpp>
 #include <rhubarbwharf/gateway/run.hpp>
 
@@ -132,6 +133,7 @@
                                  2 * heartbeat_interval)) {
         node::update_store_watch(self.m_core);
         assign_quotas(self);
+        update_all_turns(self);
     }
     if (self.m_core.m_pulses_sent % heartbeats_per_load_exchange == 0U) {
         send_region_loads(self);
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -205,6 +205,25 @@
     return retry_after.has_value();
 }
 
+/*! @brief Refuses a request if all backend servers that could run it have named limits, and none has a turn for it in
+ * time. @return Whether this is so. */
+[[nodiscard]] auto refuse_without_turn(daemon& self, const std::shared_ptr<exchange>& item,
+                                       const dispatch::waiting_request& entry, const time_point now) -> bool {
+    const auto& state = self.m_services[item->m_service->m_name];
+    const auto outlook = dispatch::find_turns(state.m_backends, requirements_of(self, *item, now), now);
+    if (!outlook || item->m_stream_started || item->m_withdrawn) {
+        return false;
+    }
+    const auto expected = dispatch::wait_for_turn(*outlook, state.m_queue.m_waiting.size());
+    if (expected <= entry.m_send_deadline - now) {
+        return false;
+    }
+    self.m_core.m_counters.add("limit_refusals_total");
+    refuse(self, item, std::min<duration>(expected, dispatch::max_wait_estimate),
+           "the limits of the backend servers allow no request in time");
+    return true;
+}
+
 /*! @brief Sends a request to a second backend server if possible. */
 [[nodiscard]] auto send_hedge(daemon& self, service_state& state, const std::shared_ptr<exchange>& item,
                               const time_point now) -> dispatch::send_result {
@@ -378,6 +397,9 @@
         internal::refuse(self, item, std::chrono::milliseconds{400}, "no backend server can run it now");
         return;
     }
+    if (internal::refuse_without_turn(self, item, entry, now)) {
+        return;
+    }
     const auto expected = dispatch::refusal_retry_after(state.m_queue, entry, now);
     if (expected && !item->m_stream_started && !item->m_withdrawn) {
         internal::refuse(self, item, *expected, "no place is expected in time");
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -14,6 +14,7 @@
 
 #include <rhubarbwharf/config/node.hpp>
 #include <rhubarbwharf/fleet/configuration.hpp>
+#include <rhubarbwharf/fleet/limit.hpp>
 #include <rhubarbwharf/fleet/member.hpp>
 #include <rhubarbwharf/fleet/region.hpp>
 #include <rhubarbwharf/fleet/server.hpp>
@@ -90,6 +91,8 @@
     std::vector<fleet::weights_target> m_weights_targets{};
     fleet::server_table m_servers{};
     fleet::leaving_table m_leaving_servers{};
+    /*! @brief Limits that backend servers have named. */
+    fleet::limit_table m_server_limits{};
     fleet::member_table m_members{};
     /*! @brief Status of the other regions. */
     fleet::region_table m_regions{};
@@ -294,6 +297,14 @@
 auto mark_server_leaving(core& self, std::string_view id, const fleet::leaving_server& server, std::string_view source)
     -> void;
 
+/*! @brief Merges what a response of a backend server says of its limit; the next pulse tells the peers.
+ * @param sent_at When the request of the response was sent. */
+auto note_server_limit(core& self, std::string_view id, const fleet::server_limit& limit, time_point sent_at) -> void;
+
+/*! @brief Merges a limit that a peer has told. @param source Sender, for the log. */
+auto accept_server_limit(core& self, std::string_view id, const fleet::server_limit& limit, std::string_view source)
+    -> void;
+
 /**
  * @brief Merges an entry of a backend server. In the recovery window of a new era, an entry that was removed in the
  * former one is held unless it has just been written; an incarnation that was draining counts as leaving.
--- a/src/node/pulse.cpp
+++ b/src/node/pulse.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <node/boot_clock.hpp>
@@ -110,7 +111,34 @@
 
 [[nodiscard]] auto age_ms(const time_point since, const time_point now) -> std::uint32_t {
     const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - since).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+auto add_server_limits(const core& self, const time_point now, wire::fleet::Pulse& out) -> void {
+    for (const auto& [id, limit] : self.m_server_limits) {
+        const auto row = self.m_servers.m_rows.find(id);
+        const auto is_listed = row != self.m_servers.m_rows.end() && row->second.m_started_ms == limit.m_started_ms;
+        if (is_listed && fleet::is_told(limit, now)) {
+            auto* const added = out.add_server_limits();
+            added->set_id(id);
+            added->set_started(limit.m_started_ms);
+            added->set_per_s(limit.m_per_s);
+            added->set_age_ms(age_ms(limit.m_as_of, now));
+        }
+    }
+}
+
+auto accept_server_limits(core& self, const std::string_view from, const wire::fleet::Pulse& message) -> void {
+    if (!self.m_follows_servers || message.server_limits().empty()) {
+        return;
+    }
+    const auto arrived = arrival_now(self).m_earliest;
+    for (const auto& each : message.server_limits()) {
+        if (each.per_s() >= 0.0) {
+            const auto as_of = arrived - std::chrono::milliseconds{each.age_ms()};
+            accept_server_limit(self, each.id(), {each.started(), each.per_s(), as_of}, from);
+        }
+    }
 }
 
 auto status_to_wire(const std::string_view region, const fleet::region_status& status, const time_point now,
@@ -232,6 +260,7 @@
     message.set_reaches_store(self.m_store_reachable);
     message.set_loaders(loaders_digest(self));
     add_leaving_servers(self, message);
+    add_server_limits(self, steady_now(), message);
 }
 
 /*! @brief Adds what this gateway has heard of other regions, for its own. */
@@ -280,6 +309,7 @@
     for (const auto& each : message.leaving_servers()) {
         mark_server_leaving(self, each.id(), from_wire(each), from);
     }
+    accept_server_limits(self, from, message);
     const auto status = note_sender(self, from, message, now);
     check_server_watch(self, message, now);
     if (now - self.m_last_state_pull < min_pull_interval) {
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -60,6 +60,41 @@
     self.m_handlers.m_on_server(std::string{id});
 }
 
+namespace internal {
+
+namespace {
+
+auto report_limit(core& self, const std::string_view id, const fleet::server_limit& limit,
+                  const std::string_view source) -> void {
+    const auto age = steady_now() - limit.m_as_of;
+    const auto is_lifted = limit.m_per_s == fleet::no_limit;
+    self.m_events.write(is_lifted ? "server.limit_lifted" : "server.limited",
+                        {{"server", id},
+                         {"per_s", is_lifted ? 0.0 : limit.m_per_s},
+                         {"source", source},
+                         {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+    self.m_counters.add("server_limit_changes_total");
+    self.m_handlers.m_on_server(std::string{id});
+}
+
+} // namespace
+
+} // namespace internal
+
+auto note_server_limit(core& self, const std::string_view id, const fleet::server_limit& limit,
+                       const time_point sent_at) -> void {
+    if (fleet::merge_named_limit(self.m_server_limits, id, limit, sent_at)) {
+        internal::report_limit(self, id, limit, "server");
+    }
+}
+
+auto accept_server_limit(core& self, const std::string_view id, const fleet::server_limit& limit,
+                         const std::string_view source) -> void {
+    if (fleet::merge_told_limit(self.m_server_limits, id, limit)) {
+        internal::report_limit(self, id, limit, source);
+    }
+}
+
 auto offer_server(core& self, const fleet::backend_server& row, const bool is_new_write) -> bool {
     const auto known = self.m_servers.m_rows.find(row.m_id);
     if (known != self.m_servers.m_rows.end() && fleet::revives_drained(known->second, row)) {
--- a/test/adapter/decode.cpp
+++ b/test/adapter/decode.cpp
@@ -99,6 +99,18 @@
     }
 }
 
+TEST_CASE("a server's limit is read strictly") {
+    CHECK(decode_server_limit("1.4") == 1.4);
+    CHECK(decode_server_limit("0") == 0.0);
+    CHECK(decode_server_limit("0.001") == 0.001);
+    CHECK(decode_server_limit("1000000000000") == 1e12);
+    for (const auto* const text :
+         {"", "-1", "+1", " 1", "1 ", "1/s", "1e3", "nan", "inf", "infinity", "0x1", "1,5", "."}) {
+        CAPTURE(text);
+        CHECK_FALSE(decode_server_limit(text));
+    }
+}
+
 TEST_CASE("only the value 1 of its header says that a server is leaving") {
     CHECK(says_leaving({{"server-leaving", "1"}}));
     CHECK_FALSE(says_leaving({{"Server-Leaving", "0"}}));
