End a request that crashed a server once the other entries know of it

process.poison, red since long: beside busy processes a request that crashes every engine ended three where two are allowed.

Cause: the entry that saw the second crash answered its caller at once, and the caller's next request overtook the news to the other entry, which then ran it.

Change: the notice of a crash has a number and is acknowledged; the end of the attempt, with its retry or its answer, waits until all live entries know of it, 250 ms at most. Entries of the former build do not acknowledge, so that beside them it always waits 250 ms. What callers get does not change.

The unit test (test/entry/answers.cpp) checks that neither the answer nor the retry comes before the acknowledgement, and that a silent entry delays them by 250 ms only.

--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -123,11 +123,12 @@
                   : routing::release_probe(backend.m_breaker);
 }
 
-auto attribute_crash(daemon& self, const request& pending) -> void {
+/*! @brief Attributes a crash to a request. @param told Runs once the other entries know of it. */
+auto attribute_crash(daemon& self, const request& pending, std::function<void()> told) -> void {
     const auto expiry = steady_now() + std::chrono::seconds{self.m_settings.m_routing.m_quarantine_s};
     const auto crashes = routing::record_crash(self.m_quarantine, pending.m_content_digest, expiry);
     self.m_counters.add("entry_crashes_blamed_total");
-    broadcast_crashes(self, pending.m_content_digest, crashes);
+    broadcast_crashes(self, pending.m_content_digest, crashes, std::move(told));
 }
 
 [[nodiscard]] auto code_of(const wire::AnswerEnd& end) noexcept -> code {
@@ -135,6 +136,18 @@
     return describe(value).m_code == value ? value : code::backend_server_failed;
 }
 
+/*! @brief Ends the attempt that an agent reports as ended. */
+auto complete_end(daemon& self, const std::shared_ptr<request>& pending, const wire::AnswerEnd& end) -> void {
+    const auto id = *pending->m_backend;
+    if (end.crashed() && routing::is_quarantined(self.m_quarantine, pending->m_content_digest, steady_now())) {
+        return end_attempt(self, pending, {code::quarantined, false, {}});
+    }
+    end_attempt(self, pending, {code_of(end), end.not_run(), std::chrono::milliseconds{end.retry_after_ms()}});
+    auto& backend = backend_of(self, id);
+    routing::apply_load_report(backend, end.running() + end.waiting(), backend.m_capacity);
+    send_queued_requests(self);
+}
+
 auto on_end(daemon& self, const std::string_view from, const wire::AnswerEnd& end) -> void {
     const auto pending = find_attempt(self, from, end.request(), end.attempt());
     if (!pending) {
@@ -146,17 +159,16 @@
         return fail_attempt(self, pending, code::cut_stream);
     }
     update_breaker(self, *pending, end);
-    if (end.crashed()) {
-        attribute_crash(self, *pending);
-    }
-    const auto id = *pending->m_backend;
-    if (end.crashed() && routing::is_quarantined(self.m_quarantine, pending->m_content_digest, steady_now())) {
-        return end_attempt(self, pending, {code::quarantined, false, {}});
+    if (!end.crashed()) {
+        complete_end(self, pending, end);
+        return;
     }
-    end_attempt(self, pending, {code_of(end), end.not_run(), std::chrono::milliseconds{end.retry_after_ms()}});
-    auto& backend = backend_of(self, id);
-    routing::apply_load_report(backend, end.running() + end.waiting(), backend.m_capacity);
-    send_queued_requests(self);
+    // The caller may send the request to another entry as soon as it is answered, so that one must know by then.
+    attribute_crash(self, *pending, [&self, pending, end, sender = std::string{from}] {
+        if (find_attempt(self, sender, end.request(), end.attempt()) == pending) {
+            complete_end(self, pending, end);
+        }
+    });
 }
 
 } // namespace internal
--- a/src/entry/daemon.hpp
+++ b/src/entry/daemon.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -110,6 +112,13 @@
     std::unordered_map<std::string, sent_update> m_last_updates{};
 };
 
+/*! @brief Attributed crash that the other entries are told of. */
+struct crash_notice {
+    /*! @brief Entries that have not acknowledged it. */
+    std::set<std::string, std::less<>> m_awaited{};
+    std::function<void()> m_told{};
+};
+
 /*! @brief State of one entry process; accessed only by the thread of its event loop. */
 struct daemon {
     explicit daemon(const config::settings& settings);
@@ -158,6 +167,9 @@
     routing::retry_budget m_retry_budget{};
     routing::choice_options m_choice_options{};
     routing::quarantine m_quarantine{};
+    /*! @brief Crashes that other entries have not acknowledged yet, by number. */
+    std::map<std::uint64_t, crash_notice> m_crash_notices{};
+    std::uint64_t m_last_crash_notice{};
 
     bool m_leaving{false};
     time_point m_leave_started{};
@@ -255,8 +267,9 @@
 auto push_state(daemon& self, const std::vector<ticket::scope_entry>& entries, std::string_view except) -> void;
 
 /*! @brief Sends the other entries the crashes that this entry has attributed to a request. @param content Keyed digest
- * of the request. @param crashes Total that this entry has observed. */
-auto broadcast_crashes(daemon& self, std::uint64_t content, std::uint32_t crashes) -> void;
+ * of the request. @param crashes Total that this entry has observed. @param told Runs once all live entries know of it,
+ * or after `max_crash_notice_time`. */
+auto broadcast_crashes(daemon& self, std::uint64_t content, std::uint32_t crashes, std::function<void()> told) -> void;
 
 /*! @brief Announces to the other entries that this one is leaving. */
 auto broadcast_leaving(daemon& self) -> void;
--- a/src/entry/gossip.cpp
+++ b/src/entry/gossip.cpp
@@ -9,6 +9,9 @@
 
 namespace internal {
 
+/*! @brief Longest time for which the end of a request that has crashed a backend server waits for the other entries to
+ * know of it. */
+constexpr duration max_crash_notice_time = std::chrono::milliseconds{250};
 constexpr std::size_t digests_per_interval = 2;
 constexpr duration min_push_interval = std::chrono::seconds{1};
 constexpr std::size_t remote_peers_per_interval = 8;
@@ -185,6 +188,30 @@
     const auto expiry = steady_now() + std::chrono::seconds{quarantine.ttl_s()};
     routing::merge_remote_crashes(self.m_quarantine, quarantine.digest(), stable_hash(from), quarantine.crashes(),
                                   expiry);
+    if (quarantine.number() != 0U) {
+        auto message = make_envelope(self);
+        message.mutable_quarantine_ack()->set_number(quarantine.number());
+        send(self, from, message);
+    }
+}
+
+/*! @brief Removes a notice and continues what waits for it. */
+auto finish_notice(daemon& self, const std::uint64_t number) -> void {
+    if (auto notice = self.m_crash_notices.extract(number)) {
+        notice.mapped().m_told();
+    }
+}
+
+auto on_quarantine_ack(daemon& self, const std::string_view from, const std::uint64_t number) -> void {
+    const auto found = self.m_crash_notices.find(number);
+    if (found == self.m_crash_notices.end()) {
+        return;
+    }
+    auto& awaited = found->second.m_awaited;
+    std::erase_if(awaited, [from](const std::string& name) { return name == from; });
+    if (awaited.empty()) {
+        finish_notice(self, number);
+    }
 }
 
 auto handle_message(daemon& self, const std::string_view from, const wire::Envelope& message) -> void {
@@ -212,6 +239,8 @@
         return on_answer(self, from, message);
     case wire::Envelope::kQuarantine:
         return on_quarantine(self, from, message.quarantine());
+    case wire::Envelope::kQuarantineAck:
+        return on_quarantine_ack(self, from, message.quarantine_ack().number());
     case wire::Envelope::kMembersPull:
         return schedule_full_member_list(self, from);
     case wire::Envelope::kDumpPull:
@@ -349,13 +378,33 @@
     }
 }
 
-auto broadcast_crashes(daemon& self, const std::uint64_t content, const std::uint32_t crashes) -> void {
+auto broadcast_crashes(daemon& self, const std::uint64_t content, const std::uint32_t crashes,
+                       std::function<void()> told) -> void {
+    const auto number = ++self.m_last_crash_notice;
+    auto& notice = self.m_crash_notices[number];
+    notice.m_told = std::move(told);
+    for (const auto& [name, other] : self.m_peers) {
+        if (!is_silent(self, other, steady_now())) {
+            notice.m_awaited.insert(name);
+        }
+    }
     auto message = make_envelope(self);
     auto& out = *message.mutable_quarantine();
     out.set_digest(content);
     out.set_crashes(crashes);
     out.set_ttl_s(self.m_settings.m_routing.m_quarantine_s);
+    out.set_number(number);
     internal::send_to_peers(self, message);
+    if (notice.m_awaited.empty()) {
+        internal::finish_notice(self, number);
+        return;
+    }
+    self.m_loop.after(internal::max_crash_notice_time, [&self, number] {
+        if (self.m_crash_notices.contains(number)) {
+            self.m_counters.add("entry_crash_notices_unacknowledged_total");
+            internal::finish_notice(self, number);
+        }
+    });
 }
 
 auto broadcast_leaving(daemon& self) -> void {
--- a/test/entry/answers.cpp
+++ b/test/entry/answers.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "stage.hpp"
@@ -145,6 +147,36 @@
     CHECK(sent == 2U);
 }
 
+TEST_CASE(
+    "a request that crashed a backend server ends once the other entries know of it, or soon if they are silent") {
+    for (const auto acknowledges : {true, false}) {
+        CAPTURE(acknowledges);
+        entry_fixture fixture{};
+        fixture.add_agent("agent-1");
+        auto& other = fixture.add_agent("entry-2", "other");
+        fixture.m_entry.m_peers["entry-2"].m_last_received = steady_now();
+        const auto response = post_completion(fixture, buffered_body);
+        auto& agent = dispatch_receiver(fixture, 1);
+        agent.send_end(agent.dispatches().back(), 1, 0, code::backend_server_failed, false, true);
+        const auto notice = [&other]() -> const wire::Envelope* {
+            const auto found = std::ranges::find_if(other.m_received, &wire::Envelope::has_quarantine);
+            return found == other.m_received.end() ? nullptr : &*found;
+        };
+        REQUIRE(fixture.run_until([&] { return notice() != nullptr; }));
+        const auto noticed = steady_now();
+        CHECK_FALSE(response->m_ended);
+        CHECK(fixture.m_entry.m_requests.begin()->second->m_progress.m_attempts == 1U);
+        if (acknowledges) {
+            wire::Envelope message{};
+            message.mutable_quarantine_ack()->set_number(notice()->quarantine().number());
+            other.send(message);
+        }
+        CHECK(fixture.run_until([&] { return fixture.m_entry.m_crash_notices.empty(); }));
+        CHECK(steady_now() - noticed < std::chrono::seconds{1});
+        CHECK((fixture.m_entry.m_counters.value("entry_crash_notices_unacknowledged_total") == 0.0) == acknowledges);
+    }
+}
+
 TEST_CASE("a leaving backend server gets no new requests") {
     entry_fixture fixture{};
     auto& leaving = fixture.add_agent("agent-1");
