Keep the watch of the store when a single call gets no response

Cause: since a call without a response counted as a lost store, so that watchers told their peers, handed the watch over, and all of them listed both prefixes anew, over links that carried a large configuration already; and a watch of the operators' keys was replaced while its response arrived.

Change: contact that is lost for one call moves only the time from which lapsed entries are held, and replaces the watch of servers, once the store responds, unless a response is arriving. The operators' keys are written while the store responds, and heartbeats of all regions tell their versions.

The new case of node.lost_changes wants that a call without a response hands nothing over and costs three calls at most; the flag that it checks was set by the former code in every outage.

--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -264,6 +264,9 @@
 
     /*! @brief Stops or goes on reading, to hold back a fast sender. @param paused Whether to stop. */
     virtual auto pause(bool paused) -> void = 0;
+
+    /*! @brief Tells whether the head of the response has been received. */
+    [[nodiscard]] virtual auto has_head() const noexcept -> bool = 0;
 };
 
 /*! @brief HTTP/1.1 client with kept connections for each server. */
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -122,6 +122,8 @@
     auto cancel() -> void override;
     auto pause(bool paused) -> void override;
 
+    [[nodiscard]] auto has_head() const noexcept -> bool override { return m_head_seen; }
+
     /*! @brief Ends the call if a deadline has passed. @param now The time. */
     auto check(time_point now) -> void;
 
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -82,22 +82,20 @@
     self.m_counters.set("store_reachable", reachable ? 1.0 : 0.0);
 }
 
-/*! @brief Notes that the store has left a call without a response, or responds again. A watch that began before may
- * have lost its response meanwhile and would wait in vain, so it is replaced. */
+/*! @brief Notes that the store has left a call without a response, or responds again. The watch of backend servers that
+ * began before may have lost its response meanwhile and would wait in vain, so it is replaced. That of the operators'
+ * keys is not: they are written while the store responds, and heartbeats tell their versions. One call without a
+ * response is no reason to leave the watch to others, who would have to list everything. */
 auto on_store_contact(core& self, const bool answers) -> void {
+    const auto now = steady_now();
+    self.m_events.write(answers ? "store.reached" : "store.lost", {{"prefix", "calls"}});
     if (!answers) {
-        self.m_store_unanswered_at = steady_now();
-    }
-    if (self.m_store_reachable != answers) {
-        update_store_contact(self, "calls", answers);
-    }
-    if (!answers) {
+        self.m_store_unanswered_at = now;
         return;
     }
-    for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
-        if (each) {
-            each->replace_watch(self.m_store_unanswered_at);
-        }
+    self.m_store_reachable_since = now;
+    if (self.m_server_follower) {
+        self.m_server_follower->replace_watch(self.m_store_unanswered_at);
     }
 }
 
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -55,12 +55,12 @@
 }
 
 auto follower::replace_watch(const time_point began_until) -> void {
-    if (m_stopped || !m_call || m_watch_requested_at > began_until) {
+    if (m_stopped || !m_call || m_call->has_head() || m_watch_requested_at > began_until) {
         return;
     }
     ++m_generation;
     std::exchange(m_call, nullptr)->cancel();
-    m_failures = std::max(m_failures, 1U);
+    m_is_replacement = true;
     m_handlers.m_on_watch_replaced(steady_now() - m_watch_requested_at);
     watch();
 }
@@ -212,7 +212,7 @@
         return;
     }
     const auto arrival = m_handlers.m_arrival();
-    const auto was_waiting = m_failures == 0U;
+    const auto was_waiting = m_failures == 0U && !std::exchange(m_is_replacement, false);
     if (page.m_reply != adapter::reply::ok) {
         // A watch that the store refuses would have delivered all changes until then. A connection that fails may have
         // been dead for a while, and one whose watch timed out since the watch began.
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -61,8 +61,9 @@
     /*! @brief Ends the delay of the first watch. */
     auto begin_watch() -> void;
 
-    /*! @brief Replaces a watch that began at a time or earlier by a new one, as the response to it may be lost. Changes
-     * that the new one finds were written at an unknown time since the last known one. */
+    /*! @brief Replaces a watch that began at a time or earlier by a new one, as the response to it may be lost, unless
+     * the response is arriving. Changes that the new one finds first were written at an unknown time since the last
+     * known one. */
     auto replace_watch(time_point began_until) -> void;
 
     /*! @brief Drops the call in progress and lists anew after a random delay. The known revision may fall. */
@@ -110,6 +111,8 @@
     /*! @brief Incremented to invalidate callbacks of earlier calls and timers. */
     std::uint64_t m_generation{};
     unsigned m_failures{};
+    /*! @brief Whether the watch replaces one that may have lost its response. */
+    bool m_is_replacement{false};
     /*! @brief Time up to which all changes are known; in the distant past before the first listing. */
     time_point m_known_until{duration{1}};
     fleet::arrival_time m_write_time{};
--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -126,4 +126,23 @@
     CHECK(steady_now() - told_at < drain_limit);
 }
 
+TEST_CASE("a call without a response neither hands the watch over nor reads anything again") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    standin_site::store_faults faults{};
+    faults.m_unresponsive = true;
+    fixture.m_platform_store.set_faults(faults);
+    const auto silent_since = steady_now();
+    REQUIRE(fixture.wait_until([&] { return self.m_store_unanswered_at > silent_since; }));
+    CHECK(self.m_store_reachable);
+    const auto calls = fixture.m_platform_store.call_count();
+    fixture.m_platform_store.set_faults({});
+    const auto returned = steady_now();
+    REQUIRE(fixture.wait_until([&] { return self.m_store_reachable_since > returned; }));
+    fixture.let_pass(std::chrono::milliseconds{100});
+    // A probe, and one watch in place of the former one.
+    CHECK(fixture.m_platform_store.call_count() - calls <= 3U);
+    CHECK(self.m_store_reachable);
+}
+
 } // namespace rhubarbwharf::node
