Compare limits without a conditional that the linter takes for a narrowing

The checker reports a conversion of the constant for no limit in a conditional expression. The same results, written out; the tests of fleet/limit pass.

--- a/src/fleet/limit.cpp
+++ b/src/fleet/limit.cpp
@@ -12,12 +12,13 @@
 
 auto replace(limit_table& table, const std::string_view id, const server_limit& value) -> bool {
     auto& known = table[std::string{id}];
-    const auto former = known.m_started_ms == value.m_started_ms ? known.m_per_s : no_limit;
+    const auto had_none = known.m_started_ms != value.m_started_ms || known.m_per_s == no_limit;
+    const auto has_changed = had_none ? value.m_per_s != no_limit : known.m_per_s != value.m_per_s;
     known = value;
     if (table.size() > max_remembered_limits) {
         table.erase(std::ranges::min_element(table, {}, [](const auto& each) { return each.second.m_as_of; }));
     }
-    return former != value.m_per_s;
+    return has_changed;
 }
 
 } // namespace
@@ -44,7 +45,10 @@
 
 auto limit_of(const limit_table& table, const std::string_view id, const std::uint64_t started_ms) noexcept -> double {
     const auto known = table.find(id);
-    return known != table.end() && known->second.m_started_ms == started_ms ? known->second.m_per_s : no_limit;
+    if (known == table.end() || known->second.m_started_ms != started_ms) {
+        return no_limit;
+    }
+    return known->second.m_per_s;
 }
 
 auto is_told(const server_limit& limit, const time_point now) noexcept -> bool {
