Let other gateways hold a limit that no response renews

A limit ends by a response without it, and only the holders of shares send requests. If they had none for the service, the limit stayed for ever, and the callers of the other gateways were refused (found by reading the change).

Change: when no gateway has received the limit for four turns of each holder, 5 s at least, the next ones by hash hold it; the age is told by heartbeats, so that all choose alike. While responses come, nothing changes.

--- a/include/rhubarbwharf/dispatch/fwd.hpp
+++ b/include/rhubarbwharf/dispatch/fwd.hpp
@@ -17,6 +17,7 @@
 struct wait_queue;
 struct refusal;
 struct service_retry_budget;
+struct named_limit;
 struct turn_share;
 struct turn_outlook;
 
--- a/include/rhubarbwharf/dispatch/turns.hpp
+++ b/include/rhubarbwharf/dispatch/turns.hpp
@@ -35,17 +35,25 @@
  */
 [[nodiscard]] auto count_holders(double per_s, std::size_t gateways) noexcept -> std::size_t;
 
+/*! @brief Limit of a backend server. */
+struct named_limit {
+    std::string_view m_server{};
+    /*! @brief Requests per second. */
+    double m_per_s{};
+    /*! @brief Time since any gateway last received it from the server. */
+    duration m_age{};
+};
+
 /**
  * @brief Divides a limit equally among its holders, which all gateways choose alike by rendezvous hashing. A gateway
- * that joins or leaves moves one share at most.
+ * that joins or leaves moves one share at most. While the server sends no response, others hold it from time to time:
+ * the present holders may have no request for it, and only a response can lift the limit.
  * @param gateways Names of the gateways that may hold a share.
  * @param self Name of this one.
- * @param server Id of the backend server.
- * @param per_s Limit in requests per second.
  * @return Requests per second of this gateway; 0 if it holds no share.
  */
 [[nodiscard]] auto divide_limit(std::span<const std::string_view> gateways, std::string_view self,
-                                std::string_view server, double per_s) -> double;
+                                const named_limit& limit) -> double;
 
 /*! @brief Sets the rate of a share. One that was nothing begins without a turn. */
 auto set_rate(turn_share& share, double per_s, time_point now) noexcept -> void;
--- a/src/dispatch/turns.cpp
+++ b/src/dispatch/turns.cpp
@@ -15,6 +15,17 @@
 /*! @brief Time whose turns may be saved by a gateway that has several a second. */
 constexpr double max_saving_s = 0.25;
 
+/*! @brief Turns that each holder could have used without a response, after which others hold the limit. */
+constexpr double turns_per_rotation = 4.0;
+constexpr std::chrono::duration<double> min_rotation_time = std::chrono::seconds{5};
+
+/*! @brief Counts how often the holders have changed since the last response of the server. */
+[[nodiscard]] auto count_rotations(const double per_s, const std::size_t holders, const duration age) noexcept
+    -> std::uint64_t {
+    const std::chrono::duration<double> used{turns_per_rotation * static_cast<double>(holders) / per_s};
+    return static_cast<std::uint64_t>(std::max(0.0, age / std::max(used, min_rotation_time)));
+}
+
 [[nodiscard]] auto turns_at(const turn_share& share, const time_point now) noexcept -> double {
     const auto passed_s = std::chrono::duration<double>{now - share.m_updated}.count();
     const auto most = std::max(1.0, share.m_per_s * max_saving_s);
@@ -29,18 +40,18 @@
 }
 
 auto divide_limit(const std::span<const std::string_view> gateways, const std::string_view self,
-                  const std::string_view server, const double per_s) -> double {
+                  const named_limit& limit) -> double {
     if (std::ranges::find(gateways, self) == gateways.end()) {
         return 0.0;
     }
-    const auto key = stable_hash(server);
+    const auto divided = std::max(limit.m_per_s, min_divided_limit_per_s);
+    const auto holders = count_holders(divided, gateways.size());
+    const auto key = mix(stable_hash(limit.m_server), count_rotations(divided, holders, limit.m_age));
     const auto own_weight = mix(stable_hash(self), key);
     const auto ahead = std::ranges::count_if(gateways, [&](const std::string_view each) {
         const auto weight = mix(stable_hash(each), key);
         return weight > own_weight || (weight == own_weight && each < self);
     });
-    const auto divided = std::max(per_s, min_divided_limit_per_s);
-    const auto holders = count_holders(divided, gateways.size());
     return static_cast<std::size_t>(ahead) < holders ? divided / static_cast<double>(holders) : 0.0;
 }
 
--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits.cpp
@@ -74,7 +74,8 @@
         backend.m_turns = dispatch::turn_share{0.0, 0.0, now};
     }
     const auto gateways = internal::list_limit_gateways(self, backend, now);
-    const auto own_per_s = dispatch::divide_limit(gateways, self.m_core.m_self.m_instance, backend.m_id, per_s);
+    const auto age = now - self.m_core.m_server_limits.find(backend.m_id)->second.m_as_of;
+    const auto own_per_s = dispatch::divide_limit(gateways, self.m_core.m_self.m_instance, {backend.m_id, per_s, age});
     if (backend.m_turns->m_per_s != own_per_s) {
         self.m_core.m_events.write("server.limit_share", {{"server", backend.m_id},
                                                           {"per_s", per_s},
--- a/test/dispatch/limit_simulation.cpp
+++ b/test/dispatch/limit_simulation.cpp
@@ -110,7 +110,7 @@
         if (each.m_limit <= 0.0) {
             return;
         }
-        set_rate(each.m_share, divide_limit(each.m_view, each.m_name, "server", each.m_limit), m_now);
+        set_rate(each.m_share, divide_limit(each.m_view, each.m_name, {"server", each.m_limit, {}}), m_now);
         while (has_turn(each.m_share, m_now)) {
             take_turn(each.m_share, m_now);
             m_arrivals.push_back(m_now);
--- a/test/dispatch/turns.cpp
+++ b/test/dispatch/turns.cpp
@@ -48,7 +48,7 @@
             double sum{};
             std::size_t holders{};
             for (const auto& name : names) {
-                const auto share = divide_limit(gateways, name, "server", per_s);
+                const auto share = divide_limit(gateways, name, {"server", per_s, {}});
                 sum += share;
                 holders += share > 0.0 ? 1U : 0U;
             }
@@ -62,7 +62,7 @@
     const auto names = names_of(9U);
     double sum{};
     for (const auto& name : names) {
-        sum += divide_limit(views_of(names), name, "server", 0.0);
+        sum += divide_limit(views_of(names), name, {"server", 0.0, {}});
     }
     CHECK(sum == doctest::Approx(min_divided_limit_per_s));
 }
@@ -74,14 +74,29 @@
         others.erase(others.begin() + static_cast<std::ptrdiff_t>(leaving));
         auto begun = 0;
         for (const auto& name : others) {
-            const auto before = divide_limit(views_of(names), name, "server", 1.0);
-            const auto after = divide_limit(views_of(others), name, "server", 1.0);
+            const auto before = divide_limit(views_of(names), name, {"server", 1.0, {}});
+            const auto after = divide_limit(views_of(others), name, {"server", 1.0, {}});
             CHECK((before == 0.0 || after == before));
             begun += before == 0.0 && after > 0.0 ? 1 : 0;
         }
         CHECK(begun <= 1);
     }
-    CHECK(divide_limit(views_of(names), "unknown", "server", 1.0) == 0.0);
+    CHECK(divide_limit(views_of(names), "unknown", {"server", 1.0, {}}) == 0.0);
+}
+
+TEST_CASE(
+    "a limit that no response renews is held by every gateway in time, and by the same ones while responses come") {
+    const auto names = names_of(98U);
+    const auto gateways = views_of(names);
+    for (const auto& name : {names.front(), names.back()}) {
+        const auto first = divide_limit(gateways, name, {"server", 1.0, duration::zero()});
+        CHECK(divide_limit(gateways, name, {"server", 1.0, 10 * second}) == first);
+        auto held = false;
+        for (auto age = duration::zero(); age < std::chrono::hours{4} && !held; age += second) {
+            held = divide_limit(gateways, name, {"server", 1.0, age}) > 0.0;
+        }
+        CHECK(held);
+    }
 }
 
 TEST_CASE("turns are not saved up while a gateway sleeps, and a new share begins without one") {
