Blame no request for a connection that a living server has broken

Cause: each broken connection counted as a crash under the digest of the request, over all callers of its organisation; three such are enough. A neighbour in the middle of its stream was counted as well.

Change: a second after the break the request is blamed only if the server has shown no sign of life since, neither to this gateway's requests nor by its loader's reports, and if the request has begun its answer nowhere.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -74,6 +74,8 @@
     std::optional<turn_share> m_turns{};
     /*! @brief Whether this gateway awaits something from it. */
     bool m_is_awaited{false};
+    /*! @brief When it last sent something to this gateway, or its loader last reported that it responds. */
+    time_point m_last_sign{};
     /*! @brief When it last sent something, or when the first request was sent to which it has not reacted since. */
     time_point m_awaited_since{};
 };
@@ -231,6 +233,13 @@
 /*! @brief Records that a backend server has sent something. */
 auto record_sign_of_life(server_load& row, time_point now) noexcept -> void;
 
+/*! @brief Time after a broken connection from which a sign of life shows that the server has not ended; what it had
+ * sent before can still arrive. */
+inline constexpr duration crash_settling_time = std::chrono::milliseconds{200};
+
+/*! @brief Tells whether a backend server lives although a connection to it broke at a time. */
+[[nodiscard]] auto has_lived_since(const server_load& row, time_point broke_at) noexcept -> bool;
+
 /*! @brief Records that a request at a backend server has ended, whether answered or not. */
 auto record_request_end(server_load& row, time_point now) noexcept -> void;
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -142,6 +142,11 @@
 
 auto record_sign_of_life(server_load& row, const time_point now) noexcept -> void {
     row.m_awaited_since = now;
+    row.m_last_sign = now;
+}
+
+auto has_lived_since(const server_load& row, const time_point broke_at) noexcept -> bool {
+    return row.m_last_sign > broke_at + crash_settling_time;
 }
 
 auto record_request_end(server_load& row, const time_point now) noexcept -> void {
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -299,8 +299,10 @@
  * @param peer Name of the sender. */
 auto on_frame(daemon& self, std::string_view peer, const wire::fleet::Frame& frame) -> void;
 
-/*! @brief Records that a request was running when its backend server crashed, and reports it to the other gateways. */
-auto attribute_crash(daemon& self, const exchange& item) -> void;
+/*! @brief Attributes a crash to a request whose connection to a backend server has broken, and reports it to the other
+ * gateways, unless the server is seen to live or the request begins its answer elsewhere within a second. */
+auto attribute_crash(daemon& self, const std::shared_ptr<exchange>& item,
+                     const std::shared_ptr<dispatch::server_load>& backend) -> void;
 
 /*! @brief Returns the mean failure rate of a service's backend servers, without the given one; 1 if it is the only one,
  * 0 if the service is unknown. */
--- a/src/gateway/loads.cpp
+++ b/src/gateway/loads.cpp
@@ -91,6 +91,7 @@
     apply_load(backend, {update.running(), update.waiting(), update.busy() || !update.alive(), update.pace(), now},
                update.models());
     backend.m_last_heard = now;
+    backend.m_last_sign = update.alive() ? now : backend.m_last_sign;
     backend.m_loader = peer;
     backend.m_replaced_until = {};
     if (update.leaving()) {
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -224,7 +224,7 @@
     const auto is_too_large = end.m_code == code::too_large;
     if (sent && end.m_code != code::timed_out && !is_too_large) {
         on_server_crash(self, *item, *ended);
-        attribute_crash(self, *item);
+        attribute_crash(self, item, ended->m_backend);
     }
     const auto* const reason = end.m_code == code::timed_out ? "no answer in time" : "the connection broke";
     retry_or_end(self, item, ended, {!sent, sent, is_too_large ? "the answer exceeds a limit" : reason});
