Divide limits among gateways that all gateways know

A gateway hears all gateways of its region, but only the representatives of the others. Where a service has servers in one region only, its limit was divided among all gateways that one hears: at 15 gateways a region each region chose holders of its own, so that the shares added up to almost twice the limit (found by reading the change; worked out, not run).

Change: the limit of such a service is divided among the representatives of all regions; that of the others among the gateways of the server's region, as before. The choice moves to fleet::list_limit_gateways. Its test wants the same list in the views of two regions; the former list differs there by the own region's other gateways.

--- a/include/rhubarbwharf/fleet/region.hpp
+++ b/include/rhubarbwharf/fleet/region.hpp
@@ -95,4 +95,16 @@
 [[nodiscard]] auto list_demand(const member_table& table, const region_table& regions, std::string_view own_region,
                                time_point now) -> std::vector<data_centre_demand>;
 
+/**
+ * @brief Lists the gateways among which the limit of a backend server is divided. All gateways must list the same ones:
+ * each hears all of its region, and the representatives of the others.
+ * @param region Region of the server.
+ * @param is_only_region Whether its service has servers in that region only, so that callers of other regions depend on
+ * them too.
+ * @return The names of the gateways of the region; of the representatives of all regions if it is the only one, or has
+ * no live gateway.
+ */
+[[nodiscard]] auto list_limit_gateways(const member_table& table, std::string_view region, bool is_only_region,
+                                       time_point now) -> std::vector<std::string_view>;
+
 } // namespace rhubarbwharf::fleet
--- a/src/fleet/region.cpp
+++ b/src/fleet/region.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <rhubarbwharf/fleet/region.hpp>
@@ -141,4 +142,25 @@
     return out;
 }
 
+auto list_limit_gateways(const member_table& table, const std::string_view region, const bool is_only_region,
+                         const time_point now) -> std::vector<std::string_view> {
+    std::vector<std::string_view> out{};
+    std::set<std::string_view> regions{};
+    for (const auto& [name, row] : table) {
+        if (row.m_member.m_region == region && takes_requests(row, now) && !is_only_region) {
+            out.push_back(name);
+        }
+        regions.insert(row.m_member.m_region);
+    }
+    if (!out.empty()) {
+        return out;
+    }
+    for (const auto each : regions) {
+        for (const auto* const row : representatives(table, each, now)) {
+            out.push_back(row->m_instance);
+        }
+    }
+    return out;
+}
+
 } // namespace rhubarbwharf::fleet
--- a/src/gateway/limits.cpp
+++ b/src/gateway/limits.cpp
@@ -19,32 +19,15 @@
     return found == self.m_core.m_members.end() ? std::string_view{} : found->second.m_member.m_region;
 }
 
-/*! @brief Lists the gateways that take requests. @param region Region; empty for all. */
-[[nodiscard]] auto list_ready_gateways(const daemon& self, const std::string_view region, const time_point now)
-    -> std::vector<std::string_view> {
-    std::vector<std::string_view> out{};
-    for (const auto& [name, row] : self.m_core.m_members) {
-        const auto is_live = row.m_ready && !row.m_leaving && now - row.m_last_received <= fleet::heartbeat_timeout;
-        if (row.m_member.is_gateway() && is_live && (region.empty() || row.m_member.m_region == region)) {
-            out.push_back(name);
-        }
-    }
-    return out;
-}
-
-/*! @brief Lists the gateways that may hold a share in the limit of a backend server: those of its region, as they send
- * it most requests. All of them if the service has servers in that region only, as callers of other gateways could not
- * be served otherwise. */
+/*! @brief Lists the gateways that may hold a share in the limit of a backend server. */
 [[nodiscard]] auto list_limit_gateways(daemon& self, const dispatch::server_load& backend, const time_point now)
     -> std::vector<std::string_view> {
     const auto region = region_of(self, backend.m_data_centre);
-    const auto& backends = self.m_services[backend.m_service].m_backends;
-    const auto is_elsewhere = [&](const auto& each) {
-        return region_of(self, each->m_data_centre) != region;
+    const auto is_in_region = [&](const auto& each) {
+        return region_of(self, each->m_data_centre) == region;
     };
-    auto out = std::ranges::any_of(backends, is_elsewhere) ? list_ready_gateways(self, region, now)
-                                                           : std::vector<std::string_view>{};
-    return out.empty() ? list_ready_gateways(self, {}, now) : out;
+    const auto is_only_region = std::ranges::all_of(self.m_services[backend.m_service].m_backends, is_in_region);
+    return fleet::list_limit_gateways(self.m_core.m_members, region, is_only_region, now);
 }
 
 } // namespace
--- a/test/fleet/region.cpp
+++ b/test/fleet/region.cpp
@@ -257,4 +257,29 @@
     CHECK(measure_region(table, "ost", start).m_data_centres.front().m_gateways == 2U);
 }
 
+TEST_CASE("gateways of all regions divide the limit of a server among the same ones") {
+    constexpr auto gateways = 15U;
+    const std::vector<std::string> regions{"a", "b", "c"};
+    std::map<std::string, member_table> views{};
+    for (const auto& own : regions) {
+        auto& view = views[own];
+        view = make_table(regions, gateways);
+        for (auto& [name, row] : view) {
+            // Of the other regions, only the representatives are heard.
+            const auto is_heard = row.m_member.m_region == own ||
+                                  name < name_of(row.m_member.m_region, unsigned{representatives_per_region});
+            row.m_last_received = is_heard ? start : start - 2 * heartbeat_timeout;
+        }
+    }
+    const auto all = list_limit_gateways(views["a"], "a", true, start);
+    CHECK(all.size() == regions.size() * representatives_per_region);
+    CHECK(all == list_limit_gateways(views["b"], "a", true, start));
+    const auto local = list_limit_gateways(views["a"], "a", false, start);
+    CHECK(local.size() == gateways);
+    // A gateway of another region never lists itself, so it holds no share.
+    const auto remote = list_limit_gateways(views["b"], "a", false, start);
+    CHECK(std::ranges::none_of(remote, [](const std::string_view name) { return name.starts_with("b"); }));
+    CHECK(all == list_limit_gateways(views["b"], "unknown", false, start));
+}
+
 } // namespace rhubarbwharf::fleet
