Probe the store only once the own entry is written

A start of all is when calls must be few.

Cause: repeats a lost call by a renewal of the lease, and the timer of probes as soon as a lease is granted; both count on a watch that begins only when the entry is written.

Change: no probe before the own entry is written. node, node.lost_changes, fleet, dispatch, gateway and entry pass.

--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -92,7 +92,7 @@
                         {{"prefix", "calls"}, {"silent", self.m_store_silent}});
     if (!answers) {
         self.m_store_unanswered_at = now;
-        if (self.m_registration) {
+        if (self.m_registration && self.m_registered) {
             self.m_registration->probe([&self](const bool responds) { self.m_store_silent = !responds; });
         }
         return;
@@ -387,7 +387,7 @@
         });
     self.m_registration->start();
     self.m_loop.every(store_probe_interval, [&self] {
-        if (self.m_watches_store) {
+        if (self.m_watches_store && self.m_registered) {
             self.m_registration->probe([](bool) {});
         }
     });
