Ask for the store's revision when a watch is replaced on a peer's word

Found by reading the change: a listing raises the revision that a gateway tells above the last change of a server, and the watch that replaced another one waited 20 s for a change. So every watcher that such a gateway tells replaced its watch each 0.7 to 0.9 s until a server changed: calls that nobody needs.

Change: the watch that replaces one on a peer's word waits 50 ms, as its response tells the store's revision even if nothing has changed.

--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <node/contact.hpp>
 #include <node/core.hpp>
 #include <platform/decode.hpp>
 #include <platform/encode.hpp>
@@ -70,41 +71,6 @@
     }
 }
 
-auto update_store_contact(core& self, const std::string_view prefix, const bool reachable) -> void {
-    self.m_events.write(
-        reachable ? "store.reached" : "store.lost",
-        {{"prefix", prefix}, {"revision", static_cast<std::int64_t>(self.m_servers.m_version.m_revision)}});
-    if (reachable && !self.m_store_reachable) {
-        self.m_store_reachable_since = steady_now();
-    }
-    self.m_store_reachable = reachable;
-    self.m_counters.set("store_reachable", reachable ? 1.0 : 0.0);
-}
-
-/*! @brief Notes that the store has left a call without a response, or responds again. The watch of backend servers that
- * began before may have lost its response meanwhile and would wait in vain, so it is replaced. That of the operators'
- * keys is not: they are written while the store responds, and heartbeats tell their versions. One call without a
- * response is no reason to leave the watch to others, who would have to list everything, nor to hold the removals of
- * entries; a second one in a row is for the latter. */
-auto on_store_contact(core& self, const bool answers) -> void {
-    const auto now = steady_now();
-    self.m_events.write(answers ? "store.reached" : "store.lost",
-                        {{"prefix", "calls"}, {"silent", self.m_store_silent}});
-    if (!answers) {
-        self.m_store_unanswered_at = now;
-        if (self.m_registration && self.m_registered) {
-            self.m_registration->probe([&self](const bool responds) { self.m_store_silent = !responds; });
-        }
-        return;
-    }
-    if (std::exchange(self.m_store_silent, false)) {
-        self.m_store_reachable_since = now;
-    }
-    if (self.m_server_follower) {
-        self.m_server_follower->replace_watch(self.m_store_unanswered_at);
-    }
-}
-
 /*! @brief Applies a key written by an operator, or holds it at the start. @param written When it was written. */
 auto on_operator_item(core& self, const adapter::key_value& item, const fleet::arrival_time& written) -> void {
     if (item.m_removed) {
@@ -202,7 +168,7 @@
     handlers.m_on_list = std::move(on_list);
     handlers.m_on_change = std::move(on_change);
     handlers.m_on_reachability = [&self, prefix](const bool reachable) {
-        update_store_contact(self, prefix, reachable);
+        note_reachability(self, prefix, reachable);
     };
     handlers.m_arrival = [&self] {
         return arrival_now(self);
@@ -260,7 +226,7 @@
         settle_startup_watch(self);
     }
     if (!self.m_watches_store && !self.m_store_reachable) {
-        update_store_contact(self, adapter::key::members, true);
+        note_reachability(self, adapter::key::members, true);
     }
 }
 
@@ -435,7 +401,7 @@
     self.m_registered = !self.m_follows_servers;
     self.m_store.set_era_handler(
         [&self](const std::uint64_t former, const std::uint64_t era) { on_store_era(self, former, era); });
-    self.m_store.set_contact_handler([&self](const bool answers) { internal::on_store_contact(self, answers); });
+    self.m_store.set_contact_handler([&self](const bool answers) { note_contact(self, answers); });
     self.m_loop.after(internal::startup_hold_time, [&self] { apply_held_operator_items(self); });
     internal::follow_store(self);
     internal::read_members(self);
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -54,13 +54,13 @@
     }
 }
 
-auto follower::replace_watch(const time_point began_until) -> void {
+auto follower::replace_watch(const time_point began_until, const duration wait) -> void {
     if (m_stopped || !m_call || m_call->has_head() || m_watch_requested_at > began_until) {
         return;
     }
     ++m_generation;
     std::exchange(m_call, nullptr)->cancel();
-    m_is_replacement = true;
+    m_replacement_wait = wait;
     m_handlers.m_on_watch_replaced(steady_now() - m_watch_requested_at);
     watch();
 }
@@ -196,7 +196,8 @@
 auto follower::watch() -> void {
     const auto generation = ++m_generation;
     m_watch_requested_at = steady_now();
-    const auto timeout = m_failures == 0U ? m_watch_timeout : std::min(m_watch_timeout, internal::first_watch_timeout);
+    const auto wait = m_replacement_wait.value_or(m_watch_timeout);
+    const auto timeout = m_failures == 0U ? wait : std::min(wait, internal::first_watch_timeout);
     m_call = m_store.watch(m_prefix, m_version.m_revision, timeout,
                            [self = shared_from_this(), generation](adapter::page page) {
                                if (!self->m_stopped && self->m_generation == generation) {
@@ -212,7 +213,7 @@
         return;
     }
     const auto arrival = m_handlers.m_arrival();
-    const auto was_waiting = m_failures == 0U && !std::exchange(m_is_replacement, false);
+    const auto was_waiting = m_failures == 0U && !std::exchange(m_replacement_wait, std::nullopt);
     if (page.m_reply != adapter::reply::ok) {
         // A watch that the store refuses would have delivered all changes until then. A connection that fails may have
         // been dead for a while, and one whose watch timed out since the watch began.
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -19,6 +20,9 @@
  * after a second, and gives up after three without an answer. */
 inline constexpr duration max_dead_connection_time = std::chrono::seconds{4};
 
+/*! @brief Wait of a watch that only asks for the store's revision. */
+inline constexpr duration revision_watch_timeout = std::chrono::milliseconds{50};
+
 /*! @brief Callbacks of a follower; all run on the loop's thread. */
 struct follower_handlers {
     /*! @brief Called after a listing with all keys and a version; the listing is at least as new as that version. */
@@ -63,8 +67,9 @@
 
     /*! @brief Replaces a watch that began at a time or earlier by a new one, as the response to it may be lost, unless
      * the response is arriving. Changes that the new one finds first were written at an unknown time since the last
-     * known one. */
-    auto replace_watch(time_point began_until) -> void;
+     * known one.
+     * @param wait Longest wait of the new one; its response tells the store's revision also if nothing has changed. */
+    auto replace_watch(time_point began_until, duration wait) -> void;
 
     /*! @brief Drops the call in progress and lists anew after a random delay. The known revision may fall. */
     auto relist() -> void;
@@ -111,8 +116,8 @@
     /*! @brief Incremented to invalidate callbacks of earlier calls and timers. */
     std::uint64_t m_generation{};
     unsigned m_failures{};
-    /*! @brief Whether the watch replaces one that may have lost its response. */
-    bool m_is_replacement{false};
+    /*! @brief Wait of the watch that replaces one which may have lost its response; none for another watch. */
+    std::optional<duration> m_replacement_wait{};
     /*! @brief Time up to which all changes are known; in the distant past before the first listing. */
     time_point m_known_until{duration{1}};
     fleet::arrival_time m_write_time{};
--- a/src/node/pulse.cpp
+++ b/src/node/pulse.cpp
@@ -93,7 +93,7 @@
     }
     const fleet::store_version told{message.store_era(), message.server_revision()};
     if (fleet::note_told_version(self.m_missed_version, known_server_version(self), told, now)) {
-        self.m_server_follower->replace_watch(now);
+        self.m_server_follower->replace_watch(now, revision_watch_timeout);
     }
 }
 
--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -149,4 +149,23 @@
     CHECK(steady_now() - removed < std::chrono::milliseconds{self.m_settings.m_bounds.m_drain_ms});
 }
 
+TEST_CASE("a peer that has listed a later revision makes a watcher ask once, not until a server changes") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    const auto revision = fixture.m_platform_store.put("other/key", "value");
+    wire::fleet::Frame frame{};
+    frame.set_protocol(frame_protocol_version);
+    auto& pulse = *frame.mutable_pulse();
+    pulse.mutable_self()->set_instance("gateway-9");
+    pulse.mutable_self()->set_region("there");
+    pulse.mutable_self()->set_callers("127.0.0.1:9");
+    pulse.set_store_era(self.m_store.era());
+    pulse.set_server_revision(revision);
+    self.m_loop.every(std::chrono::milliseconds{300},
+                      [&, bytes = frame.SerializeAsString()] { on_message(self, "gateway-9", bytes); });
+    fixture.let_pass(stable_window);
+    CHECK(self.m_counters.value("store_watches_replaced_total", "servers/") == 1.0);
+    CHECK(self.m_server_follower->version().m_revision >= revision);
+}
+
 } // namespace rhubarbwharf::node
