--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -85,6 +85,7 @@
     for (std::size_t piece = 0U; m_options.m_version != 0U && piece < m_options.m_piece_count; ++piece) {
         m_staged_pieces[piece] = piece_bytes(m_options.m_version, piece);
     }
+    m_cold_until = steady_now() + m_options.m_cold_time;
     publish_entry();
     return true;
 }
@@ -99,6 +100,11 @@
     publish_entry();
 }
 
+auto server::turn_cold(const duration length) -> void {
+    m_cold_until = steady_now() + length;
+    publish_entry();
+}
+
 auto server::unregister() -> void {
     m_store.remove("servers/" + m_options.m_id);
 }
@@ -149,10 +155,12 @@
 }
 
 auto server::make_entry() const -> boost::json::object {
+    const auto cold = std::max(duration::zero(), m_cold_until - steady_now());
+    const auto cold_ms = std::chrono::duration_cast<std::chrono::milliseconds>(cold).count();
     boost::json::object out{{"service", m_options.m_service},  {"address", net::to_string(address())},
                             {"zone", m_options.m_data_centre}, {"version", "v1"},
                             {"slots", m_options.m_slot_count}, {"state", m_draining ? "draining" : "ready"},
-                            {"cold-remaining-ms", 0},          {"born", m_start_time_us},
+                            {"cold-remaining-ms", cold_ms},    {"born", m_start_time_us},
                             {"sequence", m_accepted_orders}};
     if (!m_options.m_model.empty()) {
         boost::json::array models{};
@@ -312,6 +320,7 @@
     }
     ++m_request_count;
     ++m_observations.m_arrivals[m_options.m_id];
+    m_observations.m_arrival_times[m_options.m_id].push_back(steady_now());
     const auto now = steady_now();
     constexpr duration pause_notice = std::chrono::milliseconds{500};
     if (now > m_pause_requested_at + pause_notice && now < m_pause_requested_until) {
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -38,6 +38,8 @@
     std::map<std::string, unsigned> m_executions{};
     /*! @brief Requests received, by server id. */
     std::map<std::string, unsigned> m_arrivals{};
+    /*! @brief When requests arrived, by server id. */
+    std::map<std::string, std::vector<time_point>> m_arrival_times{};
     std::vector<std::shared_ptr<limit_period>> m_limit_periods{};
     /*! @brief Requests that reached a server later than 0.5 s after it had asked for a pause and before its end. */
     unsigned m_arrivals_in_pause{};
@@ -109,6 +111,8 @@
     duration m_step_duration{std::chrono::milliseconds{5}};
     /*! @brief Whether events and every second plain response are sent in two parts, between which a pause may fall. */
     bool m_split_output{false};
+    /*! @brief Time after its start for which it says that it is cold. */
+    duration m_cold_time{};
 };
 
 /*! @brief Stand-in for one backend server: a model runner, or a plain server if it has no model. */
@@ -132,6 +136,9 @@
     /*! @brief Announces that the server is draining; it continues to serve requests. */
     auto drain() -> void;
 
+    /*! @brief Says in its entry that it is cold for a while. */
+    auto turn_cold(duration length) -> void;
+
     /*! @brief Says in each response that the server is leaving, while its entry in the store stays as it is. */
     auto announce_leaving() -> void;
 
@@ -152,6 +159,8 @@
 
     [[nodiscard]] auto id() const noexcept -> const std::string& { return m_options.m_id; }
 
+    [[nodiscard]] auto data_centre() const noexcept -> const std::string& { return m_options.m_data_centre; }
+
     [[nodiscard]] auto version() const noexcept -> std::uint64_t { return m_options.m_version; }
 
     [[nodiscard]] auto is_draining() const noexcept -> bool { return m_draining; }
@@ -210,6 +219,7 @@
     std::shared_ptr<limit_period> m_limit{};
     std::vector<responder_ptr> m_unanswered{};
     std::uint64_t m_start_time_us{};
+    time_point m_cold_until{};
     std::uint64_t m_accepted_orders{};
     unsigned m_running_requests{};
     unsigned m_request_count{};
--- a/app/standin-site/site.cpp
+++ b/app/standin-site/site.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <platform/decode.hpp>
+#include <platform/names.hpp>
 #include <rhubarbwharf/core/assert.hpp>
 #include <rhubarbwharf/core/digest.hpp>
 
@@ -31,12 +32,24 @@
             {"resumable", kind == "streaming"}};
 }
 
-[[nodiscard]] auto make_organisations(site_observations& observations) -> boost::json::array {
+[[nodiscard]] auto to_json(const std::vector<std::string>& names) -> boost::json::array {
+    boost::json::array out{};
+    for (const auto& each : names) {
+        out.emplace_back(each);
+    }
+    return out;
+}
+
+[[nodiscard]] auto make_organisations(site_observations& observations, const std::vector<std::string>& first_regions)
+    -> boost::json::array {
     boost::json::array out{};
     for (const auto* const name : {"a", "b", "c"}) {
         const auto key = std::string{"key-of-"} + name;
         observations.m_api_keys.insert(key);
-        out.push_back(boost::json::object{{"name", std::string{"org-"} + name}, {"api-keys", boost::json::array{key}}});
+        out.push_back(
+            boost::json::object{{"name", std::string{"org-"} + name},
+                                {"api-keys", boost::json::array{key}},
+                                {"allowed-regions", out.empty() ? to_json(first_regions) : boost::json::array{}}});
     }
     return out;
 }
@@ -45,6 +58,14 @@
 
 } // namespace internal
 
+auto data_centre_name(const std::size_t index, const std::size_t region_count) -> std::string {
+    return "dc-" + std::to_string(index % region_count + 1U);
+}
+
+auto region_name(const std::size_t index, const std::size_t region_count) -> std::string {
+    return "region-" + std::to_string(index % region_count + 1U);
+}
+
 site::site(const site_options options) : m_options{options} {
     m_store = std::make_unique<store>(m_loop);
     m_store_address = m_store->listen();
@@ -81,13 +102,14 @@
 auto site::make_server(const std::size_t index, const bool is_restart) -> std::unique_ptr<server> {
     server_options new_options{};
     new_options.m_id = "server-" + std::to_string(index) + "-" + std::to_string(m_incarnation_count++);
-    new_options.m_data_centre = "dc-1";
+    new_options.m_data_centre = data_centre_name(index, m_options.m_region_count);
     new_options.m_split_output = m_options.m_split_output;
     new_options.m_service = index < m_options.m_runner_count ? "llm" : "book";
     if (index < m_options.m_runner_count) {
         new_options.m_model = model_name;
         new_options.m_version = is_restart ? 0U : m_weights_version;
         new_options.m_piece_count = m_options.m_piece_count;
+        new_options.m_cold_time = is_restart && m_runners_start_cold ? cold_time : duration{};
     }
     const auto port = is_restart ? m_servers[index]->address().m_port : std::uint16_t{};
     auto out = std::make_unique<server>(m_loop, *m_store, m_observations, new_options);
@@ -105,10 +127,12 @@
 
 auto site::write_configuration(const configuration_options& options) -> std::uint64_t {
     const auto timeout_ms = options.m_timeout_ms;
+    m_runners_start_cold = options.m_cold_per_s > 0.0;
     ++m_configuration_version;
     boost::json::array routes{internal::make_route("model", model_path, "streaming", "llm", timeout_ms),
                               internal::make_route("ledger", ledger_path, "non_idempotent", "book", timeout_ms),
                               internal::make_route("lookup", lookup_path, "idempotent", "book", timeout_ms)};
+    routes.front().as_object()["allowed-regions"] = internal::to_json(options.m_model_regions);
     for (unsigned index = 0U; index < options.m_extra_routes; ++index) {
         routes.push_back(
             internal::make_route("extra", "/extra/" + std::to_string(index) + "/", "idempotent", "book", timeout_ms));
@@ -125,19 +149,24 @@
                                      {"chunks", m_options.m_piece_count},
                                      {"models", boost::json::array{boost::json::object{{"name", model_name}}}}};
     const boost::json::array services{
-        boost::json::object{{"name", "llm"}, {"max-connections", 200}, {"engine", engine}},
+        boost::json::object{{"name", "llm"},
+                            {"max-connections", 200},
+                            {"cold-s", std::chrono::duration<double>{cold_time}.count()},
+                            {"cold-per-s", options.m_cold_per_s},
+                            {"engine", engine}},
         boost::json::object{{"name", "book"}, {"max-connections", 200}},
         boost::json::object{{"name", "weights"}, {"origin", "127.0.0.1:" + std::to_string(m_origin->port())}}};
     const boost::json::object limits{{"max-header-bytes", 16'384},
                                      {"max-body-bytes", 65'536},
                                      {"header-timeout-ms", 3'000},
                                      {"idle-timeout-ms", options.m_idle_timeout_ms}};
-    m_store->put("op/config", boost::json::serialize(
-                                  boost::json::object{{"version", m_configuration_version},
-                                                      {"routes", routes},
-                                                      {"services", services},
-                                                      {"limits", limits},
-                                                      {"tenants", internal::make_organisations(m_observations)}}));
+    m_store->put("op/config",
+                 boost::json::serialize(boost::json::object{
+                     {"version", m_configuration_version},
+                     {"routes", routes},
+                     {"services", services},
+                     {"limits", limits},
+                     {"tenants", internal::make_organisations(m_observations, options.m_organisation_regions)}}));
     return m_configuration_version;
 }
 
@@ -147,6 +176,15 @@
                  boost::json::serialize(boost::json::object{{"model", model_name}, {"version", version}}));
 }
 
+auto site::set_evacuated(const std::string& data_centre, const bool is_evacuated) -> void {
+    const auto key = std::string{adapter::key::evacuations} + data_centre;
+    if (is_evacuated) {
+        m_store->put(key, "{}");
+    } else {
+        m_store->remove(key);
+    }
+}
+
 auto site::send_endless(const std::shared_ptr<net::responder>& responder, const std::shared_ptr<bool>& left,
                         const std::size_t sent_bytes) -> void {
     constexpr std::size_t part_bytes = std::size_t{256} * 1024U;
--- a/app/standin-site/site.hpp
+++ b/app/standin-site/site.hpp
@@ -16,6 +16,8 @@
 struct site_options {
     std::size_t m_runner_count{3};
     std::size_t m_ledger_count{2};
+    /*! @brief Regions with one data centre each; servers stand in them in turn. */
+    std::size_t m_region_count{1};
     /*! @brief Pieces of each version of the weights. */
     std::size_t m_piece_count{16};
     /*! @brief Whether servers send parts of their output, as in `server_options::m_split_output`. */
@@ -29,6 +31,13 @@
 inline constexpr std::string_view ledger_path = "/ledger/";
 inline constexpr std::string_view lookup_path = "/lookup/";
 
+/*! @brief Time for which a runner is cold after it was restarted, if the configuration says that runners start cold. */
+inline constexpr duration cold_time = std::chrono::seconds{3};
+
+/*! @brief Returns the data centre, and its region, by the index of a server or gateway. */
+[[nodiscard]] auto data_centre_name(std::size_t index, std::size_t region_count) -> std::string;
+[[nodiscard]] auto region_name(std::size_t index, std::size_t region_count) -> std::string;
+
 /*! @brief Faults that the origin of weights injects. */
 struct origin_faults {
     /*! @brief Newest available version; requests for later versions get 503. */
@@ -47,6 +56,12 @@
     unsigned m_extra_routes{};
     /*! @brief Time that gateways keep an idle connection of a caller, in milliseconds. */
     unsigned m_idle_timeout_ms{15'000U};
+    /*! @brief Regions in which requests for answers of the model may be served; all if empty. */
+    std::vector<std::string> m_model_regions{};
+    /*! @brief Regions of the organisation `org-a`; all if empty. */
+    std::vector<std::string> m_organisation_regions{};
+    /*! @brief Requests a second that a cold runner takes; 0 if runners do not start cold. */
+    double m_cold_per_s{};
 };
 
 /**
@@ -72,6 +87,9 @@
     /*! @brief Publishes the version of the weights that all runners are to serve. */
     auto set_weights_version(std::uint64_t version) -> void;
 
+    /*! @brief Asks the system to send nothing to the servers of a data centre, or takes it back. */
+    auto set_evacuated(const std::string& data_centre, bool is_evacuated) -> void;
+
     /*! @brief Replaces the faults of the origin. */
     auto set_origin_faults(const origin_faults& faults) -> void { m_origin_faults = faults; }
 
@@ -109,6 +127,7 @@
     std::vector<std::unique_ptr<server>> m_servers{};
     net::endpoint m_store_address{};
     std::uint64_t m_configuration_version{};
+    bool m_runners_start_cold{false};
     std::uint64_t m_weights_version{1U};
     unsigned m_incarnation_count{};
     origin_faults m_origin_faults{};
--- a/include/rhubarbwharf/config/node.hpp
+++ b/include/rhubarbwharf/config/node.hpp
@@ -46,6 +46,9 @@
     std::uint32_t m_retry_window_ms{10'000};
     /*! @brief Repeats in each window that the whole deployment has beyond the ratio. */
     double m_retry_slack{100.0};
+    /*! @brief Multiple of a cold backend server's rate, and requests beyond it, that reach it in one second at most. */
+    double m_cold_over{1.5};
+    double m_cold_slack{5.0};
     /*! @brief Longest time for which callers may keep the addresses they were told. */
     std::uint32_t m_directory_ttl_ms{2'000};
 };
@@ -56,6 +59,12 @@
     std::string m_service{};
 };
 
+/*! @brief A data centre of the deployment. */
+struct data_centre_settings {
+    std::string m_name{};
+    std::string m_region{};
+};
+
 /*! @brief All settings of one gateway or loader. */
 struct node_settings {
     /*! @brief `gateway` or `loader`. */
@@ -67,6 +76,8 @@
     store_settings m_store{};
     bound_settings m_bounds{};
     runner_settings m_runner{};
+    /*! @brief All data centres, with the regions that they stand in. */
+    std::vector<data_centre_settings> m_data_centres{};
     /*! @brief Control listeners of a few gateways, which may be down. */
     std::vector<std::string> m_seeds{};
 };
--- a/include/rhubarbwharf/dispatch/fwd.hpp
+++ b/include/rhubarbwharf/dispatch/fwd.hpp
@@ -19,6 +19,7 @@
 struct service_retry_budget;
 struct named_limit;
 struct turn_share;
+struct warm_up;
 struct turn_outlook;
 
 } // namespace rhubarbwharf::dispatch
--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -13,6 +13,7 @@
 #include <rhubarbwharf/dispatch/fwd.hpp>
 #include <rhubarbwharf/dispatch/health.hpp>
 #include <rhubarbwharf/dispatch/turns.hpp>
+#include <rhubarbwharf/dispatch/warm_up.hpp>
 #include <rhubarbwharf/fleet/configuration.hpp>
 #include <rhubarbwharf/fleet/server.hpp>
 #include <rhubarbwharf/net/http.hpp>
@@ -27,8 +28,13 @@
     std::string m_service{};
     net::endpoint m_address{};
     std::string m_data_centre{};
+    /*! @brief Region of its data centre; empty if that is not known. */
+    std::string m_region{};
     unsigned m_slots{1};
     bool m_draining{false};
+    /*! @brief Whether its data centre is being evacuated. */
+    bool m_evacuated{false};
+    warm_up m_warm_up{};
     /*! @brief Whether it, or a peer, has said that it is leaving. */
     bool m_leaving{false};
     /*! @brief Until when it wants no request from this gateway. */
@@ -70,7 +76,8 @@
     /*! @brief Ratio of its processing times to the normal ones. */
     double m_slowdown{1.0};
     health m_health{};
-    /*! @brief This gateway's share in the limit that it has named; nothing if it has named none. */
+    /*! @brief This gateway's share in the limit that it has named, or in its rate while it is cold; nothing if it has
+     * neither. */
     std::optional<turn_share> m_turns{};
     /*! @brief Whether this gateway awaits something from it. */
     bool m_is_awaited{false};
@@ -92,6 +99,8 @@
     std::uint64_t m_min_version{};
     /*! @brief The only version that may answer, as when a stream is resumed; 0 for any. */
     std::uint64_t m_required_version{};
+    /*! @brief Regions in which the request may be served; null for all. */
+    const fleet::allowed_regions* m_allowed_regions{};
     /*! @brief Ids of backend servers to which the request was already sent. */
     std::span<const std::string> m_tried_servers{};
 };
--- a/include/rhubarbwharf/dispatch/turns.hpp
+++ b/include/rhubarbwharf/dispatch/turns.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string_view>
 
@@ -27,21 +28,33 @@
 inline constexpr double min_divided_limit_per_s = 0.05;
 
 /**
- * @brief Returns how many gateways share a limit. Each may use one saved turn at any time, so that the number is
- * bounded by the limit: in 4 s, of the 6 requests for each one of the limit, and 5, that the platform allows, the
- * shares take 4 and the saved turns 1.5, and 3; the rest is for the time in which gateways differ in who holds the
- * shares.
+ * @brief Returns how many turns all gateways together may have saved for a named limit. In 4 s, of the 6 requests for
+ * each one of the limit, and 5, that the platform allows, the shares take 4 and the saved turns 1.5, and 3; the rest is
+ * for the time in which gateways differ in who holds the shares.
  * @param per_s Limit in requests per second.
  */
-[[nodiscard]] auto count_holders(double per_s, std::size_t gateways) noexcept -> std::size_t;
+[[nodiscard]] auto saved_turns_of_limit(double per_s) noexcept -> double;
 
-/*! @brief Limit of a backend server. */
+/**
+ * @brief Returns how many turns all gateways together may have saved for a cold server. In one second the shares take
+ * its rate; of what is tolerated beyond it seven tenths are saved turns, the rest is for gateways that differ.
+ * @param per_s Rate of the cold server, in requests per second.
+ * @param tolerated Requests in one second that it bears.
+ */
+[[nodiscard]] auto saved_turns_of_cold_server(double per_s, double tolerated) noexcept -> double;
+
+/*! @brief Returns how many gateways share a rate: each may use one saved turn at any time. */
+[[nodiscard]] auto count_holders(double saved_turns, std::size_t gateways) noexcept -> std::size_t;
+
+/*! @brief Rate of a backend server that gateways share. */
 struct named_limit {
     std::string_view m_server{};
     /*! @brief Requests per second. */
     double m_per_s{};
     /*! @brief Time since any gateway last received it from the server. */
     duration m_age{};
+    /*! @brief Turns that all gateways together may have saved; those of a named limit if empty. */
+    std::optional<double> m_saved_turns{};
 };
 
 /**
@@ -58,6 +71,9 @@
 /*! @brief Sets the rate of a share. One that was nothing begins without a turn. */
 auto set_rate(turn_share& share, double per_s, time_point now) noexcept -> void;
 
+/*! @brief Gives a share of a server that nobody has used yet its first turn. */
+auto grant_first_turn(turn_share& share) noexcept -> void;
+
 /*! @brief Tells whether a request may be sent now. */
 [[nodiscard]] auto has_turn(const turn_share& share, time_point now) noexcept -> bool;
 
--- a/include/rhubarbwharf/dispatch/wait_queue.hpp
+++ b/include/rhubarbwharf/dispatch/wait_queue.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -22,6 +23,8 @@
     time_point m_on_time_deadline{};
     /*! @brief Latest time of sending at which the request can still be answered. */
     time_point m_send_deadline{};
+    /*! @brief Digest of the backend servers that it may use; 0 for all of the service. */
+    std::uint64_t m_group{};
 };
 
 /*! @brief Waiting requests of one service, and the rate at which requests are sent. */
@@ -44,17 +47,27 @@
     no_server,
 };
 
-/*! @brief Requests in a row of a queue that may lack capacity before the others are not tried; the servers that they
- * lack are mostly the same. */
+/*! @brief Requests of a group that may lack capacity before the others of the group are not tried; the servers that
+ * they lack are mostly the same. */
 inline constexpr unsigned max_send_misses = 4U;
 
-/*! @brief Tries to send the waiting requests one after the other. */
+/**
+ * @brief Tries to send the waiting requests one after the other.
+ *
+ * Load pattern: requests that may use the servers of one region only wait before others, and that region is full. They
+ * do not keep those behind them from free servers elsewhere.
+ */
 struct send_scan {
-    unsigned m_misses{};
+    /*! @brief Requests that lacked capacity, by group. */
+    std::map<std::uint64_t, unsigned> m_misses{};
 };
 
-/*! @brief Records a try. @return Whether the requests behind it are tried as well. */
-[[nodiscard]] auto continues_after(send_scan& scan, send_result result) noexcept -> bool;
+/*! @brief Tells whether a request of a group is tried. */
+[[nodiscard]] auto is_tried(const send_scan& scan, std::uint64_t group) noexcept -> bool;
+
+/*! @brief Records a try. @return Whether any request behind it is tried: not if those that may use all servers lack
+ * capacity. */
+[[nodiscard]] auto continues_after(send_scan& scan, send_result result, std::uint64_t group = 0U) -> bool;
 
 /*! @brief Records that a request was sent, which raises the send rate. */
 auto record_sent(wait_queue& queue, time_point now) noexcept -> void;
--- a/include/rhubarbwharf/fleet/configuration.hpp
+++ b/include/rhubarbwharf/fleet/configuration.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <rhubarbwharf/core/time.hpp>
+#include <rhubarbwharf/fleet/allowed_regions.hpp>
 #include <rhubarbwharf/fleet/fwd.hpp>
 #include <rhubarbwharf/net/http.hpp>
 
@@ -53,6 +54,8 @@
     /*! @brief Maximum number of backend servers to which one request is sent. */
     unsigned m_max_attempts{1};
     std::vector<traffic_share> m_shares{};
+    /*! @brief Regions in which its requests may be served. */
+    allowed_regions m_allowed_regions{};
 };
 
 /*! @brief Performance profile and models of the runners of a service. */
@@ -90,11 +93,20 @@
     unsigned m_max_connections{8};
 };
 
+/*! @brief What a service's backend servers take while they are cold, as they are for a while after a start. */
+struct warm_up_terms {
+    /*! @brief Longest time for which a server is cold. */
+    duration m_time{};
+    /*! @brief Requests per second from all gateways together; 0 if cold servers take as many as others. */
+    double m_per_s{};
+};
+
 /*! @brief Group of interchangeable backend servers. */
 struct service {
     std::string m_name{};
     std::string m_health_path{};
     unsigned m_max_connections{64};
+    warm_up_terms m_warm_up{};
     /*! @brief Empty for a plain service, which runs no models. */
     std::optional<engine_profile> m_engine{};
     /*! @brief Set if the service is an origin of weights. */
@@ -106,6 +118,8 @@
     std::string m_name{};
     /*! @brief Priority rank that overrides the one of the route. */
     std::optional<unsigned> m_priority{};
+    /*! @brief Regions in which its requests may be served; those of the route bind as well. */
+    allowed_regions m_allowed_regions{};
 };
 
 /*! @brief One complete version of the operators' configuration. */
@@ -144,6 +158,10 @@
 [[nodiscard]] auto find_route(const configuration& value, std::string_view host, std::string_view target)
     -> const route*;
 
+/*! @brief Returns the regions that all restricted routes of a host allow.
+ * @param host Name of the host; a port is ignored. */
+[[nodiscard]] auto regions_of_host(const configuration& value, std::string_view host) -> allowed_regions;
+
 /*! @brief Finds a service by name. @return The service, owned by `value`; null if there is none. */
 [[nodiscard]] auto find_service(const configuration& value, std::string_view name) -> const service*;
 
--- a/include/rhubarbwharf/fleet/fwd.hpp
+++ b/include/rhubarbwharf/fleet/fwd.hpp
@@ -8,6 +8,7 @@
 namespace rhubarbwharf::fleet {
 
 enum class idempotency : std::uint8_t;
+struct allowed_regions;
 struct traffic_share;
 struct route;
 struct engine_profile;
@@ -29,5 +30,7 @@
 struct stall;
 struct stall_record;
 struct server_limit;
+struct evacuation;
+struct warm_up_terms;
 
 } // namespace rhubarbwharf::fleet
--- a/include/rhubarbwharf/fleet/member.hpp
+++ b/include/rhubarbwharf/fleet/member.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <rhubarbwharf/core/time.hpp>
+#include <rhubarbwharf/fleet/allowed_regions.hpp>
 #include <rhubarbwharf/fleet/fwd.hpp>
 #include <rhubarbwharf/net/http.hpp>
 
@@ -65,10 +66,11 @@
  * @param table The members, including the own process.
  * @param region Region of the caller.
  * @param data_centre Data centre of the caller.
+ * @param allowed Regions to which the caller's requests may be sent, beside its own.
  * @return Addresses, nearest first; gateways that are farther away than the nearest are listed only to give two.
  */
 [[nodiscard]] auto list_gateways(const member_table& table, std::string_view region, std::string_view data_centre,
-                                 time_point now) -> std::vector<net::endpoint>;
+                                 time_point now, const allowed_regions& allowed = {}) -> std::vector<net::endpoint>;
 
 /*! @brief Gateways per region that watch the store on behalf of the region, so that one of them may fail undetected for
  * a while. */
--- a/src/config/node_schema.hpp
+++ b/src/config/node_schema.hpp
@@ -41,6 +41,11 @@
                   range("Window in which repeats are counted.", "ms", 1'000, 600'000));
     visitor.field("retry_slack", values.m_retry_slack,
                   range("Repeats in each window beyond the ratio, over all gateways.", "", 0, count_max));
+    visitor.field(
+        "cold_over", values.m_cold_over,
+        range("Multiple of a cold backend server's rate that reaches it in a second at most.", "", 1.0, 10.0));
+    visitor.field("cold_slack", values.m_cold_slack,
+                  range("Requests beyond that multiple, over all gateways.", "", 0.0, 1'000.0));
     visitor.field("directory_ttl_ms", values.m_directory_ttl_ms,
                   range("Time for which callers keep the addresses they were told.", "ms", 1'000, 60'000));
 }
@@ -51,6 +56,12 @@
     visitor.field("service", values.m_service, text("Service that the runner belongs to.", form::name));
 }
 
+template <typename Visitor>
+auto visit(Visitor& visitor, data_centre_settings& values) -> void {
+    visitor.field("name", values.m_name, text("Name of a data centre.", form::name, true));
+    visitor.field("region", values.m_region, text("The region it stands in.", form::name, true));
+}
+
 template <typename Visitor>
 auto visit(Visitor& visitor, node_settings& values) -> void {
     visitor.field("role", values.m_role, text("What the daemon does: `gateway` or `loader`.", form::node_role, true));
@@ -61,6 +72,8 @@
     visitor.group("store", values.m_store, plain("The platform's store.", true));
     visitor.group("bounds", values.m_bounds, plain("Time limits that the deployment sets."));
     visitor.group("runner", values.m_runner, plain("The model runner beside a loader."));
+    visitor.list("data_centres", values.m_data_centres,
+                 plain("All data centres; those that are missing are known by their instances only."));
     visitor.field("seeds", values.m_seeds, text("Control listeners of a few gateways; may be down.", form::address));
 }
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -25,8 +25,10 @@
 /*! @brief Checks whether a backend server takes new requests and holds what a request requires. */
 [[nodiscard]] auto is_suitable(const server_load& row, const request_requirements& required,
                                const time_point now) noexcept -> bool {
-    return !row.m_draining && !row.m_leaving && !row.m_removed && now >= row.m_replaced_until && !row.m_loading &&
-           satisfies_version(row, required);
+    const auto is_allowed =
+        required.m_allowed_regions == nullptr || fleet::allows(*required.m_allowed_regions, row.m_region);
+    return is_allowed && !row.m_evacuated && !row.m_draining && !row.m_leaving && !row.m_removed &&
+           now >= row.m_replaced_until && !row.m_loading && satisfies_version(row, required);
 }
 
 } // namespace
--- a/src/dispatch/turns.cpp
+++ b/src/dispatch/turns.cpp
@@ -34,9 +34,17 @@
 
 } // namespace
 
-auto count_holders(const double per_s, const std::size_t gateways) noexcept -> std::size_t {
-    const auto most = static_cast<double>(gateways);
-    return static_cast<std::size_t>(std::clamp(saved_turns_per_limit * per_s + min_saved_turns, 0.0, most));
+auto saved_turns_of_limit(const double per_s) noexcept -> double {
+    return saved_turns_per_limit * per_s + min_saved_turns;
+}
+
+auto saved_turns_of_cold_server(const double per_s, const double tolerated) noexcept -> double {
+    constexpr double saved_fraction = 0.7;
+    return std::max(1.0, saved_fraction * (tolerated - per_s));
+}
+
+auto count_holders(const double saved_turns, const std::size_t gateways) noexcept -> std::size_t {
+    return static_cast<std::size_t>(std::clamp(saved_turns, 0.0, static_cast<double>(gateways)));
 }
 
 auto divide_limit(const std::span<const std::string_view> gateways, const std::string_view self,
@@ -45,7 +53,7 @@
         return 0.0;
     }
     const auto divided = std::max(limit.m_per_s, min_divided_limit_per_s);
-    const auto holders = count_holders(divided, gateways.size());
+    const auto holders = count_holders(limit.m_saved_turns.value_or(saved_turns_of_limit(divided)), gateways.size());
     const auto key = mix(stable_hash(limit.m_server), count_rotations(divided, holders, limit.m_age));
     const auto own_weight = mix(stable_hash(self), key);
     const auto ahead = std::ranges::count_if(gateways, [&](const std::string_view each) {
@@ -61,6 +69,10 @@
     share.m_updated = now;
 }
 
+auto grant_first_turn(turn_share& share) noexcept -> void {
+    share.m_turns = share.m_per_s > 0.0 ? 1.0 : 0.0;
+}
+
 auto has_turn(const turn_share& share, const time_point now) noexcept -> bool {
     return turns_at(share, now) >= 1.0;
 }
--- a/src/dispatch/wait_queue.cpp
+++ b/src/dispatch/wait_queue.cpp
@@ -69,9 +69,14 @@
     return out;
 }
 
-auto continues_after(send_scan& scan, const send_result result) noexcept -> bool {
-    scan.m_misses += result == send_result::no_capacity ? 1U : 0U;
-    return scan.m_misses < max_send_misses;
+auto is_tried(const send_scan& scan, const std::uint64_t group) noexcept -> bool {
+    const auto found = scan.m_misses.find(group);
+    return found == scan.m_misses.end() || found->second < max_send_misses;
+}
+
+auto continues_after(send_scan& scan, const send_result result, const std::uint64_t group) -> bool {
+    scan.m_misses[group] += result == send_result::no_capacity ? 1U : 0U;
+    return is_tried(scan, 0U);
 }
 
 auto erase(wait_queue& queue, const request_id request) -> bool {
--- a/src/fleet/configuration.cpp
+++ b/src/fleet/configuration.cpp
@@ -36,6 +36,18 @@
     return nullptr;
 }
 
+auto regions_of_host(const configuration& value, std::string_view host) -> allowed_regions {
+    allowed_regions out{};
+    const auto found = value.m_routes_by_host.find(std::string{host.substr(0U, host.find(':'))});
+    if (found == value.m_routes_by_host.end()) {
+        return out;
+    }
+    for (const auto index : found->second) {
+        out = intersect(out, value.m_routes[index].m_allowed_regions);
+    }
+    return out;
+}
+
 auto find_service(const configuration& value, const std::string_view name) -> const service* {
     const auto found = std::ranges::find(value.m_services, name, &service::m_name);
     return found == value.m_services.end() ? nullptr : &*found;
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 auto list_gateways(const member_table& table, const std::string_view region, const std::string_view data_centre,
-                   const time_point now) -> std::vector<net::endpoint> {
+                   const time_point now, const allowed_regions& allowed) -> std::vector<net::endpoint> {
     struct candidate {
         int m_distance{};
         const member* m_member{};
@@ -29,7 +29,9 @@
     const auto collect = [&](const auto& filter) {
         std::vector<candidate> rows{};
         for (const auto& [name, row] : table) {
-            if (row.m_member.is_gateway() && !row.m_leaving && filter(row)) {
+            const auto& member_region = row.m_member.m_region;
+            const auto is_allowed = member_region == region || allows(allowed, member_region);
+            if (row.m_member.is_gateway() && !row.m_leaving && is_allowed && filter(row)) {
                 rows.push_back({distance(row.m_member, region, data_centre), &row.m_member});
             }
         }
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -35,6 +35,7 @@
         out += first ? "{\"id\":" : ",{\"id\":";
         first = false;
         out += net::json_string(id) + ",\"service\":" + net::json_string(backend->m_service);
+        out += ",\"region\":" + net::json_string(backend->m_region);
         out += ",\"load\":" + std::to_string(dispatch::estimate_load(*backend)) +
                ",\"own\":" + std::to_string(backend->m_own_requests);
         if (backend->m_turns) {
@@ -42,6 +43,8 @@
             out += ",\"limit_per_s\":" + std::to_string(limit) +
                    ",\"own_limit_per_s\":" + std::to_string(backend->m_turns->m_per_s);
         }
+        out += ",\"evacuated\":" + std::string{backend->m_evacuated ? "true" : "false"};
+        out += ",\"cold\":" + std::string{now < backend->m_warm_up.m_cold_until ? "true" : "false"};
         out += ",\"draining\":" + std::string{backend->m_draining ? "true" : "false"};
         out += ",\"usable\":" + std::string{dispatch::is_usable(backend->m_health, now) ? "true" : "false"} + "}";
     }
@@ -77,8 +80,12 @@
     }
     const auto region = adapter::query_value(incoming.m_target, "region");
     const auto data_centre = adapter::query_value(incoming.m_target, "zone");
-    const auto gateways = fleet::list_gateways(self.m_core.m_members, region, data_centre, steady_now());
+    const auto& configuration = self.m_core.m_configuration;
+    const auto host = adapter::query_value(incoming.m_target, "name");
+    const auto allowed = configuration ? fleet::regions_of_host(*configuration, host) : fleet::allowed_regions{};
+    const auto gateways = fleet::list_gateways(self.m_core.m_members, region, data_centre, steady_now(), allowed);
     if (gateways.empty()) {
+        self.m_core.m_counters.add("directory_refusals_total");
         responder->respond(refusal_response(503U, "no gateway is ready", std::chrono::milliseconds{300}));
         return;
     }
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 #include <fleet.pb.h>
 #include <gateway/limits.hpp>
@@ -61,6 +62,7 @@
         added->m_service = entry.m_service;
         added->m_address = entry.m_address;
         added->m_data_centre = entry.m_data_centre;
+        added->m_region = node::region_of(self.m_core, entry.m_data_centre);
         if (const auto pause = self.m_pauses.find(id);
             pause != self.m_pauses.end() && pause->second.m_started_ms == entry.m_started_ms) {
             added->m_paused_until = pause->second.m_until;
@@ -72,6 +74,13 @@
     backend.m_slots = entry.m_slots;
     backend.m_draining = entry.m_draining;
     backend.m_leaving = fleet::is_leaving(self.m_core.m_leaving_servers, id, entry.m_started_ms);
+    backend.m_evacuated = fleet::is_evacuated(self.m_core.m_evacuations, entry.m_data_centre);
+    // Servers that are listed while this gateway starts have mostly run before.
+    if (is_new && self.m_core.m_ready) {
+        begin_warm_up(self, backend);
+    }
+    const auto terms = warm_up_terms_of(self, backend.m_service);
+    dispatch::note_stated_warm_up(backend.m_warm_up, terms, entry.m_warm_up_time, steady_now());
     if (steady_now() - backend.m_last_reported > dispatch::stale_report_age) {
         backend.m_models = entry.m_models;
     }
@@ -127,7 +136,10 @@
         std::vector<dispatch::server_load*> backends{};
         std::vector<dispatch::quota_server> servers{};
         for (const auto& backend : state.m_backends) {
-            if (!backend->m_draining && !backend->m_leaving && !backend->m_loading) {
+            if (backend->m_region.empty()) {
+                backend->m_region = node::region_of(self.m_core, backend->m_data_centre);
+            }
+            if (!backend->m_draining && !backend->m_leaving && !backend->m_evacuated && !backend->m_loading) {
                 backends.push_back(backend.get());
                 servers.push_back({backend->m_id, backend->m_data_centre, static_cast<double>(backend->m_slots)});
             }
@@ -139,6 +151,23 @@
     }
 }
 
+auto on_evacuation(daemon& self, const std::string_view data_centre) -> void {
+    const auto is_evacuated = fleet::is_evacuated(self.m_core.m_evacuations, data_centre);
+    for (const auto& [id, backend] : self.m_backends) {
+        if (backend->m_data_centre != data_centre) {
+            continue;
+        }
+        // Servers that are taken back may have turned cold meanwhile, and may not have said so yet.
+        if (std::exchange(backend->m_evacuated, is_evacuated) && !is_evacuated) {
+            begin_warm_up(self, *backend);
+        }
+    }
+    assign_quotas(self);
+    for (const auto& [name, state] : self.m_services) {
+        dispatch_queued(self, name);
+    }
+}
+
 auto service_failure_rate(const daemon& self, const dispatch::server_load& backend) -> double {
     const auto found = self.m_services.find(backend.m_service);
     if (found == self.m_services.end()) {
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -58,6 +58,8 @@
     const fleet::route* m_route{};
     const fleet::service* m_service{};
     std::string m_organisation{};
+    /*! @brief Regions in which it may be served, by its route and its organisation. */
+    fleet::allowed_regions m_allowed_regions{};
     unsigned m_priority{};
     /*! @brief Request to forward, without the headers that differ between attempts. */
     net::http_request m_request{};
@@ -285,6 +287,9 @@
 /*! @brief Updates the load entry of one backend server from its registration; removes it if it is not registered. */
 auto refresh_backend(daemon& self, const std::string& id) -> void;
 
+/*! @brief Excludes the backend servers of a data centre whose evacuation has begun, or takes them back as cold ones. */
+auto on_evacuation(daemon& self, std::string_view data_centre) -> void;
+
 /*! @brief Applies what the headers of a response say of its backend server: that it is leaving, or wants a pause. */
 auto on_server_headers(daemon& self, dispatch::server_load& backend, const net::http_response& head) -> void;
 
--- a/src/gateway/loads.cpp
+++ b/src/gateway/loads.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include <gateway/limits.hpp>
 #include <gateway/loads.hpp>
 #include <node/wire.hpp>
 #include <rhubarbwharf/dispatch/placement.hpp>
@@ -58,6 +59,11 @@
     return out;
 }
 
+/*! @brief Records whether a backend server's runner responds to its loader. */
+auto note_sight(const daemon& self, dispatch::server_load& backend, const bool is_out_of_sight) -> void {
+    dispatch::note_sight(backend.m_warm_up, warm_up_terms_of(self, backend.m_service), is_out_of_sight, steady_now());
+}
+
 } // namespace
 
 auto on_load(daemon& self, const std::string_view peer, const wire::fleet::Load& update) -> void {
@@ -88,6 +94,9 @@
         return;
     }
     auto& backend = *reported;
+    const auto was_silent = backend.m_last_heard != time_point{} && !dispatch::is_reported_directly(backend, now);
+    note_sight(self, backend, was_silent || !update.alive());
+    note_sight(self, backend, !update.alive());
     apply_load(backend, {update.running(), update.waiting(), update.busy() || !update.alive(), update.pace(), now},
                update.models());
     backend.m_last_heard = now;
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -143,9 +143,11 @@
         return {code::unauthorised, "no organisation holds this key"};
     }
     item.m_priority = item.m_route->m_priority;
+    item.m_allowed_regions = item.m_route->m_allowed_regions;
     if (owner != nullptr) {
         item.m_organisation = owner->m_name;
         item.m_priority = owner->m_priority.value_or(item.m_priority);
+        item.m_allowed_regions = fleet::intersect(item.m_allowed_regions, owner->m_allowed_regions);
     }
     item.m_service = fleet::find_service(configuration, fleet::pick_service(*item.m_route, self.m_core.m_random()));
     if (item.m_service == nullptr) {
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -191,6 +191,9 @@
     self.m_caller_server.on_connection_closed([&self](const net::close_reason reason) {
         self.m_core.m_counters.add("caller_connections_closed_total", 1.0, net::to_string(reason));
     });
+    handlers.m_on_evacuation = [&self](const std::string& data_centre) {
+        on_evacuation(self, data_centre);
+    };
     handlers.m_on_gateway = [&self](const std::string& name) {
         send_verdicts(self, name);
     };
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -33,6 +33,7 @@
     dispatch::request_requirements out{};
     out.m_prompt_tokens = item.m_prompt_tokens;
     out.m_tried_servers = item.m_tried_servers;
+    out.m_allowed_regions = &item.m_allowed_regions;
     out.m_required_version = item.m_stream_started ? item.m_weights_version : 0U;
     if (item.m_service->m_engine && !item.m_model.empty()) {
         out.m_model = item.m_model;
@@ -70,8 +71,8 @@
     views.reserve(backends.size());
     std::ranges::transform(backends, std::back_inserter(views), [](const auto& each) { return each.get(); });
     const auto* const engine = item.m_service->m_engine ? &*item.m_service->m_engine : nullptr;
-    return dispatch::choose_server(views, engine, requirements_of(self, item, now), placement_options_for(self, item),
-                                   self.m_core.m_random(), now);
+    return dispatch::choose_server(views, engine, requirements_of(self, item, now),
+                                   placement_options_for(self, item), self.m_core.m_random(), now);
 }
 
 /*! @brief Checks whether any backend server could run a request, now or once it has capacity. */
@@ -81,6 +82,15 @@
                                [&](const auto& each) { return dispatch::is_eligible(*each, requirements, now); });
 }
 
+/*! @brief Tells whether only the regions in which a request may be served keep it from being sent. */
+[[nodiscard]] auto lacks_allowed_region(daemon& self, const exchange& item, const time_point now) -> bool {
+    auto requirements = requirements_of(self, item, now);
+    requirements.m_allowed_regions = nullptr;
+    return item.m_allowed_regions.m_is_restricted &&
+           std::ranges::any_of(self.m_services[item.m_service->m_name].m_backends,
+                               [&](const auto& each) { return dispatch::is_eligible(*each, requirements, now); });
+}
+
 /*! @brief Returns the longest time that the caller of a stream waits for its next event. */
 [[nodiscard]] auto max_stream_wait(const fleet::route& route) -> duration {
     return std::max<duration>({min_stream_wait, route.m_first_byte_target * stream_wait_target_factor,
@@ -101,6 +111,7 @@
     }
     dispatch::waiting_request out{};
     out.m_request = item.m_id;
+    out.m_group = fleet::group_of(item.m_allowed_regions);
     out.m_priority = item.m_priority;
     out.m_arrived = item.m_arrived_at;
     // A request whose server is silent or broke off goes before others while its caller still waits.
@@ -196,6 +207,17 @@
     refuse(self, item, expected, retry_after_for(self, *item, expected, steady_now()), reason);
 }
 
+/*! @brief Refuses a request that no backend server can run, even once it has capacity. */
+auto refuse_without_server(daemon& self, const std::shared_ptr<exchange>& item, const time_point now) -> void {
+    constexpr duration expected = std::chrono::milliseconds{400};
+    if (!lacks_allowed_region(self, *item, now)) {
+        refuse(self, item, expected, "no backend server can run it now");
+        return;
+    }
+    self.m_core.m_counters.add("region_refusals_total", 1.0, item->m_route->m_name);
+    refuse(self, item, expected, "no backend server of the allowed regions can run it now");
+}
+
 /*! @brief Refuses a request that only pauses keep from being sent. @return Whether this is so. */
 [[nodiscard]] auto refuse_if_paused(daemon& self, const std::shared_ptr<exchange>& item) -> bool {
     const auto retry_after = retry_after_pause(self, *item);
@@ -394,7 +416,7 @@
     }
     const auto needs_eligible = item->m_tried_servers.empty() || item->m_stream_started;
     if (needs_eligible && !internal::has_eligible_backend(self, *item, now)) {
-        internal::refuse(self, item, std::chrono::milliseconds{400}, "no backend server can run it now");
+        internal::refuse_without_server(self, item, now);
         return;
     }
     if (internal::refuse_without_turn(self, item, entry, now)) {
@@ -436,10 +458,11 @@
             continue;
         }
         const auto queued = item->second;
-        if (!queued->m_hedge_waits && !admit_parts(self, queued)) {
+        if (!dispatch::is_tried(scan, each.m_group) || (!queued->m_hedge_waits && !admit_parts(self, queued))) {
             continue;
         }
-        if (!dispatch::continues_after(scan, internal::send_queued(self, state, queued, now))) {
+        const auto result = internal::send_queued(self, state, queued, now);
+        if (!dispatch::continues_after(scan, result, each.m_group)) {
             return;
         }
     }
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -3,6 +3,7 @@
 
 #include <node/contact.hpp>
 #include <node/core.hpp>
+#include <node/evacuations.hpp>
 #include <platform/decode.hpp>
 #include <platform/encode.hpp>
 #include <platform/names.hpp>
@@ -73,14 +74,17 @@
 
 /*! @brief Applies a key written by an operator, or holds it at the start. @param written When it was written. */
 auto on_operator_item(core& self, const adapter::key_value& item, const fleet::arrival_time& written) -> void {
-    if (item.m_removed) {
+    const auto is_evacuation = item.m_key.starts_with(adapter::key::evacuations);
+    if (item.m_removed && !is_evacuation) {
         return;
     }
     if (!self.m_applies_operator_items) {
         self.m_held_operator_items.push_back({item, written});
         return;
     }
-    if (item.m_key == adapter::key::configuration) {
+    if (is_evacuation) {
+        on_evacuation_item(self, item);
+    } else if (item.m_key == adapter::key::configuration) {
         accept_configuration(self, item.m_value, "store");
         schedule_push(self, {});
     } else if (item.m_key.starts_with(adapter::key::weights_targets)) {
@@ -318,10 +322,11 @@
     }
     self.m_operator_follower = make_follower(
         self, adapter::key::operators, duration::zero(),
-        [&self](const std::vector<adapter::key_value>& items, fleet::store_version) {
+        [&self](const std::vector<adapter::key_value>& items, const fleet::store_version version) {
             for (const auto& each : items) {
                 on_operator_item(self, each, self.m_operator_follower->write_time());
             }
+            on_evacuation_listing(self, items, version);
         },
         [&self](const adapter::key_value& item) {
             on_operator_item(self, item, self.m_operator_follower->write_time());
@@ -380,6 +385,8 @@
     };
     m_handlers.m_on_server = [](const std::string&) {
     };
+    m_handlers.m_on_evacuation = [](const std::string&) {
+    };
     m_handlers.m_on_gateway = [](const std::string&) {
     };
     m_handlers.m_on_suspension = [](duration) {
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -14,6 +14,7 @@
 
 #include <rhubarbwharf/config/node.hpp>
 #include <rhubarbwharf/fleet/configuration.hpp>
+#include <rhubarbwharf/fleet/evacuation.hpp>
 #include <rhubarbwharf/fleet/limit.hpp>
 #include <rhubarbwharf/fleet/member.hpp>
 #include <rhubarbwharf/fleet/region.hpp>
@@ -46,6 +47,8 @@
     std::function<void()> m_on_weights{};
     /*! @brief Called with the id of a backend server after it has been added, changed or removed. */
     std::function<void(const std::string&)> m_on_server{};
+    /*! @brief Called with the name of a data centre after its evacuation has begun or ended. */
+    std::function<void(const std::string&)> m_on_evacuation{};
     /*! @brief Called with the name of a gateway whose process is new to this one. */
     std::function<void(const std::string&)> m_on_gateway{};
     /*! @brief Called with the length of a suspension of the machine, which the steady clock did not count. */
@@ -93,6 +96,7 @@
     fleet::leaving_table m_leaving_servers{};
     /*! @brief Limits that backend servers have named. */
     fleet::limit_table m_server_limits{};
+    fleet::evacuation_table m_evacuations{};
     fleet::member_table m_members{};
     /*! @brief Status of the other regions. */
     fleet::region_table m_regions{};
@@ -203,6 +207,9 @@
 [[nodiscard]] auto write_age(const core& self, std::string_view model, std::uint64_t version, time_point now)
     -> std::optional<duration>;
 
+/*! @brief Time after the store's return, or the begin of a new era, in which what it lacks is written again. */
+inline constexpr duration store_recovery_window = std::chrono::milliseconds{2'300};
+
 /*! @brief Time before a version's time limit from which requests start on that version or a newer one. Covers the wait
  * at a runner whose slots have just been filled. */
 inline constexpr duration version_margin = std::chrono::milliseconds{1'500};
@@ -240,6 +247,10 @@
 /*! @brief Sends a frame to the other gateways of the own region. */
 auto send_to_region(core& self, wire::fleet::Frame& frame) -> void;
 
+/*! @brief Returns the region of a data centre, from the settings or else from its members.
+ * @return Empty if it is not known. */
+[[nodiscard]] auto region_of(const core& self, std::string_view data_centre) -> std::string_view;
+
 /*! @brief Tells whether another gateway of the own region has been heard of lately. */
 [[nodiscard]] auto has_live_regional_gateway(const core& self, time_point now) -> bool;
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -5,6 +5,7 @@
 #include <fleet.pb.h>
 #include <node/boot_clock.hpp>
 #include <node/core.hpp>
+#include <node/evacuations.hpp>
 #include <node/pulse.hpp>
 #include <node/targets.hpp>
 #include <node/wire.hpp>
@@ -102,6 +103,17 @@
     send_to(self, internal::list_names(self, is_local_gateway), frame);
 }
 
+auto region_of(const core& self, const std::string_view data_centre) -> std::string_view {
+    const auto& settings = self.m_settings.m_data_centres;
+    const auto named = std::ranges::find(settings, data_centre, &config::data_centre_settings::m_name);
+    if (named != settings.end()) {
+        return named->m_region;
+    }
+    const auto found = std::ranges::find_if(
+        self.m_members, [data_centre](const auto& each) { return each.second.m_member.m_data_centre == data_centre; });
+    return found == self.m_members.end() ? std::string_view{} : found->second.m_member.m_region;
+}
+
 auto has_live_regional_gateway(const core& self, const time_point now) -> bool {
     return std::ranges::any_of(self.m_members, [&](const auto& each) {
         const auto& row = each.second;
@@ -190,6 +202,7 @@
         update.set_configuration(self.m_configuration->m_source_text);
     }
     add_targets(self, update);
+    add_evacuations(self, *update.mutable_evacuations());
     for (const auto& id : std::exchange(self.m_changed_servers, {})) {
         add_server(self, id, update);
     }
@@ -256,6 +269,7 @@
         out.set_configuration(self.m_configuration->m_source_text);
     }
     add_targets(self, out);
+    add_evacuations(self, *out.mutable_evacuations());
     if (with_servers) {
         for (const auto& [id, row] : self.m_servers.m_rows) {
             internal::add_server(self, id, out);
@@ -313,6 +327,7 @@
                   const std::optional<time_point> requested_at) -> void {
     // Weights are applied first, so that a loader that learns its models starts with the wanted version.
     accept_targets(self, state, source, requested_at);
+    accept_evacuations(self, state.evacuations(), source);
     if (!state.configuration().empty()) {
         accept_configuration(self, state.configuration(), source);
         apply_held_operator_items(self);
--- a/src/node/pulse.cpp
+++ b/src/node/pulse.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <node/boot_clock.hpp>
+#include <node/evacuations.hpp>
 #include <node/pulse.hpp>
 #include <node/targets.hpp>
 #include <node/wire.hpp>
@@ -261,6 +262,7 @@
     message.set_loaders(loaders_digest(self));
     add_leaving_servers(self, message);
     add_server_limits(self, steady_now(), message);
+    add_evacuations(self, *message.mutable_evacuations());
 }
 
 /*! @brief Adds what this gateway has heard of other regions, for its own. */
@@ -310,6 +312,7 @@
         mark_server_leaving(self, each.id(), from_wire(each), from);
     }
     accept_server_limits(self, from, message);
+    accept_evacuations(self, message.evacuations(), from);
     const auto status = note_sender(self, from, message, now);
     check_server_watch(self, message, now);
     if (now - self.m_last_state_pull < min_pull_interval) {
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -7,10 +7,6 @@
 
 namespace internal {
 
-/*! @brief Time after the store's return, or the begin of a new era, in which entries that it lacks are written
- * again. */
-constexpr duration store_recovery_window = std::chrono::milliseconds{2'300};
-
 namespace {
 
 /*! @brief Returns the rest of the window in which what the store lists may be outdated. @return At most zero if it has
@@ -115,7 +111,7 @@
     }
     const auto remaining = internal::remaining_recovery(self);
     const auto knows_former_entries =
-        self.m_store_era_since != time_point{} || steady_now() - self.m_started > internal::store_recovery_window;
+        self.m_store_era_since != time_point{} || steady_now() - self.m_started > store_recovery_window;
     if (remaining > duration::zero() && knows_former_entries) {
         self.m_pending_removals.insert_or_assign(id, version);
         self.m_loop.after(remaining, [&self, id, version] {
--- a/test/adapter/decode.cpp
+++ b/test/adapter/decode.cpp
@@ -46,6 +46,37 @@
     CHECK_FALSE(decode_configuration("\xff\x00"));
 }
 
+TEST_CASE("allowed regions restrict a route and an organisation, and a list that cannot be read allows none") {
+    const auto decode = [](const std::string& regions) {
+        const auto decoded = decode_configuration(
+            R"({"version":1,"routes":[{"hostname":"a","prefix":"/","kind":"idempotent","allowed-regions":)" + regions +
+            R"(}],"services":[],"tenants":[{"name":"t","api-keys":["k"],"allowed-regions":)" + regions + "}]}");
+        REQUIRE(decoded);
+        CHECK(decoded->m_routes.at(0).m_allowed_regions == decoded->m_organisations.at(0).m_allowed_regions);
+        return decoded->m_routes.at(0).m_allowed_regions;
+    };
+    CHECK(decode("[]") == fleet::allowed_regions{});
+    CHECK(decode("null") == fleet::allowed_regions{});
+    CHECK(decode(R"(["west","ost","west"])") == fleet::restrict_to({"ost", "west"}));
+    CHECK(decode(R"(["west",5])") == fleet::restrict_to({"west"}));
+    CHECK(decode("[5]") == fleet::restrict_to({}));
+    CHECK(decode(R"("west")") == fleet::restrict_to({}));
+}
+
+TEST_CASE("what cold servers take is read from the service, and nothing is limited without it") {
+    const auto decode = [](const std::string& members) {
+        const auto decoded =
+            decode_configuration(R"({"version":1,"routes":[],"services":[{"name":"s")" + members + "}]}");
+        REQUIRE(decoded);
+        return decoded->m_services.at(0).m_warm_up;
+    };
+    CHECK(decode(R"(,"cold-s":3.5,"cold-per-s":26.0)").m_time == std::chrono::milliseconds{3'500});
+    CHECK(decode(R"(,"cold-s":3.5,"cold-per-s":26.0)").m_per_s == 26.0);
+    CHECK(decode("").m_per_s == 0.0);
+    CHECK(decode(R"(,"cold-s":-1,"cold-per-s":-5)").m_per_s == 0.0);
+    CHECK(decode(R"(,"cold-s":1e300)").m_time == std::chrono::minutes{10});
+}
+
 TEST_CASE("entries that do not describe a backend server are ignored") {
     const std::string good = R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","born":12,)"
                              R"("models":[{"name":"m","version":3}],"layers":{"from":0,"to":16,"version":3}})";
--- a/test/dispatch/wait_queue.cpp
+++ b/test/dispatch/wait_queue.cpp
@@ -20,4 +20,17 @@
     CHECK_FALSE(continues_after(scan, send_result::no_capacity));
 }
 
+// Load pattern: the region that some requests may use is full or away, and there are free servers elsewhere.
+TEST_CASE("requests that lack servers of their region do not hold back those that may use others") {
+    constexpr std::uint64_t restricted = 7U;
+    send_scan scan{};
+    for (auto each = 0U; each < max_send_misses; ++each) {
+        CHECK(is_tried(scan, restricted));
+        CHECK(continues_after(scan, send_result::no_capacity, restricted));
+    }
+    CHECK_FALSE(is_tried(scan, restricted));
+    CHECK(is_tried(scan, 0U));
+    CHECK(is_tried(scan, 8U));
+}
+
 } // namespace rhubarbwharf::dispatch
--- a/test/fleet/member.cpp
+++ b/test/fleet/member.cpp
@@ -46,6 +46,26 @@
     CHECK(ports(list_gateways(table, "ost", "ost-a", now)) == std::vector{3U});
 }
 
+TEST_CASE("callers of restricted routes are sent to gateways of their own region and of allowed ones only") {
+    auto table = make_three_gateways();
+    const auto west = restrict_to({"west"});
+    CHECK(ports(list_gateways(table, "ost", "ost-a", now, west)) == std::vector{1U, 2U});
+    CHECK(ports(list_gateways(table, "sued", "sued-a", now, west)) == std::vector{3U});
+    table.at("a").m_leaving = true;
+    CHECK(ports(list_gateways(table, "ost", "ost-a", now, restrict_to({"sued"}))) == std::vector{2U});
+    CHECK(list_gateways(table, "sued", "sued-a", now, restrict_to({"sued"})).empty());
+    CHECK(list_gateways(table, "sued", "sued-a", now, restrict_to({})).empty());
+}
+
+// A gateway that is killed stays listed until its lease ends, for longer than callers may be sent to it.
+TEST_CASE("a gateway that ended is not named beside a live one, although the store still lists it") {
+    auto table = make_three_gateways();
+    table.at("a").m_last_received = now - std::chrono::seconds{7};
+    CHECK(ports(list_gateways(table, "ost", "ost-a", now)) == std::vector{2U, 3U});
+    table.at("b").m_last_received = now - std::chrono::seconds{7};
+    CHECK(ports(list_gateways(table, "ost", "ost-a", now)) == std::vector{3U});
+}
+
 TEST_CASE("without live gateways callers are sent to the listed ones") {
     auto table = make_three_gateways();
     for (auto& [name, row] : table) {
--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -31,8 +31,9 @@
     m_thread = std::thread{[this] {
         m_loop.run();
     }};
+    platform.run_in_loop([this](standin_site::site& site) { m_region_count = site.options().m_region_count; });
     for (std::size_t index = 0U; index < gateways; ++index) {
-        add_daemon("gateway-" + std::to_string(index), {});
+        add_daemon("gateway-" + std::to_string(index), index, {});
     }
     std::vector<net::endpoint> runners{};
     platform.run_in_loop([&](standin_site::site& site) {
@@ -41,7 +42,7 @@
         }
     });
     for (std::size_t index = 0U; index < runners.size(); ++index) {
-        add_daemon("loader-" + std::to_string(index), runners[index]);
+        add_daemon("loader-" + std::to_string(index), index, runners[index]);
     }
     try {
         for (std::size_t index = 0U; index < m_daemons.size(); ++index) {
@@ -79,7 +80,17 @@
     done.get_future().wait();
 }
 
-auto fleet::add_daemon(const std::string& name, const net::endpoint& runner) -> void {
+auto fleet::data_centre_settings() const -> std::string {
+    std::string out{};
+    for (std::size_t index = 0U; index < m_region_count; ++index) {
+        out += (index == 0U ? "{" : ", {") +
+               json_member("name", standin_site::data_centre_name(index, m_region_count)) + ", " +
+               json_member("region", standin_site::region_name(index, m_region_count)) + "}";
+    }
+    return out;
+}
+
+auto fleet::add_daemon(const std::string& name, const std::size_t index, const net::endpoint& runner) -> void {
     daemon added{};
     added.m_name = name;
     run_in_proxy_loop([&] { added.m_store_proxy = std::make_unique<proxy>(m_loop, m_site.store_address()); });
@@ -97,8 +108,10 @@
                   json_member("readiness", local_address(process::find_free_port()));
     }
     auto settings = "{" + json_member("role", is_gateway ? "gateway" : "loader") + ", " +
-                    json_member("instance", name) + ", " + json_member("region", "region-1") + ", " +
-                    json_member("data_centre", "dc-1") + ", \"listen\": {" + listen + "}, \"store\": {" +
+                    json_member("instance", name) + ", " +
+                    json_member("region", standin_site::region_name(index, m_region_count)) + ", " +
+                    json_member("data_centre", standin_site::data_centre_name(index, m_region_count)) +
+                    ", \"data_centres\": [" + data_centre_settings() + "], \"listen\": {" + listen + "}, \"store\": {" +
                     json_member("address", net::to_string(added.m_store_proxy->address())) +
                     ", \"call_ms\": 500, \"lease_ms\": 3000, \"watch_ms\": 2000}, " +
                     R"("bounds": {"version_ms": 6000, "retry_slack": 30}, )";
--- a/test/soak/fleet.hpp
+++ b/test/soak/fleet.hpp
@@ -65,14 +65,18 @@
     /*! @brief Ends the daemons, the proxies and their thread. */
     auto stop() -> void;
     auto run_in_proxy_loop(const std::function<void()>& task) -> void;
-    /*! @brief Adds a loader for the runner, or a gateway if the port of the runner is 0. */
-    auto add_daemon(const std::string& name, const net::endpoint& runner) -> void;
+    /*! @brief Adds a loader for the runner, or a gateway if the port of the runner is 0.
+     * @param index Number of the loader or gateway, which decides where it stands. */
+    auto add_daemon(const std::string& name, std::size_t index, const net::endpoint& runner) -> void;
+    /*! @brief Returns all data centres as settings name them. */
+    [[nodiscard]] auto data_centre_settings() const -> std::string;
 
     standin_site::site& m_site;
     process::temporary_directory m_directory{};
     net::loop m_loop{};
     std::vector<daemon> m_daemons{};
     std::string m_seed_addresses{};
+    std::size_t m_region_count{1};
     std::thread m_thread{};
 };
 
