Serve urgent routes first where slots are scarce, and divide the slots that a report shows free

The organisations of the deployment all have one priority, which took the place of the routes' ranks. Slots are spread over 46 gateways, each of which sees one come free every 120 ms, as long as an urgent request can wait. And a report reaches all gateways at the same time: each sent a request for the slot that it showed free, so that requests waited 0.9 to 2.4 s at runners whose last report was new (traced: report_age_ms 0, 8 to 9 requests of 12).

The route's rank decides among requests of one priority, after whether they can still be on time. Urgent requests may wait at the runners, which admit them first, as long as their answer is predicted to begin in time; the least urgent ones, and those that can no longer be on time, leave two slots of a runner free. Gateways use a part of the slots that a report shows free, rounded at random, and those that they free themselves. Routes of one rank are sent as before; the division of free slots counts everywhere once six sixteenths of a runner are left.

--- a/include/rhubarbwharf/dispatch/fwd.hpp
+++ b/include/rhubarbwharf/dispatch/fwd.hpp
@@ -8,6 +8,7 @@
 namespace rhubarbwharf::dispatch {
 
 struct health;
+struct free_slots;
 struct server_load;
 struct request_requirements;
 struct placement_options;
--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -20,6 +21,22 @@
 
 namespace rhubarbwharf::dispatch {
 
+/**
+ * @brief Slots of a backend server that its last report showed free, and what this gateway has made of them since.
+ *
+ * Load pattern: a full fleet, where requests wait at many gateways. A report reaches all of them at the same time; were
+ * each to send a request for the slot that it shows free, most of them would wait at the server.
+ */
+struct free_slots {
+    /*! @brief Slots without a request according to the report, negative for waiting requests; without a bound before
+     * the first report. */
+    double m_reported{std::numeric_limits<double>::infinity()};
+    /*! @brief Random number from 0 to 1 by which this gateway's part, a fraction, is rounded. */
+    double m_rounding{};
+    /*! @brief Requests of this gateway that were sent since the report, less those that have ended since. */
+    int m_used{};
+};
+
 /*! @brief Load of a backend server as one gateway knows it. */
 struct server_load {
     std::string m_id{};
@@ -59,6 +76,8 @@
     /*! @brief Running and waiting requests of the last report. */
     unsigned m_reported_running{};
     unsigned m_reported_waiting{};
+    /*! @brief What the last report left free, and this gateway's part in it. */
+    free_slots m_free{};
     /*! @brief When the last report was made, as far as is known; the epoch if none was received. */
     time_point m_last_reported{};
     /*! @brief When its loader last reported to this gateway itself; the epoch if it never did. */
@@ -111,8 +130,10 @@
     std::string_view m_data_centre{};
     /*! @brief Added to the predicted time of a backend server in another data centre, in ms. */
     double m_remote_penalty_ms{15.0};
-    /*! @brief Requests that a backend server may hold in excess of its slots, as its reports lag. */
+    /*! @brief Requests that a backend server may hold in excess of its slots; negative for slots to be left free. */
     double m_max_excess_requests{0.0};
+    /*! @brief Longest predicted time to the first byte at a runner without a free slot, in ms. */
+    double m_max_excess_first_byte_ms{std::numeric_limits<double>::infinity()};
     /*! @brief Slots of a backend server that are filled by quota only; further free slots are shared by all gateways.
      */
     double m_quota_only_slots{3.0};
@@ -149,6 +170,10 @@
 /*! @brief Part of a runner's slots that is filled by quota only, as reports lag: three of sixteen slots. */
 inline constexpr double quota_only_fraction = 3.0 / 16.0;
 
+/*! @brief Part of a runner's slots, the last ones to be taken, that gateways divide by what a report shows free: six of
+ * sixteen. Before them there is room for what several gateways send by the same report. */
+inline constexpr double rationed_slots_fraction = 6.0 / 16.0;
+
 /*! @brief Added to the predicted time of a runner where this gateway has used its quota, in ms. Quotas differ between
  * gateways, which keeps them from choosing the same runner by the same report. */
 inline constexpr double over_quota_penalty_ms = 30.0;
@@ -169,6 +194,24 @@
  */
 [[nodiscard]] auto predict_pass_ms(const fleet::engine_profile& engine, double requests) noexcept -> double;
 
+/*! @brief Requests that wait at a runner beyond its slots for each kind of route that is less urgent, and slots that
+ * are left free for each that is more urgent. */
+inline constexpr double excess_requests_per_kind = 1.0;
+inline constexpr double max_excess_requests = 2.0;
+
+/**
+ * @brief Returns how many requests a runner may hold beyond its slots for one of a given urgency.
+ *
+ * Load pattern: kinds of route that may wait for unlike times compete for too few slots, which are spread over many
+ * gateways, so that each gateway sees a slot come free less often than an urgent request can wait, and a less urgent
+ * one that may wait longer takes it. Urgent requests therefore wait at the runners, which admit the most urgent first,
+ * while the least urgent ones wait at the gateways and leave the last slots of each runner free.
+ * @param urgency Kinds of route of the service that are more urgent.
+ * @param kinds Kinds of route of the service.
+ * @return Requests beyond the slots; negative for slots that are left free.
+ */
+[[nodiscard]] auto excess_of_urgency(unsigned urgency, std::size_t kinds) noexcept -> double;
+
 /*! @brief Result of a placement. */
 struct choice {
     /*! @brief Index of the backend server in the rows passed. */
@@ -236,6 +279,18 @@
 /*! @brief Restores the load of the backend servers that have not refused a request for `refusal_memory`. */
 auto expire_refusals(std::span<const std::shared_ptr<server_load>> rows, time_point now) noexcept -> void;
 
+/*! @brief Records what a report says of a backend server's load.
+ * @param requests Requests at the server, running and waiting. @param random Random bits. */
+auto note_free_slots(server_load& row, double requests, std::uint64_t random) noexcept -> void;
+
+/**
+ * @brief Tells whether one of the slots that the last report showed free, or that this gateway has freed since, is its
+ * to use. Each gateway takes its part of the free slots: that of its quota, or an equal one if that is more, rounded at
+ * random so that all of them together use about as many as are free.
+ */
+[[nodiscard]] auto may_use_free_slot(const server_load& row, const placement_options& options, time_point now) noexcept
+    -> bool;
+
 /*! @brief Records that a request is sent to a backend server: it counts as one of this gateway's, and uses a turn. */
 auto record_request(server_load& row, time_point now) noexcept -> void;
 
--- a/include/rhubarbwharf/dispatch/wait_queue.hpp
+++ b/include/rhubarbwharf/dispatch/wait_queue.hpp
@@ -25,6 +25,8 @@
     time_point m_send_deadline{};
     /*! @brief Digest of the backend servers that it may use; 0 for all of the service. */
     std::uint64_t m_group{};
+    /*! @brief Number of kinds of route of the service that are more urgent. */
+    unsigned m_urgency{};
 };
 
 /*! @brief Waiting requests of one service, and the rate at which requests are sent. */
@@ -107,7 +109,10 @@
 
 /**
  * @brief Lists the waiting requests in the order in which they are sent: by rank, then those that can still be on time,
- * then by time of arrival, oldest first.
+ * then by the urgency of their route, then by time of arrival, oldest first.
+ *
+ * Load pattern: a third of the servers is away, and routes of unlike urgency compete for the rest. A late answer helps
+ * its caller little whatever the route, so that those that can still be on time go first.
  */
 [[nodiscard]] auto send_order(const wait_queue& queue, time_point now) -> std::vector<waiting_request>;
 
--- a/include/rhubarbwharf/fleet/configuration.hpp
+++ b/include/rhubarbwharf/fleet/configuration.hpp
@@ -107,6 +107,9 @@
     std::string m_health_path{};
     unsigned m_max_connections{64};
     warm_up_terms m_warm_up{};
+    /*! @brief Priority ranks of the routes with keys that lead to it, each once, most urgent first; see `index_routes`.
+     */
+    std::vector<unsigned> m_route_priorities{};
     /*! @brief Empty for a plain service, which runs no models. */
     std::optional<engine_profile> m_engine{};
     /*! @brief Set if the service is an origin of weights. */
@@ -146,7 +149,8 @@
  * @param present Null if there is none. */
 [[nodiscard]] auto replaces(const configuration& offered, const shared_configuration& present) noexcept -> bool;
 
-/*! @brief Rebuilds `m_routes_by_host` from `m_routes`. */
+/*! @brief Rebuilds what is derived from `m_routes`: `m_routes_by_host`, and the `m_route_priorities` of the services.
+ */
 auto index_routes(configuration& value) -> void;
 
 /**
@@ -169,6 +173,9 @@
  * none. */
 [[nodiscard]] auto find_origin(const configuration& value) -> const origin*;
 
+/*! @brief Returns how many of a service's kinds of route are more urgent than a route. */
+[[nodiscard]] auto urgency_of(const service& value, const route& from) noexcept -> unsigned;
+
 /*! @brief Finds the organisation that owns an API key. @return The organisation, owned by `value`; null if there is
  * none. */
 [[nodiscard]] auto find_key_owner(const configuration& value, const std::string& key) -> const organisation*;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <rhubarbwharf/dispatch/placement.hpp>
@@ -37,6 +38,16 @@
     return static_cast<double>(row.m_own_requests) + row.m_other_requests;
 }
 
+auto excess_of_urgency(const unsigned urgency, const std::size_t kinds) noexcept -> double {
+    if (kinds == 0U) {
+        return 0.0;
+    }
+    const auto more_urgent = static_cast<double>(urgency);
+    const auto less_urgent = static_cast<double>(kinds - 1U) - more_urgent;
+    const auto excess = (less_urgent - more_urgent) * excess_requests_per_kind;
+    return std::clamp(excess, -max_excess_requests, max_excess_requests);
+}
+
 auto predict_pass_ms(const fleet::engine_profile& engine, const double requests) noexcept -> double {
     const auto slots = static_cast<double>(engine.m_slots);
     const auto running = std::min(requests, slots);
@@ -132,6 +143,24 @@
     }
 }
 
+auto note_free_slots(server_load& row, const double requests, const std::uint64_t random) noexcept -> void {
+    row.m_free.m_reported = static_cast<double>(row.m_slots) - requests;
+    row.m_free.m_rounding = static_cast<double>(random % static_cast<std::uint64_t>(random_steps)) / random_steps;
+    row.m_free.m_used = 0;
+}
+
+auto may_use_free_slot(const server_load& row, const placement_options& options, const time_point now) noexcept
+    -> bool {
+    const auto slots = std::max(1.0, static_cast<double>(row.m_slots));
+    const auto is_scarce = estimate_load(row) >= slots * (1.0 - rationed_slots_fraction);
+    if (!is_scarce || now - row.m_last_reported > stale_report_age) {
+        return true;
+    }
+    const auto part = std::clamp(row.m_quota / slots, 1.0 / std::max(1.0, options.m_gateway_count), 1.0);
+    const auto free = std::max(0.0, row.m_free.m_reported + options.m_max_excess_requests);
+    return std::floor(free * part + row.m_free.m_rounding) > static_cast<double>(row.m_free.m_used);
+}
+
 auto record_request(server_load& row, const time_point now) noexcept -> void {
     if (!std::exchange(row.m_is_awaited, true)) {
         row.m_awaited_since = now;
@@ -140,6 +169,7 @@
         take_turn(*row.m_turns, now);
     }
     ++row.m_own_requests;
+    ++row.m_free.m_used;
 }
 
 auto record_sign_of_life(server_load& row, const time_point now) noexcept -> void {
@@ -153,6 +183,7 @@
 
 auto record_request_end(server_load& row, const time_point now) noexcept -> void {
     row.m_own_requests -= std::min(row.m_own_requests, 1U);
+    --row.m_free.m_used;
     // What a silent server is awaited for is remembered, so that it gets a single request until it reacts.
     row.m_is_awaited = row.m_own_requests > 0U || is_silent(row, now);
 }
@@ -223,10 +254,15 @@
         random = random * 6'364'136'223'846'793'005ULL + 1'442'695'040'888'963'407ULL;
         const auto is_stuck = row.m_own_requests > 0U && is_silent(row, now);
         const auto has_no_turn = row.m_turns && !has_turn(*row.m_turns, now);
-        if (is_stuck || has_no_turn || !is_eligible(row, required, now) || !has_capacity(row, options)) {
+        const auto is_full = !has_capacity(row, options) || !may_use_free_slot(row, options, now);
+        if (is_stuck || has_no_turn || !is_eligible(row, required, now) || is_full) {
             continue;
         }
         const auto first_byte_ms = predict_first_byte_ms(row, engine, required.m_prompt_tokens);
+        const auto has_free_slot = estimate_load(row) < static_cast<double>(row.m_slots);
+        if (!has_free_slot && first_byte_ms > options.m_max_excess_first_byte_ms) {
+            continue;
+        }
         const auto jitter_ms =
             static_cast<double>((random >> random_step_bits) % static_cast<std::uint64_t>(random_steps)) /
             random_steps * options.m_jitter_ms;
--- a/src/dispatch/wait_queue.cpp
+++ b/src/dispatch/wait_queue.cpp
@@ -30,8 +30,11 @@
 auto expected_wait(const wait_queue& queue, const waiting_request& request, const time_point now) noexcept -> duration {
     const auto is_late = request.m_on_time_deadline <= now;
     const auto ahead = std::ranges::count_if(queue.m_waiting, [&](const waiting_request& each) {
-        return each.m_priority < request.m_priority ||
-               (each.m_priority == request.m_priority && (is_late || each.m_on_time_deadline > now));
+        if (each.m_priority != request.m_priority) {
+            return each.m_priority < request.m_priority;
+        }
+        const auto other_is_late = each.m_on_time_deadline <= now;
+        return other_is_late == is_late ? each.m_urgency <= request.m_urgency : is_late;
     });
     const auto wait = static_cast<double>(ahead) / std::max(min_send_rate_per_s, send_rate(queue, now));
     const auto max_wait_s = to_seconds(max_wait_estimate);
@@ -63,7 +66,10 @@
         }
         const auto left_late = left.m_on_time_deadline <= now;
         const auto right_late = right.m_on_time_deadline <= now;
-        return left_late != right_late ? right_late : left.m_arrived < right.m_arrived;
+        if (left_late != right_late) {
+            return right_late;
+        }
+        return left.m_urgency != right.m_urgency ? left.m_urgency < right.m_urgency : left.m_arrived < right.m_arrived;
     };
     std::ranges::stable_sort(out, before);
     return out;
--- a/src/fleet/configuration.cpp
+++ b/src/fleet/configuration.cpp
@@ -1,4 +1,7 @@
 #include <algorithm>
+#include <map>
+#include <set>
+#include <string_view>
 
 #include <rhubarbwharf/fleet/configuration.hpp>
 
@@ -8,6 +11,25 @@
     return !present || offered.m_version > present->m_version;
 }
 
+namespace {
+
+auto index_priorities(configuration& value) -> void {
+    std::map<std::string_view, std::set<unsigned>> priorities{};
+    for (const auto& each : value.m_routes) {
+        for (const auto& share : each.m_shares) {
+            if (!each.m_public) {
+                priorities[share.m_service].insert(each.m_priority);
+            }
+        }
+    }
+    for (auto& each : value.m_services) {
+        const auto& found = priorities[each.m_name];
+        each.m_route_priorities.assign(found.begin(), found.end());
+    }
+}
+
+} // namespace
+
 auto index_routes(configuration& value) -> void {
     value.m_routes_by_host.clear();
     for (std::size_t index = 0U; index < value.m_routes.size(); ++index) {
@@ -19,6 +41,14 @@
     for (auto& [host, indices] : value.m_routes_by_host) {
         std::ranges::stable_sort(indices, std::ranges::greater{}, length);
     }
+    index_priorities(value);
+}
+
+auto urgency_of(const service& value, const route& from) noexcept -> unsigned {
+    const auto is_more_urgent = [&from](const unsigned priority) {
+        return priority < from.m_priority;
+    };
+    return static_cast<unsigned>(std::ranges::count_if(value.m_route_priorities, is_more_urgent));
 }
 
 auto find_route(const configuration& value, std::string_view host, std::string_view target) -> const route* {
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -61,6 +61,8 @@
     /*! @brief Regions in which it may be served, by its route and its organisation. */
     fleet::allowed_regions m_allowed_regions{};
     unsigned m_priority{};
+    /*! @brief Kinds of route of the service that are more urgent than the own one. */
+    unsigned m_urgency{};
     /*! @brief Request to forward, without the headers that differ between attempts. */
     net::http_request m_request{};
     std::shared_ptr<net::responder> m_responder{};
--- a/src/gateway/loads.cpp
+++ b/src/gateway/loads.cpp
@@ -27,7 +27,7 @@
     time_point m_reported_at{};
 };
 
-auto apply_load(dispatch::server_load& backend, const reported_load& report,
+auto apply_load(daemon& self, dispatch::server_load& backend, const reported_load& report,
                 const google::protobuf::RepeatedPtrField<wire::fleet::HeldModel>& models) -> void {
     const auto load = static_cast<double>(report.m_running) + static_cast<double>(report.m_waiting);
     backend.m_other_requests = std::max(0.0, load - static_cast<double>(backend.m_own_requests));
@@ -40,6 +40,7 @@
     backend.m_reported_waiting = report.m_waiting;
     backend.m_last_reported = report.m_reported_at;
     backend.m_counts_as_full = false;
+    dispatch::note_free_slots(backend, load, self.m_core.m_random());
 }
 
 /*! @brief Tells whether this gateway exchanges loads with other regions on behalf of its own. */
@@ -97,7 +98,8 @@
     const auto was_silent = backend.m_last_heard != time_point{} && !dispatch::is_reported_directly(backend, now);
     note_sight(self, backend, was_silent || !update.alive());
     note_sight(self, backend, !update.alive());
-    apply_load(backend, {update.running(), update.waiting(), update.busy() || !update.alive(), update.pace(), now},
+    apply_load(self, backend,
+               {update.running(), update.waiting(), update.busy() || !update.alive(), update.pace(), now},
                update.models());
     backend.m_last_heard = now;
     backend.m_last_sign = update.alive() ? now : backend.m_last_sign;
@@ -123,7 +125,7 @@
             found->second->m_last_reported >= reported_at) {
             continue;
         }
-        apply_load(*found->second, {each.running(), each.waiting(), each.blocked(), each.pace(), reported_at},
+        apply_load(self, *found->second, {each.running(), each.waiting(), each.blocked(), each.pace(), reported_at},
                    each.models());
         services.insert(found->second->m_service);
     }
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -153,6 +153,7 @@
     if (item.m_service == nullptr) {
         return {code::no_backend_server, "the route's service is not configured"};
     }
+    item.m_urgency = fleet::urgency_of(*item.m_service, *item.m_route);
     return {};
 }
 
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -49,7 +49,8 @@
     return out;
 }
 
-[[nodiscard]] auto placement_options_for(const daemon& self, const exchange& item) -> dispatch::placement_options {
+[[nodiscard]] auto placement_options_for(const daemon& self, const exchange& item, const time_point now)
+    -> dispatch::placement_options {
     constexpr double plain_service_excess_requests = 3.0;
     dispatch::placement_options out{};
     out.m_data_centre = self.m_core.m_self.m_data_centre;
@@ -59,6 +60,12 @@
     } else {
         out.m_gateway_count = self.m_gateway_count;
         out.m_quota_only_slots = static_cast<double>(item.m_service->m_engine->m_slots) * dispatch::quota_only_fraction;
+        const auto kinds = item.m_service->m_route_priorities.size();
+        const auto is_late = item.m_first_byte_deadline <= now && !item.m_stream_started && !item.m_attempt;
+        const auto urgency = is_late && kinds > 0U ? static_cast<unsigned>(kinds) - 1U : item.m_urgency;
+        out.m_max_excess_requests = dispatch::excess_of_urgency(urgency, kinds);
+        out.m_max_excess_first_byte_ms =
+            std::chrono::duration<double, std::milli>{item.m_first_byte_deadline - now}.count();
     }
     out.m_prefers_idle = !item.m_trial_parts.empty();
     return out;
@@ -72,7 +79,7 @@
     std::ranges::transform(backends, std::back_inserter(views), [](const auto& each) { return each.get(); });
     const auto* const engine = item.m_service->m_engine ? &*item.m_service->m_engine : nullptr;
     return dispatch::choose_server(views, engine, requirements_of(self, item, now),
-                                   placement_options_for(self, item), self.m_core.m_random(), now);
+                                   placement_options_for(self, item, now), self.m_core.m_random(), now);
 }
 
 /*! @brief Checks whether any backend server could run a request, now or once it has capacity. */
@@ -112,6 +119,7 @@
     dispatch::waiting_request out{};
     out.m_request = item.m_id;
     out.m_group = fleet::group_of(item.m_allowed_regions);
+    out.m_urgency = item.m_urgency;
     out.m_priority = item.m_priority;
     out.m_arrived = item.m_arrived_at;
     // A request whose server is silent or broke off goes before others while its caller still waits.
@@ -160,6 +168,13 @@
     return std::max<std::int64_t>(1, to_ms(item.m_deadline - now));
 }
 
+/*! @brief Returns the rank of a request in the queue of a runner: by its priority, then by the urgency of its route. */
+[[nodiscard]] auto runner_priority(const exchange& item) noexcept -> std::size_t {
+    constexpr std::size_t last_rank = 9U;
+    const auto kinds = std::max<std::size_t>(1U, item.m_service->m_route_priorities.size());
+    return std::min(item.m_priority * kinds + item.m_urgency, last_rank);
+}
+
 [[nodiscard]] auto backend_request(const exchange& item, const dispatch::server_load& backend,
                                    const std::uint64_t pinned_version, const time_point now) -> net::http_request {
     auto out = item.m_request;
@@ -172,7 +187,7 @@
         add(adapter::field::expect_version, std::to_string(pinned_version));
     }
     if (item.m_service->m_engine) {
-        add(adapter::field::priority, std::to_string(std::min(item.m_priority, 9U)));
+        add(adapter::field::priority, std::to_string(runner_priority(item)));
     }
     if (item.m_stream_started) {
         std::erase_if(out.m_headers, [](const net::header& field) {
