Ask a second server for slow responses, within a share that operators set

The operators' wish: fewer slow answers, for some extra work within a limit. A response that has not begun within the tail latency of its route is asked for at a second server with room; off unless hedging.max_share is set. Placing moves to a file of its own, as hedging needs it too.

--- a/include/rhubarbwharf/config/node.hpp
+++ b/include/rhubarbwharf/config/node.hpp
@@ -59,6 +59,12 @@
     std::string m_service{};
 };
 
+/*! @brief Extra work for slow responses. */
+struct hedging_settings {
+    /*! @brief Second attempts for slow responses, as a fraction of the requests; none if 0. */
+    double m_max_share{0.0};
+};
+
 /*! @brief A data centre of the deployment. */
 struct data_centre_settings {
     std::string m_name{};
@@ -76,6 +82,7 @@
     store_settings m_store{};
     bound_settings m_bounds{};
     runner_settings m_runner{};
+    hedging_settings m_hedging{};
     /*! @brief All data centres, with the regions that they stand in. */
     std::vector<data_centre_settings> m_data_centres{};
     /*! @brief Control listeners of a few gateways, which may be down. */
--- a/include/rhubarbwharf/dispatch/fwd.hpp
+++ b/include/rhubarbwharf/dispatch/fwd.hpp
@@ -14,6 +14,8 @@
 struct placement_options;
 struct choice;
 struct pending_response;
+struct tail_latency;
+struct hedge_allowance;
 struct waiting_request;
 struct wait_queue;
 struct refusal;
--- a/include/rhubarbwharf/dispatch/hedge.hpp
+++ b/include/rhubarbwharf/dispatch/hedge.hpp
@@ -53,4 +53,45 @@
  */
 [[nodiscard]] auto needs_hedge(const pending_response& state) noexcept -> bool;
 
+/*! @brief Fraction of a route's responses that begin within its tail latency. */
+inline constexpr double tail_quantile = 0.95;
+/*! @brief Responses of a route after which its tail latency is used. */
+inline constexpr unsigned min_latency_samples = 40U;
+
+/*! @brief Time within which most responses of a route begin, as a running estimate of their quantile. */
+struct tail_latency {
+    duration m_estimate{};
+    /*! @brief Responses seen, up to `min_latency_samples`. */
+    unsigned m_samples{};
+};
+
+/*! @brief Records the time from sending a request to the first byte of its response. */
+auto record_latency(tail_latency& tail, duration latency) noexcept -> void;
+
+/*! @brief Second attempts for slow responses that operators allow. */
+struct hedge_allowance {
+    /*! @brief Second attempts for each request, at most; 0 if operators allow none. */
+    double m_max_share{};
+    /*! @brief Second attempts that may be sent now. */
+    double m_credit{};
+};
+
+/*! @brief Second attempts that may be saved up, so that a calm time does not pay for a burst of them. */
+inline constexpr double max_hedge_credit = 4.0;
+
+/*! @brief Counts a request, which adds its share to the allowance. */
+auto record_request(hedge_allowance& allowance) noexcept -> void;
+
+/*! @brief Spends one second attempt. @return False if operators do not allow it now. */
+[[nodiscard]] auto try_acquire_hedge(hedge_allowance& allowance) noexcept -> bool;
+
+/**
+ * @brief Tells whether a response is so late for its route that a second server is asked beside the first one.
+ *
+ * Load pattern: servers turn slow for less time than a report takes to tell it, so that few responses, at any server,
+ * take several times as long as the others. Unlike the hedge of a silent server this is extra work that operators
+ * limit.
+ */
+[[nodiscard]] auto is_slow(const pending_response& state, const tail_latency& tail) noexcept -> bool;
+
 } // namespace rhubarbwharf::dispatch
--- a/src/config/node_schema.hpp
+++ b/src/config/node_schema.hpp
@@ -56,6 +56,13 @@
     visitor.field("service", values.m_service, text("Service that the runner belongs to.", form::name));
 }
 
+template <typename Visitor>
+auto visit(Visitor& visitor, hedging_settings& values) -> void {
+    visitor.field(
+        "max_share", values.m_max_share,
+        range("Second attempts for slow responses, over requests that may be repeated; none if 0.", "", 0.0, 0.2));
+}
+
 template <typename Visitor>
 auto visit(Visitor& visitor, data_centre_settings& values) -> void {
     visitor.field("name", values.m_name, text("Name of a data centre.", form::name, true));
@@ -72,6 +79,7 @@
     visitor.group("store", values.m_store, plain("The platform's store.", true));
     visitor.group("bounds", values.m_bounds, plain("Time limits that the deployment sets."));
     visitor.group("runner", values.m_runner, plain("The model runner beside a loader."));
+    visitor.group("hedging", values.m_hedging, plain("Extra work for slow responses; gateways only."));
     visitor.list("data_centres", values.m_data_centres,
                  plain("All data centres; those that are missing are known by their instances only."));
     visitor.field("seeds", values.m_seeds, text("Control listeners of a few gateways; may be down.", form::address));
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -102,10 +102,15 @@
     state.m_silence = std::min(silence_of(*item, *current, now), now - item->m_silence_checked_at);
     state.m_attempts = item->m_tried_servers.size() - item->m_unsent_attempts;
     state.m_max_attempts = route.m_max_attempts;
-    const auto is_due = item->m_tried_servers.size() < max_tried_servers && dispatch::needs_hedge(state);
-    if (is_due && !item->m_hedge_waits) {
+    if (item->m_tried_servers.size() >= max_tried_servers || item->m_hedge_waits) {
+        return;
+    }
+    if (dispatch::needs_hedge(state)) {
         item->m_silence_checked_at = now;
         hedge(self, item);
+    } else if (self.m_core.m_settings.m_hedging.m_max_share > 0.0 &&
+               dispatch::is_slow(state, self.m_tail_latencies[route.m_name])) {
+        hedge_slow(self, item);
     }
 }
 
@@ -183,7 +188,11 @@
     }
     const auto loser = kept == item->m_hedge ? item->m_attempt : item->m_hedge;
     auto& backend = *loser->m_backend;
-    if (loser == item->m_attempt &&
+    const auto is_slow = std::exchange(item->m_hedged_as_slow, false);
+    if (is_slow && loser == item->m_attempt) {
+        self.m_core.m_counters.add("slow_hedges_won_total", 1.0, item->m_route->m_name);
+    }
+    if (!is_slow && loser == item->m_attempt &&
         dispatch::record_failure(backend.m_health, service_failure_rate(self, backend), steady_now())) {
         self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
     }
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <rhubarbwharf/core/id.hpp>
+#include <rhubarbwharf/dispatch/hedge.hpp>
 #include <rhubarbwharf/dispatch/placement.hpp>
 #include <rhubarbwharf/dispatch/retry_budget.hpp>
 #include <rhubarbwharf/dispatch/wait_queue.hpp>
@@ -93,6 +94,8 @@
     /*! @brief Whether the request waits in the queue for a second backend server although `m_attempt` is in progress.
      */
     bool m_hedge_waits{false};
+    /*! @brief Whether `m_hedge` was sent as the response was slow; its server is then not taken for a silent one. */
+    bool m_hedged_as_slow{false};
     /*! @brief Tried backend servers that got no byte of the request, so that they do not count as attempts. */
     std::size_t m_unsent_attempts{};
     /*! @brief Whether an earlier attempt may have run the request. */
@@ -128,6 +131,7 @@
 struct service_state {
     dispatch::wait_queue m_queue{};
     dispatch::service_retry_budget m_retry_budget{};
+    dispatch::hedge_allowance m_hedge_allowance{};
     std::vector<std::shared_ptr<dispatch::server_load>> m_backends{};
 };
 
@@ -170,6 +174,8 @@
     time_point m_last_parts_sent{};
     /*! @brief By name of the route. */
     std::map<std::string, caller_timeout, std::less<>> m_caller_timeouts{};
+    /*! @brief By name of the route. */
+    std::map<std::string, dispatch::tail_latency, std::less<>> m_tail_latencies{};
     std::uint64_t m_last_request_id{};
     /*! @brief Number of gateways that accept traffic, this one included; at least 1. */
     double m_gateway_count{1.0};
@@ -207,6 +213,9 @@
  * one with capacity. */
 auto hedge(daemon& self, const std::shared_ptr<exchange>& item) -> void;
 
+/*! @brief Sends a request whose response is slow to a second backend server that has room, if operators allow it. */
+auto hedge_slow(daemon& self, const std::shared_ptr<exchange>& item) -> void;
+
 /*! @brief Ends the wait of a request for a second backend server, as it is no longer needed. */
 auto withdraw_hedge(daemon& self, exchange& item) -> void;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -55,6 +55,7 @@
 auto record_first_byte(daemon& self, exchange& item, const attempt& current) -> void {
     const auto now = steady_now();
     item.m_first_byte_latency = now - current.m_sent_at;
+    dispatch::record_latency(self.m_tail_latencies[item.m_route->m_name], item.m_first_byte_latency);
     self.m_core.m_counters.observe("first_byte_seconds", now - item.m_arrived_at);
     self.m_core.m_counters.observe("backend_first_byte_seconds", item.m_first_byte_latency);
 }
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -232,7 +232,12 @@
         cancel_attempts(self, item, text);
         close_exchange(self, item, 0U, text);
     });
-    dispatch::record_request(self.m_services[item->m_service->m_name].m_retry_budget, item->m_arrived_at);
+    auto& state = self.m_services[item->m_service->m_name];
+    dispatch::record_request(state.m_retry_budget, item->m_arrived_at);
+    state.m_hedge_allowance.m_max_share = self.m_core.m_settings.m_hedging.m_max_share;
+    if (item->m_route->m_idempotency == fleet::idempotency::idempotent) {
+        dispatch::record_request(state.m_hedge_allowance);
+    }
     if (routing::count_crashes(self.m_quarantine, item->m_content_digest, item->m_arrived_at) >=
         internal::crash_quarantine_threshold) {
         end_with_response(self, item,
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -152,8 +152,8 @@
     node::leave(self.m_core);
 }
 
-/*! @brief Reloads the settings that may change at run time: the bounds and the store. Keeps the current ones if the
- * file has errors. */
+/*! @brief Reloads the settings that may change at run time: the bounds, the store and hedging. Keeps the current ones
+ * if the file has errors. */
 auto reload(daemon& self) -> void {
     const auto read = config::load_node(self.m_settings_file);
     const auto* const reloaded = std::get_if<config::node_settings>(&read);
@@ -165,6 +165,7 @@
     auto& core = self.m_core;
     core.m_settings.m_bounds = reloaded->m_bounds;
     core.m_settings.m_store = reloaded->m_store;
+    core.m_settings.m_hedging = reloaded->m_hedging;
     if (const auto address = net::parse_endpoint(reloaded->m_store.m_address)) {
         core.m_store.set_address(*address);
     }
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include <gateway/parts.hpp>
+#include <gateway/placing.hpp>
 #include <platform/names.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -28,76 +29,6 @@
 
 namespace {
 
-[[nodiscard]] auto requirements_of(const daemon& self, const exchange& item, const time_point now)
-    -> dispatch::request_requirements {
-    dispatch::request_requirements out{};
-    out.m_prompt_tokens = item.m_prompt_tokens;
-    out.m_tried_servers = item.m_tried_servers;
-    out.m_allowed_regions = &item.m_allowed_regions;
-    out.m_required_version = item.m_stream_started ? item.m_weights_version : 0U;
-    if (item.m_service->m_engine && !item.m_model.empty()) {
-        out.m_model = item.m_model;
-        out.m_layers = item.m_service->m_engine->m_layer_count;
-        out.m_min_version = node::min_allowed_version(self.m_core, item.m_model, now, node::version_margin);
-        const auto relaxed_version =
-            node::min_allowed_version(self.m_core, item.m_model, now, node::min_version_margin);
-        const auto& backends = self.m_services.at(item.m_service->m_name).m_backends;
-        if (relaxed_version < out.m_min_version && !dispatch::is_version_held(backends, out)) {
-            out.m_min_version = relaxed_version;
-        }
-    }
-    return out;
-}
-
-[[nodiscard]] auto placement_options_for(const daemon& self, const exchange& item, const time_point now)
-    -> dispatch::placement_options {
-    constexpr double plain_service_excess_requests = 3.0;
-    dispatch::placement_options out{};
-    out.m_data_centre = self.m_core.m_self.m_data_centre;
-    if (!item.m_service->m_engine) {
-        out.m_max_excess_requests = plain_service_excess_requests;
-        out.m_quota_only_slots = -plain_service_excess_requests;
-    } else {
-        out.m_gateway_count = self.m_gateway_count;
-        out.m_quota_only_slots = static_cast<double>(item.m_service->m_engine->m_slots) * dispatch::quota_only_fraction;
-        const auto kinds = item.m_service->m_route_priorities.size();
-        const auto is_late = item.m_first_byte_deadline <= now && !item.m_stream_started && !item.m_attempt;
-        const auto urgency = is_late && kinds > 0U ? static_cast<unsigned>(kinds) - 1U : item.m_urgency;
-        out.m_max_excess_requests = dispatch::excess_of_urgency(urgency, kinds);
-        out.m_max_excess_first_byte_ms =
-            std::chrono::duration<double, std::milli>{item.m_first_byte_deadline - now}.count();
-    }
-    out.m_prefers_idle = !item.m_trial_parts.empty();
-    return out;
-}
-
-[[nodiscard]] auto choose_backend(daemon& self, const exchange& item, const time_point now)
-    -> std::optional<dispatch::choice> {
-    const auto& backends = self.m_services[item.m_service->m_name].m_backends;
-    std::vector<const dispatch::server_load*> views{};
-    views.reserve(backends.size());
-    std::ranges::transform(backends, std::back_inserter(views), [](const auto& each) { return each.get(); });
-    const auto* const engine = item.m_service->m_engine ? &*item.m_service->m_engine : nullptr;
-    return dispatch::choose_server(views, engine, requirements_of(self, item, now),
-                                   placement_options_for(self, item, now), self.m_core.m_random(), now);
-}
-
-/*! @brief Checks whether any backend server could run a request, now or once it has capacity. */
-[[nodiscard]] auto has_eligible_backend(daemon& self, const exchange& item, const time_point now) -> bool {
-    const auto requirements = requirements_of(self, item, now);
-    return std::ranges::any_of(self.m_services[item.m_service->m_name].m_backends,
-                               [&](const auto& each) { return dispatch::is_eligible(*each, requirements, now); });
-}
-
-/*! @brief Tells whether only the regions in which a request may be served keep it from being sent. */
-[[nodiscard]] auto lacks_allowed_region(daemon& self, const exchange& item, const time_point now) -> bool {
-    auto requirements = requirements_of(self, item, now);
-    requirements.m_allowed_regions = nullptr;
-    return item.m_allowed_regions.m_is_restricted &&
-           std::ranges::any_of(self.m_services[item.m_service->m_name].m_backends,
-                               [&](const auto& each) { return dispatch::is_eligible(*each, requirements, now); });
-}
-
 /*! @brief Returns the longest time that the caller of a stream waits for its next event. */
 [[nodiscard]] auto max_stream_wait(const fleet::route& route) -> duration {
     return std::max<duration>({min_stream_wait, route.m_first_byte_target * stream_wait_target_factor,
@@ -401,6 +332,32 @@
     self.m_core.m_counters.add("hedges_queued_total");
 }
 
+auto hedge_slow(daemon& self, const std::shared_ptr<exchange>& item) -> void {
+    auto& state = self.m_services[item->m_service->m_name];
+    const auto now = steady_now();
+    if (item->m_hedge_waits || state.m_hedge_allowance.m_credit < 1.0 || !state.m_queue.m_waiting.empty() ||
+        has_crashed_part(self, *item)) {
+        return;
+    }
+    auto options = internal::placement_options_for(self, *item, now);
+    options.m_max_excess_requests = -internal::free_slots_for_extra_work(*item);
+    const auto chosen = internal::choose_backend(self, *item, options, now);
+    if (!chosen || state.m_backends[chosen->m_index]->m_turns ||
+        !dispatch::try_acquire_retry(state.m_retry_budget, now) ||
+        !dispatch::try_acquire_hedge(state.m_hedge_allowance)) {
+        return;
+    }
+    const auto slow = item->m_attempt;
+    item->m_hedged_as_slow = true;
+    dispatch_to(self, item, state.m_backends[chosen->m_index], *chosen);
+    self.m_core.m_events.write("request.hedged_slow", {{"id", item->m_attempt_id},
+                                                       {"slow", slow->m_backend->m_id},
+                                                       {"silent_ms", internal::to_ms(now - slow->m_sent_at)},
+                                                       {"server", item->m_hedge->m_backend->m_id},
+                                                       {"credit", state.m_hedge_allowance.m_credit}});
+    self.m_core.m_counters.add("slow_hedges_total", 1.0, item->m_route->m_name);
+}
+
 auto withdraw_hedge(daemon& self, exchange& item) -> void {
     if (std::exchange(item.m_hedge_waits, false)) {
         dispatch::erase(self.m_services[item.m_service->m_name].m_queue, item.m_id);
