Divide free slots only where kinds of unlike urgency compete for them

Beside routes of unlike urgency the division is what keeps the urgent ones in time. It now counts there only, and where there are more gateways than slots, so that all other deployments are served as before.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -25,7 +25,8 @@
  * @brief Slots of a backend server that its last report showed free, and what this gateway has made of them since.
  *
  * Load pattern: a full fleet, where requests wait at many gateways. A report reaches all of them at the same time; were
- * each to send a request for the slot that it shows free, most of them would wait at the server.
+ * each to send a request for the slot that it shows free, most of them would wait at the server. Where there are fewer
+ * gateways than slots, quotas of whole requests prevent that.
  */
 struct free_slots {
     /*! @brief Slots without a request according to the report, negative for waiting requests; without a bound before
@@ -139,6 +140,10 @@
     double m_quota_only_slots{3.0};
     /*! @brief Number of gateways that share free slots. */
     double m_gateway_count{1.0};
+    /*! @brief Whether gateways divide the slots that a report shows free, where kinds of unlike urgency compete for
+     * them.
+     */
+    bool m_divides_free_slots{false};
     /*! @brief Mean number of backend servers that are sampled for one request. Gateways that hold the same reports
      * would otherwise all choose the same one until the next report. */
     double m_sample_size{6.0};
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -153,7 +153,8 @@
     -> bool {
     const auto slots = std::max(1.0, static_cast<double>(row.m_slots));
     const auto is_scarce = estimate_load(row) >= slots * (1.0 - rationed_slots_fraction);
-    if (!is_scarce || now - row.m_last_reported > stale_report_age) {
+    const auto is_divided = options.m_divides_free_slots && options.m_gateway_count > slots;
+    if (!is_scarce || !is_divided || now - row.m_last_reported > stale_report_age) {
         return true;
     }
     const auto part = std::clamp(row.m_quota / slots, 1.0 / std::max(1.0, options.m_gateway_count), 1.0);
--- a/src/gateway/placing.cpp
+++ b/src/gateway/placing.cpp
@@ -40,6 +40,7 @@
         const auto is_late = item.m_first_byte_deadline <= now && !item.m_stream_started && !item.m_attempt;
         const auto urgency = is_late && kinds > 0U ? static_cast<unsigned>(kinds) - 1U : item.m_urgency;
         out.m_max_excess_requests = dispatch::excess_of_urgency(urgency, kinds);
+        out.m_divides_free_slots = kinds > 1U;
         out.m_max_excess_first_byte_ms =
             std::chrono::duration<double, std::milli>{item.m_first_byte_deadline - now}.count();
     }
--- a/test/dispatch/urgency.cpp
+++ b/test/dispatch/urgency.cpp
@@ -179,6 +179,7 @@
             auto& request = m_requests.at(entry.m_request);
             placement_options options{};
             options.m_gateway_count = gateways;
+            options.m_divides_free_slots = m_tells_kinds_apart;
             options.m_quota_only_slots = runner_slots * quota_only_fraction;
             options.m_max_excess_requests =
                 excess_of_urgency(urgency(request.m_kind), m_tells_kinds_apart ? kinds.size() : 1U);
@@ -287,6 +288,7 @@
     std::mt19937_64 random{20'261'205U};
     placement_options options{};
     options.m_gateway_count = crowd;
+    options.m_divides_free_slots = true;
     double used{};
     constexpr unsigned reports = 400U;
     for (auto report = 0U; report < reports; ++report) {
@@ -314,6 +316,7 @@
     row.m_quota = 0.1;
     placement_options options{};
     options.m_gateway_count = 100.0;
+    options.m_divides_free_slots = true;
     row.m_other_requests = 12.0;
     CHECK(may_use_free_slot(row, options, now));
     record_request(row, now);
@@ -325,6 +328,12 @@
     record_request(row, now);
     CHECK_FALSE(may_use_free_slot(row, options, now));
     CHECK(may_use_free_slot(row, options, now + 2 * stale_report_age));
+    // Quotas of whole requests, and services with a single kind of route, need no division.
+    options.m_gateway_count = 9.0;
+    CHECK(may_use_free_slot(row, options, now));
+    options = {};
+    options.m_gateway_count = 100.0;
+    CHECK(may_use_free_slot(row, options, now));
 }
 
 } // namespace rhubarbwharf::dispatch
