--- a/include/rhubarbwharf/fleet/configuration.hpp
+++ b/include/rhubarbwharf/fleet/configuration.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -166,6 +167,19 @@
  * @param host Name of the host; a port is ignored. */
 [[nodiscard]] auto regions_of_host(const configuration& value, std::string_view host) -> allowed_regions;
 
+/*! @brief Restriction of a route or an organisation that names a region which the deployment does not have. */
+struct unknown_region {
+    /*! @brief Name of the route or organisation. */
+    std::string_view m_owner{};
+    /*! @brief The region; empty if a restriction allows none, as its list could not be read. */
+    std::string_view m_region{};
+};
+
+/*! @brief Lists the regions that restrictions name and the deployment does not have, and the restrictions without any.
+ * @param known Regions of the deployment. @return References into `value`. */
+[[nodiscard]] auto list_unknown_regions(const configuration& value, const std::set<std::string_view>& known)
+    -> std::vector<unknown_region>;
+
 /*! @brief Finds a service by name. @return The service, owned by `value`; null if there is none. */
 [[nodiscard]] auto find_service(const configuration& value, std::string_view name) -> const service*;
 
--- a/include/rhubarbwharf/fleet/fwd.hpp
+++ b/include/rhubarbwharf/fleet/fwd.hpp
@@ -9,6 +9,7 @@
 
 enum class idempotency : std::uint8_t;
 struct allowed_regions;
+struct unknown_region;
 struct traffic_share;
 struct route;
 struct engine_profile;
--- a/src/dispatch/warm_up.cpp
+++ b/src/dispatch/warm_up.cpp
@@ -25,7 +25,11 @@
 }
 
 auto cold_rate(const warm_up& state, const fleet::warm_up_terms& terms, const time_point now) noexcept -> double {
-    return terms.m_per_s > 0.0 && now < state.m_cold_until ? terms.m_per_s : fleet::no_limit;
+    const auto is_cold = terms.m_per_s > 0.0 && now < state.m_cold_until;
+    if (!is_cold) {
+        return fleet::no_limit;
+    }
+    return terms.m_per_s;
 }
 
 } // namespace rhubarbwharf::dispatch
--- a/src/fleet/configuration.cpp
+++ b/src/fleet/configuration.cpp
@@ -78,6 +78,28 @@
     return out;
 }
 
+auto list_unknown_regions(const configuration& value, const std::set<std::string_view>& known)
+    -> std::vector<unknown_region> {
+    std::vector<unknown_region> out{};
+    const auto check = [&](const std::string_view owner, const allowed_regions& regions) {
+        if (regions.m_is_restricted && regions.m_names.empty()) {
+            out.push_back({owner, {}});
+        }
+        for (const auto& each : regions.m_names) {
+            if (!known.contains(each)) {
+                out.push_back({owner, each});
+            }
+        }
+    };
+    for (const auto& each : value.m_routes) {
+        check(each.m_name, each.m_allowed_regions);
+    }
+    for (const auto& each : value.m_organisations) {
+        check(each.m_name, each.m_allowed_regions);
+    }
+    return out;
+}
+
 auto find_service(const configuration& value, const std::string_view name) -> const service* {
     const auto found = std::ranges::find(value.m_services, name, &service::m_name);
     return found == value.m_services.end() ? nullptr : &*found;
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 #include <fleet.pb.h>
@@ -69,12 +71,30 @@
     }
 }
 
+/*! @brief Reports the restrictions of the configuration in force that name no region of the deployment. */
+auto report_unknown_regions(daemon& self) -> void {
+    std::set<std::string_view> known{};
+    for (const auto& each : self.m_core.m_settings.m_data_centres) {
+        known.insert(each.m_region);
+    }
+    const auto& configuration = *self.m_core.m_configuration;
+    for (const auto& each : fleet::list_unknown_regions(configuration, known)) {
+        self.m_core.m_events.write("configuration.unknown_region",
+                                   {{"version", static_cast<std::int64_t>(configuration.m_version)},
+                                    {"owner", each.m_owner},
+                                    {"region", each.m_region}});
+    }
+}
+
 auto apply_configuration(daemon& self) -> void {
     const auto& configuration = *self.m_core.m_configuration;
     auto limits = configuration.m_limits;
     limits.m_half_close = false;
     self.m_caller_server.set_limits(limits);
     divide_retry_budget(self);
+    if (!self.m_core.m_settings.m_data_centres.empty()) {
+        report_unknown_regions(self);
+    }
 }
 
 auto update_readiness(daemon& self, const time_point now) -> void {
--- a/test/fleet/allowed_regions.cpp
+++ b/test/fleet/allowed_regions.cpp
@@ -58,4 +58,22 @@
     CHECK(regions_of_host(value, "b") == allowed_regions{});
 }
 
+TEST_CASE("restrictions that name no region of the deployment are found, and those that allow none") {
+    configuration value{};
+    route known{};
+    known.m_name = "known";
+    known.m_allowed_regions = restrict_to({"ost", "west"});
+    route unread{};
+    unread.m_name = "unread";
+    unread.m_allowed_regions = restrict_to({});
+    value.m_routes = {known, unread, {}};
+    value.m_organisations = {{"misspelt", std::nullopt, restrict_to({"ost", "wset"})}, {"free", std::nullopt, {}}};
+    const auto found = list_unknown_regions(value, {"ost", "west"});
+    REQUIRE(found.size() == 2U);
+    CHECK(found[0].m_owner == "unread");
+    CHECK(found[0].m_region.empty());
+    CHECK(found[1].m_owner == "misspelt");
+    CHECK(found[1].m_region == "wset");
+}
+
 } // namespace rhubarbwharf::fleet
