Remove repeated regions without a range that the linter's library rejects

clang-tidy 14 does not compile std::ranges::unique with GCC 12's library, which failed the linter on this file. No change of behaviour: test_fleet passes.

--- a/src/fleet/allowed_regions.cpp
+++ b/src/fleet/allowed_regions.cpp
@@ -9,8 +9,7 @@
 
 auto restrict_to(std::vector<std::string> names) -> allowed_regions {
     std::ranges::sort(names);
-    const auto repeated = std::ranges::unique(names);
-    names.erase(repeated.begin(), repeated.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
     return {true, std::move(names)};
 }
 
