Review: show that a cut watch delays the removal of a runner

After a watch was cut, removals of runners are held back for 2.3 s, which is longer than the time within which a runner that left must get nothing.

--- a/review/common/harness.hpp
+++ b/review/common/harness.hpp
@@ -148,16 +148,20 @@
     ::close(handle);
 }
 
-// Ports that were free a moment ago; all are held at once so that none is given out twice.
+// Ports that were free a moment ago, below the range that the kernel gives to outgoing connections. None is given out
+// twice.
 inline auto free_ports(const std::size_t count) -> std::vector<int> {
-    std::vector<int> handles{};
+    constexpr int first = 16'000;
+    constexpr int range = 16'000;
+    static int next = static_cast<int>(::getpid() * 131L % range);
     std::vector<int> out{};
-    for (std::size_t index = 0; index < count; ++index) {
-        handles.push_back(listen_on(0));
-        out.push_back(port_of(handles.back()));
-    }
-    for (const int each : handles) {
-        ::close(each);
+    while (out.size() < count) {
+        next = (next + 1) % range;
+        const int handle = listen_on(first + next);
+        if (handle >= 0) {
+            ::close(handle);
+            out.push_back(first + next);
+        }
     }
     return out;
 }
@@ -486,6 +490,14 @@
         m_changed.notify_all();
     }
 
+    // Cuts all watches that wait, without an answer. Returns their number.
+    auto cut_watches() -> int {
+        const std::lock_guard lock{m_mutex};
+        ++m_watch_cuts;
+        m_changed.notify_all();
+        return m_waiting_watches;
+    }
+
 private:
     struct item {
         std::string value{};
@@ -623,7 +635,8 @@
         const auto after = std::atoll(incoming.query("after").c_str());
         const auto until = now_ms() + std::atof(incoming.query("wait-ms").c_str());
         std::unique_lock lock{m_mutex};
-        while (!m_stopped) {
+        const auto cuts = m_watch_cuts;
+        while (!m_stopped && cuts == m_watch_cuts) {
             json::array events{};
             for (const auto& each : m_history) {
                 if (each.revision > after && each.key.rfind(prefix, 0) == 0) {
@@ -633,7 +646,9 @@
             if (!events.empty() || now_ms() >= until) {
                 return reply(200, {{"events", events}, {"store-revision", m_revision}});
             }
+            ++m_waiting_watches;
             m_changed.wait_for(lock, std::chrono::duration<double, std::milli>(until - now_ms()));
+            --m_waiting_watches;
         }
         return {};
     }
@@ -687,6 +702,8 @@
     std::map<std::int64_t, lease> m_leases{};
     std::int64_t m_revision{1};
     std::int64_t m_last_lease{76'000};
+    int m_watch_cuts{};
+    int m_waiting_watches{};
     std::atomic<bool> m_stopped{false};
     std::thread m_expiry{};
     http_server m_server;
