--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -1,6 +1,6 @@
-// Two gateways of a region lose the store for three seconds. Meanwhile a ledger runner drains. Sends bookings to the
-// other gateways of the region, which reach the store all the time, and checks that none arrives at the runner later
-// than `drain-ms` after the store acknowledged that it drains.
+// The store does not answer two gateways of a region for three seconds. Meanwhile a ledger runner drains. Sends
+// bookings to the other gateways of the region, which reach the store all the time, and checks that none arrives at the
+// runner later than `drain-ms` after the store acknowledged that it drains.
 #include "../common/harness.hpp"
 
 using namespace review;
@@ -10,7 +10,7 @@
 constexpr double drain_ms = 2'000;
 // Time from the acknowledgement to the end of the runner: `drain-ms` and a little longer.
 constexpr double runner_stays_ms = drain_ms + 560;
-// Length of the partition; the pages play partitions of one machine from the store of up to 7.9 s.
+// Time for which the store does not answer them; the pages play up to 9 s.
 constexpr double cut_ms = 3'000;
 // Longest work of a booking on the sheet.
 constexpr double work_ms = 110;
@@ -190,7 +190,7 @@
     for (int number = 0; number < 4; ++number) {
         for (const auto* const place : calm) {
             if (book(*place, "before-" + place->name + "-" + std::to_string(number)) != 200) {
-                record.line("a booking before the partition failed");
+                record.line("a booking before the disruption failed");
                 return 2;
             }
         }
@@ -203,7 +203,7 @@
         return 2;
     }
     if (troubled()) {
-        record.line("%s and %s lose the store", places[0].name.c_str(), places[1].name.c_str());
+        record.line("the store answers %s and %s no longer", places[0].name.c_str(), places[1].name.c_str());
         for (const auto& each : links) {
             each->cut(true);
         }
