--- a/review/2/scenario.cpp
+++ b/review/2/scenario.cpp
@@ -1,151 +1,133 @@
-// A lookup crashes each runner that begins it and comes again, as some requests do. Once it has crashed three runners
-// the gateways refuse it. Then four gateways are stopped and started one after the other. Counts the retries that still
-// reach runners, sent by gateways that have run undisturbed for longer than `stable-window-ms`.
+// The store does not answer two gateways of a region for three seconds. Meanwhile a ledger runner drains. Sends
+// bookings to the other gateways of the region, which reach the store all the time, and checks that none arrives at the
+// runner later than `drain-ms` after the store acknowledged that it drains.
 #include "../common/harness.hpp"
 
 using namespace review;
 
 namespace {
 
-constexpr double stable_window_ms = 3'000;
-constexpr double grace_ms = 8'000;
-constexpr int allowed_retries = 3;
-// Time after which a crashed runner is back, with a new id.
-constexpr double down_ms = 2'000;
-constexpr int restarted_gateways = 4;
+constexpr double drain_ms = 2'000;
+// Time from the acknowledgement to the end of the runner: `drain-ms` and a little longer.
+constexpr double runner_stays_ms = drain_ms + 560;
+// Time for which the store does not answer them; the pages play up to 9 s.
+constexpr double cut_ms = 3'000;
+// Longest work of a booking on the sheet.
+constexpr double work_ms = 110;
 constexpr auto key = "jnbanfqasnmgkcuyj8pj";
-constexpr auto poison_path = "/voda12/7c";
 
-struct run_begin {
+struct arrival {
     std::string attempt{};
     double at{};
 };
 
-struct observations {
-    std::mutex mutex{};
-    std::vector<run_begin> poison_runs{};
-    std::vector<double> crashes{};
-    std::vector<std::string> cut_bookings{};
-};
-
-// Runner of the ledger. Crashes when it begins the poisonous lookup, and is back later at the same address.
+// Runner of the ledger: registers itself, answers bookings, and says in its answers when it leaves.
 class ledger {
 public:
-    ledger(store& platform, observations& seen, std::string name, std::string zone)
-        : m_store{platform}, m_seen{seen}, m_name{std::move(name)}, m_zone{std::move(zone)} {}
+    ledger(store& platform, std::string id, std::string zone)
+        : m_store{platform}, m_id{std::move(id)}, m_zone{std::move(zone)},
+          m_server{[this](const request& incoming, int) { return answer_to(incoming); }} {}
 
-    void start() {
-        come_up();
-        m_keeper = std::thread{[this] { keep(); }};
+    auto start() -> bool {
+        if (!m_server.start()) {
+            return false;
+        }
+        publish("ready");
+        m_heartbeat = std::thread{[this] {
+            for (int step = 1; !m_ended; ++step) {
+                sleep_ms(100);
+                if (step % 12 == 0 && !m_ended) {
+                    publish(m_leaving ? "draining" : "ready");
+                }
+            }
+        }};
+        return true;
     }
 
-    ~ledger() {
-        m_stopping = true;
-        m_keeper.join();
-        m_server->stop();
+    // Reports `draining`. Returns when the store has acknowledged it.
+    void drain() {
+        m_leaving = true;
+        publish("draining");
     }
 
-private:
-    void come_up() {
-        m_born = unix_ms();
-        m_id = "i-" + m_name + "-" + std::to_string(++m_boots);
-        m_crashed = false;
-        m_server = std::make_unique<http_server>([this](const request& incoming, int) { return answer_to(incoming); });
-        m_server->start(m_port);
-        m_port = m_server->port();
-        publish();
+    void end() {
+        if (!m_ended.exchange(true)) {
+            m_heartbeat.join();
+            m_server.stop();
+            m_store.remove("servers/" + m_id);
+        }
     }
 
-    void publish() {
+    ~ledger() { end(); }
+
+    [[nodiscard]] auto arrivals() -> std::vector<arrival> {
+        const std::lock_guard lock{m_mutex};
+        return m_arrivals;
+    }
+
+    [[nodiscard]] auto id() const -> const std::string& { return m_id; }
+
+private:
+    void publish(const std::string& state) {
+        const std::lock_guard lock{m_publishing};
         m_store.put("servers/" + m_id, json::serialize(json::object{{"service", "buchung"},
-                                                                    {"address", endpoint(m_port)},
+                                                                    {"address", endpoint(m_server.port())},
                                                                     {"zone", m_zone},
                                                                     {"version", 1},
                                                                     {"slots", 6},
-                                                                    {"state", "ready"},
+                                                                    {"state", state},
                                                                     {"cold-remaining-ms", 0},
                                                                     {"sequence", ++m_sequence},
                                                                     {"born", m_born}}));
     }
 
-    // Sends liveness reports, and starts the runner again after a crash.
-    void keep() {
-        auto next_report = now_ms() + 1'200;
-        while (!m_stopping) {
-            sleep_ms(5);
-            if (m_crashed) {
-                const auto crashed_at = now_ms();
-                const auto former = m_id;
-                m_server->stop();
-                sleep_until_ms(crashed_at + down_ms);
-                come_up();
-                m_store.remove("servers/" + former);
-                next_report = now_ms() + 1'200;
-            } else if (now_ms() >= next_report) {
-                publish();
-                next_report += 1'200;
-            }
-        }
-    }
-
     auto answer_to(const request& incoming) -> std::string {
-        const auto attempt = incoming.content.header("Rhubarbwharf-Attempt-Id");
-        header_list headers{{"Rhubarbwharf-Attempt-Id", attempt}};
-        if (m_crashed) {
-            return {};
+        header_list headers{{"Rhubarbwharf-Attempt-Id", incoming.content.header("Rhubarbwharf-Attempt-Id")}};
+        if (m_leaving) {
+            headers.emplace_back("Server-Leaving", "1");
         }
         if (incoming.path() == "/health") {
             headers.emplace_back("Rhubarbwharf-Instance", m_id);
-            return format_response(200, headers, {});
+            return format_response(m_leaving ? 503 : 200, headers, {});
         }
         const auto expected = incoming.content.header("Rhubarbwharf-Expect-Instance");
         if (!expected.empty() && expected != m_id) {
             headers.emplace_back("Rhubarbwharf-Instance", m_id);
             return format_response(421, headers, {});
         }
-        if (incoming.path() == poison_path) {
-            {
-                const std::lock_guard lock{m_seen.mutex};
-                m_seen.poison_runs.push_back({attempt, now_ms()});
-                m_seen.crashes.push_back(now_ms());
-            }
-            record.line("%s runs %s and crashes", m_id.c_str(), attempt.c_str());
-            m_crashed = true;
-            return {};
+        const auto attempt = incoming.content.header("Rhubarbwharf-Attempt-Id");
+        {
+            const std::lock_guard lock{m_mutex};
+            m_arrivals.push_back({attempt, now_ms()});
         }
-        sleep_ms(110);
-        if (m_crashed) {
-            const std::lock_guard lock{m_seen.mutex};
-            m_seen.cut_bookings.push_back(attempt);
-            record.line("%s crashed while it ran %s", m_id.c_str(), attempt.c_str());
+        record.line("%s runs %s", m_id.c_str(), attempt.c_str());
+        sleep_ms(work_ms);
+        if (m_ended) {
+            record.line("%s ended while it ran %s", m_id.c_str(), attempt.c_str());
             return {};
         }
         headers.emplace_back("Rhubarbwharf-Response-Seal", seal());
-        return format_response(200, headers, "done " + attempt);
+        return format_response(200, headers, "booked " + attempt);
     }
 
     store& m_store;
-    observations& m_seen;
-    std::string m_name{};
-    std::string m_zone{};
     std::string m_id{};
-    std::int64_t m_born{};
-    int m_port{};
-    int m_boots{};
+    std::string m_zone{};
+    std::int64_t m_born{unix_ms()};
+    std::atomic<bool> m_leaving{false};
+    std::atomic<bool> m_ended{false};
+    std::mutex m_publishing{};
     int m_sequence{};
-    std::atomic<bool> m_crashed{false};
-    std::atomic<bool> m_stopping{false};
-    std::unique_ptr<http_server> m_server{};
-    std::thread m_keeper{};
+    std::mutex m_mutex{};
+    std::vector<arrival> m_arrivals{};
+    std::thread m_heartbeat{};
+    http_server m_server;
 };
 
 auto configuration() -> std::string {
-    const json::object booking{{"name", "post-correction"}, {"hostname", "voka93.example"}, {"prefix", "/filo73/"},
-                               {"service", "buchung"},      {"kind", "non_idempotent"},     {"max-attempts", 1},
-                               {"timeout-ms", 600},         {"target-latency-ms", 100},     {"priority", 2}};
-    const json::object lookup{{"name", "cost-lookup"}, {"hostname", "voka93.example"}, {"prefix", "/voda12/"},
-                              {"service", "buchung"},  {"kind", "idempotent"},         {"max-attempts", 2},
-                              {"timeout-ms", 600},     {"target-latency-ms", 100},     {"priority", 2}};
+    const json::object route{{"name", "post-correction"}, {"hostname", "voka93.example"}, {"prefix", "/filo73/"},
+                             {"service", "buchung"},      {"kind", "non_idempotent"},     {"max-attempts", 1},
+                             {"timeout-ms", 600},         {"target-latency-ms", 100},     {"priority", 2}};
     const json::object service{{"name", "buchung"}, {"health-path", "/health"}, {"max-connections", 110}};
     const json::object limits{{"max-header-bytes", 16384},
                               {"max-body-bytes", 1048576},
@@ -153,52 +135,47 @@
                               {"idle-timeout-ms", 15000}};
     const json::object tenant{{"name", "bozi300"}, {"api-keys", json::array{key}}};
     return json::serialize(json::object{{"version", 3},
-                                        {"routes", json::array{booking, lookup}},
+                                        {"routes", json::array{route}},
                                         {"services", json::array{service}},
                                         {"limits", limits},
                                         {"tenants", json::array{tenant}}});
 }
 
-auto ask(const gateway_place& place, const std::string& method, const std::string& path, const std::string& attempt)
-    -> int {
-    return call(place.callers, method, path,
-                {{"Host", "voka93.example"},
-                 {"Rhubarbwharf-Attempt-Id", attempt},
-                 {"Rhubarbwharf-Deadline-Ms", "600"},
-                 {"Authorization", std::string{"Bearer "} + key}},
-                method == "POST" ? "correction " + attempt : std::string{}, 700)
-        .status;
+auto book(const gateway_place& place, const std::string& attempt) -> int {
+    record.line("%s is sent to %s", attempt.c_str(), place.name.c_str());
+    const auto result = call(place.callers, "POST", "/filo73/" + attempt,
+                             {{"Host", "voka93.example"},
+                              {"Rhubarbwharf-Attempt-Id", attempt},
+                              {"Rhubarbwharf-Deadline-Ms", "600"},
+                              {"Authorization", std::string{"Bearer "} + key}},
+                             "correction " + attempt, 700);
+    record.line("%s is answered %d by %s", attempt.c_str(), result.status, place.name.c_str());
+    return result.status;
 }
 
-class caller {
-public:
-    // Sends the poisonous lookup once, as a new attempt.
-    void send(const gateway_place& place) {
-        const auto attempt = "poison-" + std::to_string(++m_count);
-        const auto status = ask(place, "GET", poison_path, attempt);
-        record.line("%s to %s is answered %d", attempt.c_str(), place.name.c_str(), status);
-    }
-
-private:
-    int m_count{};
-};
-
 auto run(const std::string& folder) -> int {
     store platform{};
     platform.start();
     platform.put("op/config", configuration());
     const auto places = small_installation();
+    std::vector<std::unique_ptr<proxy>> links{};
     std::vector<std::unique_ptr<daemon_process>> gateways{};
-    for (const auto& place : places) {
+    for (std::size_t index = 0; index < places.size(); ++index) {
+        // The first two gateways reach the store over links that can be cut.
+        auto store_port = platform.port();
+        if (index < 2) {
+            links.push_back(std::make_unique<proxy>(store_port));
+            links.back()->start();
+            store_port = links.back()->port();
+        }
         gateways.push_back(std::make_unique<daemon_process>(
-            place.name, folder,
-            gateway_settings(place, platform.port(), zones_of_small_installation(), seeds_of(places))));
+            places[index].name, folder,
+            gateway_settings(places[index], store_port, zones_of_small_installation(), seeds_of(places))));
         gateways.back()->start();
     }
-    observations seen{};
     std::vector<std::unique_ptr<ledger>> runners{};
     for (const std::string region : {"ost", "west", "sued"}) {
-        runners.push_back(std::make_unique<ledger>(platform, seen, region, region + "-a"));
+        runners.push_back(std::make_unique<ledger>(platform, "i-" + region + "-1", region + "-a"));
         runners.back()->start();
     }
     for (const auto& each : places) {
@@ -207,83 +184,68 @@
             return 2;
         }
     }
+    // Traffic starts 10 s after the machines.
     sleep_until_ms(10'000);
-    // Bookings of other callers, at the gateways that are not restarted.
-    std::atomic<bool> stopping{false};
-    std::atomic<int> bookings{0};
-    std::vector<std::thread> others{};
-    for (std::size_t index = restarted_gateways; index < places.size(); ++index) {
-        others.emplace_back([&, index] {
-            for (int number = 0; !stopping; ++number) {
-                ++bookings;
-                ask(places[index], "POST", "/filo73/x",
-                    "booking-" + places[index].name + "-" + std::to_string(number));
-                sleep_ms(40);
+    const std::vector<const gateway_place*> calm{&places[2], &places[3]};
+    for (int number = 0; number < 4; ++number) {
+        for (const auto* const place : calm) {
+            if (book(*place, "before-" + place->name + "-" + std::to_string(number)) != 200) {
+                record.line("a booking before the disruption failed");
+                return 2;
             }
-        });
-    }
-    const auto finish = [&](const int status) {
-        stopping = true;
-        for (auto& each : others) {
-            each.join();
         }
-        return status;
-    };
-    caller consumer{};
-    double third_crash{};
-    for (std::size_t step = 0; third_crash == 0 && step < 6; ++step) {
-        consumer.send(places[step % places.size()]);
-        sleep_ms(down_ms + 1'000);
-        const std::lock_guard lock{seen.mutex};
-        third_crash = seen.crashes.size() >= 3 ? seen.crashes[2] : 0;
-    }
-    if (third_crash == 0) {
-        record.line("the lookup has not crashed three runners");
-        return finish(2);
+        sleep_ms(500);
     }
-    record.line("the third runner crashed at %.0f ms", third_crash);
-    sleep_until_ms(third_crash + stable_window_ms + 500);
-    for (const auto& place : places) {
-        consumer.send(place);
+    // The runner that has served them drains: it is the one of the region.
+    auto& leaving = *runners[0];
+    if (leaving.arrivals().empty()) {
+        record.line("%s has run nothing", leaving.id().c_str());
+        return 2;
     }
-    for (std::size_t index = 0; index < restarted_gateways; ++index) {
-        if (troubled()) {
-            gateways[index]->signal(SIGTERM);
-            record.line("%s gets SIGTERM", places[index].name.c_str());
-            if (!gateways[index]->wait(grace_ms)) {
-                gateways[index]->signal(SIGKILL);
-                gateways[index]->wait(1'000);
-            }
-            sleep_ms(300);
-            gateways[index]->start();
-            if (!await_ready(places[index], 10'000)) {
-                record.line("%s does not become ready again", places[index].name.c_str());
-                return finish(2);
-            }
-            record.line("%s is ready again", places[index].name.c_str());
-        }
-        sleep_ms(stable_window_ms + 500);
-        for (int retry = 0; retry < 3; ++retry) {
-            consumer.send(places[index]);
-            sleep_ms(down_ms + 800);
+    if (troubled()) {
+        record.line("the store answers %s and %s no longer", places[0].name.c_str(), places[1].name.c_str());
+        for (const auto& each : links) {
+            each->cut(true);
         }
     }
-    finish(0);
-    std::set<std::string> late{};
-    const std::lock_guard lock{seen.mutex};
-    for (const auto& each : seen.poison_runs) {
-        if (each.at > third_crash + stable_window_ms) {
-            late.insert(each.attempt);
+    sleep_ms(200);
+    leaving.drain();
+    const auto acknowledged = now_ms();
+    record.line("the store has acknowledged that %s drains", leaving.id().c_str());
+    std::thread end_of_runner{[&] {
+        sleep_until_ms(acknowledged + runner_stays_ms);
+        record.line("%s ends", leaving.id().c_str());
+        leaving.end();
+    }};
+    std::thread end_of_cut{[&] {
+        sleep_until_ms(acknowledged - 200 + cut_ms);
+        for (const auto& each : links) {
+            each->cut(false);
         }
+        record.line("the store answers all machines");
+    }};
+    sleep_until_ms(acknowledged + drain_ms + 480);
+    std::vector<std::thread> callers{};
+    std::atomic<int> lost{0};
+    for (const auto* const place : calm) {
+        callers.emplace_back([&lost, place] { lost += book(*place, "after-" + place->name) == 200 ? 0 : 1; });
     }
-    for (const auto& each : late) {
-        record.line("BUDGET: %s reached a runner later than %.0f ms after the third crash", each.c_str(),
-                    stable_window_ms);
+    for (auto& each : callers) {
+        each.join();
+    }
+    end_of_runner.join();
+    end_of_cut.join();
+    sleep_ms(1'000);
+    int late = 0;
+    for (const auto& each : leaving.arrivals()) {
+        if (each.at > acknowledged + drain_ms) {
+            ++late;
+            record.line("DRAIN: %s reached %s %.0f ms after the acknowledgement", each.attempt.c_str(),
+                        leaving.id().c_str(), each.at - acknowledged);
+        }
     }
-    record.line("late retries that reached a runner: %zu, allowed: %d; crashes: %zu; bookings of others: %d, cut by a "
-                "crash: %zu",
-                late.size(), allowed_retries, seen.crashes.size(), bookings.load(), seen.cut_bookings.size());
-    return static_cast<int>(late.size()) > allowed_retries ? 1 : 0;
+    record.line("late arrivals: %d; bookings without a success: %d", late, lost.load());
+    return late > 0 ? 1 : 0;
 }
 
 } // namespace
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review
 for source in review/[1-5]/scenario.cpp; do
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -Wall -Wextra -o "target/review/scenario-$number" "$source" -lboost_json -pthread
+  g++ -std=c++20 -O1 -Wall -Wextra -o "target/review/scenario-$number" "$source" -lboost_json -lcrypto -pthread
 done
