Review: show that a revoked key works on after a short silence

A watch of the operators' keys whose answer was lost is not replaced when the store answers again, so a config is unknown until the watch ends, up to 22 s later.

--- a/review/common/harness.hpp
+++ b/review/common/harness.hpp
@@ -498,7 +498,25 @@
         return m_waiting_watches;
     }
 
+    // Writes as `put`, then falls silent at once: the answers to the watches that wait are lost, and calls get none
+    // until the time is over. A channel on which an answer was lost stays open and silent for good.
+    void put_and_fall_silent(const std::string& key, const std::string& value, const double silent_ms) {
+        const std::lock_guard lock{m_mutex};
+        write(key, to_base64(value), 0);
+        m_silent_until = now_ms() + silent_ms;
+        ++m_silences;
+        m_changed.notify_all();
+    }
+
 private:
+    // Keeps a channel open without an answer until the script ends. Called with the lock held.
+    auto stay_silent(std::unique_lock<std::mutex>& lock) -> std::string {
+        while (!m_stopped) {
+            m_changed.wait_for(lock, std::chrono::milliseconds(100));
+        }
+        return {};
+    }
+
     struct item {
         std::string value{};
         std::int64_t revision{};
@@ -575,6 +593,12 @@
 
     auto on_request(const request& incoming) -> std::string {
         const auto path = incoming.path();
+        {
+            std::unique_lock lock{m_mutex};
+            if (now_ms() < m_silent_until) {
+                return stay_silent(lock);
+            }
+        }
         if (path == "/api/kv-range") {
             return on_range(incoming);
         }
@@ -636,7 +660,11 @@
         const auto until = now_ms() + std::atof(incoming.query("wait-ms").c_str());
         std::unique_lock lock{m_mutex};
         const auto cuts = m_watch_cuts;
+        const auto silences = m_silences;
         while (!m_stopped && cuts == m_watch_cuts) {
+            if (silences != m_silences) {
+                return stay_silent(lock);
+            }
             json::array events{};
             for (const auto& each : m_history) {
                 if (each.revision > after && each.key.rfind(prefix, 0) == 0) {
@@ -703,6 +731,8 @@
     std::int64_t m_revision{1};
     std::int64_t m_last_lease{76'000};
     int m_watch_cuts{};
+    int m_silences{};
+    double m_silent_until{};
     int m_waiting_watches{};
     std::atomic<bool> m_stopped{false};
     std::thread m_expiry{};
