--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -1,7 +1,7 @@
 // Version 2 of the weights is named, and a loader orders its runner to load it. The runner accepts the order late. The
 // loader is killed meanwhile and starts again, and version 3 is named. Checks that the weights that the runner takes
 // when it accepts the order are all of version 2, and that no token is made with others.
-#include "../common/harness.hpp"
+#include "../harness.hpp"
 
 #include <openssl/evp.h>
 
--- a/review/2/scenario.cpp
+++ b/review/2/scenario.cpp
@@ -1,7 +1,7 @@
 // The store does not answer two gateways of a region for three seconds. Meanwhile a ledger runner drains. Sends
 // bookings to the other gateways of the region, which reach the store all the time, and checks that none arrives at the
 // runner later than `drain-ms` after the store acknowledged that it drains.
-#include "../common/harness.hpp"
+#include "../harness.hpp"
 
 using namespace review;
 
--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -1,6 +1,6 @@
 // A config takes a key away, and the store falls silent right after it has acknowledged it. Once the store has answered
 // again for longer than all bounds, checks that no gateway serves a request with that key.
-#include "../common/harness.hpp"
+#include "../harness.hpp"
 
 using namespace review;
 
--- a/review/4/scenario.cpp
+++ b/review/4/scenario.cpp
@@ -1,7 +1,7 @@
 // A lookup crashes each runner that begins it and comes again, as some requests do. Once it has crashed three runners
 // the gateways refuse it. Then four gateways are stopped and started one after the other. Counts the retries that still
 // reach runners, sent by gateways that have run undisturbed for longer than `stable-window-ms`.
-#include "../common/harness.hpp"
+#include "../harness.hpp"
 
 using namespace review;
 
--- a/review/5/scenario.cpp
+++ b/review/5/scenario.cpp
@@ -2,7 +2,7 @@
 // `draining`: its entry is removed. Sends bookings to gateways that do not watch the store themselves, and checks that
 // none arrives at the runner later than `drain-ms` after the store acknowledged the removal. Repeats this with another
 // runner each time.
-#include "../common/harness.hpp"
+#include "../harness.hpp"
 
 using namespace review;
 
