Have a restarted loader find its predecessor's open order in the staged pieces

Cause: orders that a runner may still accept were kept in the loader's memory only. A new process knew of none and staged the next version over the pieces that the runner loads when it accepts the order.

Change: at the first report of its runner a loader assumes an order of its predecessor. It compares the staged pieces, which outlive the process as long as an order can, with the manifests of the wanted and the previous version. A complete set of the previous version is ordered again: whichever of the two orders is accepted first raises the count of orders that the other expects, so that the other has no effect. An incomplete set, or pieces of two versions, show that no order is open. If the pieces tell nothing, nothing is staged until 40 reports show no accepted order, as for an own order. The log line load.inherited tells what was found.

Cost: at most one manifest more for a loader that restarts during a rollout; no message, no call of the store.

--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include <rhubarbwharf/core/digest.hpp>
 #include <rhubarbwharf/loader/fwd.hpp>
 #include <rhubarbwharf/loader/order.hpp>
 #include <rhubarbwharf/loader/plan.hpp>
@@ -64,7 +65,13 @@
      */
     std::uint64_t m_next_version{};
     manifest_request m_next_manifest_request{};
+    /*! @brief Manifest of the version before this one, to recognize the pieces that an earlier process staged. */
+    std::optional<adapter::manifest> m_previous_manifest{};
+    std::string m_previous_manifest_text{};
+    manifest_request m_previous_manifest_request{};
     std::vector<piece_state> m_pieces{};
+    /*! @brief Digests of the pieces that were found staged, by index; none for a piece that was not staged. */
+    std::vector<std::optional<digest>> m_staged_digests{};
     /*! @brief Whether the pieces staged earlier have been checked against the manifest, or there are none. */
     bool m_staged_scanned{false};
     bool m_staged_scan_requested{false};
@@ -161,6 +168,14 @@
 auto on_bulk_request(daemon& self, const net::http_request& incoming, const std::shared_ptr<net::responder>& responder)
     -> void;
 
+/*! @brief Assumes orders of an earlier process for a model. Does nothing before the runner's first report. */
+auto assume_inherited_orders(daemon& self, model_state& model) -> void;
+
+/*! @brief Finds out from the staged pieces whether an earlier process may have ordered a load that the runner has not
+ * accepted, and for which version. That version is loaded first: the runner loads what is staged when it accepts the
+ * order, so no other version's piece may be staged until it has accepted an order or can't any more. */
+auto check_inherited_orders(daemon& self, model_state& model) -> void;
+
 /*! @brief Returns the number of layers of the service's models. @return 1 if unknown. */
 [[nodiscard]] auto layer_count(const daemon& self) -> unsigned;
 
--- a/src/loader/manifest.cpp
+++ b/src/loader/manifest.cpp
@@ -28,7 +28,11 @@
     if (model.m_version == version) {
         return &model.m_manifest_request;
     }
-    return model.m_next_version == version ? &model.m_next_manifest_request : nullptr;
+    if (model.m_next_version == version) {
+        return &model.m_next_manifest_request;
+    }
+    const auto is_previous = model.m_open_orders.m_is_inherited && version + 1U == model.m_version;
+    return is_previous ? &model.m_previous_manifest_request : nullptr;
 }
 
 /*! @brief Chooses the source of an attempt: a gateway that relays weights, the origin or another loader, in turn.
@@ -51,7 +55,7 @@
         return;
     }
     const auto must_wait =
-        self.m_models[name].m_version != version && may_be_accepted(self.m_models[name].m_open_orders);
+        self.m_models[name].m_version < version && may_be_accepted(self.m_models[name].m_open_orders);
     auto manifest = response.m_status == status_ok ? adapter::decode_manifest(response.m_body) : std::nullopt;
     if (!manifest || manifest->m_version != version || must_wait) {
         const auto all_sources_tried = pending->m_attempts % manifest_source_count == 0U;
@@ -65,6 +69,12 @@
         return;
     }
     auto& model = self.m_models[name];
+    if (version < model.m_version) {
+        model.m_previous_manifest = std::move(manifest);
+        model.m_previous_manifest_text = std::move(response.m_body);
+        check_inherited_orders(self, model);
+        return;
+    }
     const auto tries = pending->m_attempts;
     if (model.m_next_version == version) {
         begin_version(self, model, version);
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -31,7 +31,7 @@
 
 namespace {
 
-auto refresh_peers(daemon& self, model_state& model) -> void {
+auto refresh_peers(const daemon& self, model_state& model) -> void {
     std::vector<peer> updated{};
     for (const auto& [name, row] : self.m_core.m_members) {
         const auto& member = row.m_member;
@@ -289,6 +289,11 @@
 
 } // namespace
 
+auto refresh_sources(const daemon& self, model_state& model, const time_point now) -> void {
+    refresh_peers(self, model);
+    refresh_relays(self, model, now);
+}
+
 auto verify_pending_pieces(daemon& self, model_state& model) -> void {
     for (auto& [piece, pending] : std::exchange(model.m_pending_pieces, {})) {
         if (has_expected_digest(model, piece, pending.m_bytes)) {
@@ -308,10 +313,9 @@
     if (model.m_phase != load_phase::fetching || !self.m_runner_alive) {
         return;
     }
-    internal::refresh_peers(self, model);
-    internal::refresh_relays(self, model, now);
+    internal::refresh_sources(self, model, now);
     request_manifest(self, model, model.m_version, model.m_manifest_request);
-    if (!model.m_staged_scanned) {
+    if (!model.m_staged_scanned || model.m_open_orders.m_is_inherited) {
         return;
     }
     internal::query_peers(self, model, now);
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -88,6 +88,7 @@
             model.m_phase = load_phase::fetching;
         }
     }
+    const auto is_first_report = !self.m_report_received;
     const auto just_ordered = std::ranges::any_of(self.m_models, [](const auto& each) {
         return each.second.m_phase == load_phase::loading &&
                steady_now() - each.second.m_load_ordered_at < report_interval;
@@ -95,6 +96,11 @@
     self.m_report = *report;
     self.m_report.m_order_in_progress = report->m_order_in_progress || just_ordered;
     self.m_report_received = true;
+    if (is_first_report) {
+        for (auto& [name, model] : self.m_models) {
+            assume_inherited_orders(self, model);
+        }
+    }
     if (adapter::says_leaving(response.m_headers)) {
         node::mark_server_leaving(self.m_core, self.m_core.m_self.m_instance, {report->m_started_ms, self.m_runner},
                                   "runner");
@@ -117,6 +123,10 @@
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - model.m_wanted_since).count()}});
         }
         model.m_phase = load_phase::idle;
+        if (!model.m_open_orders.m_is_inherited) {
+            // An order for the version that the runner holds has no effect any more.
+            model.m_open_orders = {};
+        }
         return;
     }
     if (model.m_phase == load_phase::idle) {
@@ -297,7 +307,11 @@
             model.m_next_version = wanted;
             model.m_next_manifest_request = {};
         } else {
+            const auto is_first = model.m_version == 0U;
             begin_version(self, model, wanted);
+            if (is_first) {
+                assume_inherited_orders(self, model);
+            }
         }
     }
     advance_models(self);
@@ -328,6 +342,7 @@
     const auto now = steady_now();
     for (auto& [name, model] : self.m_models) {
         internal::update_phase(self, model, now);
+        check_inherited_orders(self, model);
         const auto may_begin_next = model.m_next_version != 0U && !may_be_accepted(model.m_open_orders);
         if (may_begin_next && model.m_phase == load_phase::idle) {
             begin_version(self, model, model.m_next_version);
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -17,6 +17,8 @@
 struct staged_pieces {
     std::vector<std::size_t> m_valid{};
     std::vector<std::size_t> m_corrupt{};
+    /*! @brief Digests of the pieces that were read, by index. */
+    std::vector<std::optional<digest>> m_digests{};
     /*! @brief Whether a read was not answered; the pieces after it were not read then. */
     bool m_interrupted{false};
 };
@@ -54,6 +56,9 @@
         }
         const auto& digests = model->m_manifest->m_digests;
         const auto result = judge_read(end, response, piece < digests.size() ? &digests[piece] : nullptr);
+        if (result != read_result::unanswered && response.m_status == status_ok && piece < m_result.m_digests.size()) {
+            m_result.m_digests[piece] = sha256(response.m_body);
+        }
         if (result == read_result::unanswered) {
             m_result.m_interrupted = true;
         } else {
@@ -63,9 +68,11 @@
     }
 };
 
+/*! @param digest_count Number of pieces whose digests are returned; 0 if only the comparison is of use. */
 auto read_back_pieces(daemon& self, const model_state& model, std::vector<std::size_t> pieces,
-                      std::function<void(const staged_pieces&)> on_done) -> void {
+                      const std::size_t digest_count, std::function<void(const staged_pieces&)> on_done) -> void {
     auto reader = std::make_shared<staged_reader>(self);
+    reader->m_result.m_digests.resize(digest_count);
     reader->m_model = model.m_name;
     reader->m_version = model.m_version;
     reader->m_remaining = std::move(pieces);
@@ -139,8 +146,10 @@
                                      current->m_staged_scan_requested = false;
                                      return;
                                  }
+                                 const auto may_inherit = current->m_open_orders.m_is_inherited;
                                  internal::read_back_pieces(
                                      self, *current, adapter::decode_staged_pieces(response.m_body),
+                                     may_inherit ? current->m_pieces.size() : 0U,
                                      [&self, name, version](const internal::staged_pieces& read) {
                                          auto* const latest = find_model(self, name, version);
                                          if (latest == nullptr) {
@@ -153,6 +162,7 @@
                                          for (const auto piece : read.m_valid) {
                                              latest->m_pieces[piece] = piece_state::held;
                                          }
+                                         latest->m_staged_digests = read.m_digests;
                                          latest->m_staged_scanned = true;
                                          self.m_core.m_events.write(
                                              "stage.read", {{"model", name},
@@ -170,7 +180,7 @@
     for (std::size_t index = 0U; index < all.size(); ++index) {
         all[index] = index;
     }
-    internal::read_back_pieces(self, model, std::move(all),
+    internal::read_back_pieces(self, model, std::move(all), 0U,
                                [&self, name = model.m_name, version = model.m_version,
                                 began = node::boot_now()](const internal::staged_pieces& read) {
                                    auto* const current = find_model(self, name, version);
--- a/src/loader/transfer.hpp
+++ b/src/loader/transfer.hpp
@@ -42,6 +42,9 @@
 /*! @brief Returns the limits of a call to the origin. No connection is kept open, as the origin accepts few. */
 [[nodiscard]] auto origin_call_limits() -> net::call_limits;
 
+/*! @brief Updates the loaders and gateways that a model's manifest and pieces can be fetched from. */
+auto refresh_sources(const daemon& self, model_state& model, time_point now) -> void;
+
 /*! @brief Verifies the pieces that were received before the manifest, and stages the intact ones. */
 auto verify_pending_pieces(daemon& self, model_state& model) -> void;
 
--- a/test/loader/order.cpp
+++ b/test/loader/order.cpp
@@ -73,4 +73,49 @@
     CHECK_FALSE(may_be_accepted(orders));
 }
 
+TEST_CASE("a loader that starts assumes an order of its predecessor until the runner shows that none can be accepted") {
+    open_orders orders{};
+    inherit_orders(orders, incarnation, 3U);
+    CHECK(may_be_accepted(orders));
+    CHECK_FALSE(record_order_report(orders, incarnation, 3U));
+    CHECK(record_order_report(orders, incarnation, 4U));
+    CHECK_FALSE(may_be_accepted(orders));
+    CHECK_FALSE(orders.m_is_inherited);
+    inherit_orders(orders, incarnation, 4U);
+    CHECK(record_order_report(orders, incarnation + 1U, 0U));
+    CHECK_FALSE(may_be_accepted(orders));
+}
+
+TEST_CASE("staged pieces show which version a predecessor may have ordered") {
+    constexpr std::size_t pieces = 4U;
+    const auto judge = [](const std::size_t staged, const std::size_t wanted, const std::optional<std::size_t> previous,
+                          const std::uint64_t held) {
+        return judge_inherited_order({pieces, staged, wanted, previous, 3U, held});
+    };
+    SUBCASE("an order is sent only once all pieces are staged") {
+        CHECK(judge(0U, 0U, 0U, 1U) == inherited_order::none);
+        CHECK(judge(3U, 0U, std::nullopt, 1U) == inherited_order::none);
+        CHECK(judge(3U, 0U, 3U, 1U) == inherited_order::none);
+    }
+    SUBCASE("pieces of the wanted version alone allow an order for it") {
+        CHECK(judge(4U, 4U, std::nullopt, 1U) == inherited_order::wanted_version);
+        CHECK(judge(4U, 3U, 0U, 1U) == inherited_order::wanted_version);
+        CHECK(judge(4U, 1U, std::nullopt, 2U) == inherited_order::wanted_version);
+        CHECK(judge(4U, 4U, std::nullopt, 3U) == inherited_order::none);
+    }
+    SUBCASE("pieces of the previous version alone allow an order for it unless the runner holds it") {
+        CHECK(judge(4U, 0U, 4U, 1U) == inherited_order::previous_version);
+        CHECK(judge(4U, 0U, 3U, 1U) == inherited_order::previous_version);
+        CHECK(judge(4U, 0U, 4U, 2U) == inherited_order::none);
+    }
+    SUBCASE("pieces of two versions show that no order is open") {
+        CHECK(judge(4U, 1U, 3U, 1U) == inherited_order::none);
+    }
+    SUBCASE("pieces that may belong to a version between allow no verdict") {
+        CHECK(judge(4U, 1U, std::nullopt, 1U) == inherited_order::unknown);
+        CHECK(judge(4U, 0U, std::nullopt, 2U) == inherited_order::unknown);
+        CHECK(judge(4U, 0U, 0U, 1U) == inherited_order::unknown);
+    }
+}
+
 } // namespace rhubarbwharf::loader
--- a/test/soak/loader.cpp
+++ b/test/soak/loader.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <csignal>
+
 #include <doctest/doctest.h>
 
 #include <soak/site_fixture.hpp>
@@ -77,6 +80,37 @@
     check_violations(fixture);
 }
 
+// A loader that had just started knew of no order and overwrote the staged pieces, so that the runner loaded weights of
+// two versions.
+TEST_CASE("a loader that is killed and starts again stages nothing while its predecessor's order may be accepted") {
+    site_fixture fixture{1U};
+    standin_site::server_faults faults{};
+    faults.m_order_delay = std::chrono::milliseconds{2'500};
+    fixture.set_server_faults(faults);
+    name_weights(fixture, 2U);
+    std::size_t ordering{};
+    REQUIRE(process::wait_until([&] {
+        const auto& daemons = fixture.m_fleet.daemons();
+        const auto found = std::ranges::find_if(daemons, [](const daemon& each) {
+            return each.m_process->output().find("\"event\":\"load.ordered\"") != std::string::npos;
+        });
+        ordering = static_cast<std::size_t>(found - daemons.begin());
+        return found != daemons.end();
+    }));
+    fixture.m_fleet.send_signal(ordering, SIGKILL);
+    name_weights(fixture, 3U);
+    fixture.m_fleet.start_daemon(ordering);
+    REQUIRE(process::wait_until([&] {
+        auto handled = false;
+        fixture.m_site.run_in_loop(
+            [&](standin_site::site& site) { handled = site.observations().m_handled_orders != 0U; });
+        return handled;
+    }));
+    fixture.set_server_faults({});
+    CHECK(fixture.wait_until_version_everywhere(3U));
+    check_violations(fixture);
+}
+
 TEST_CASE("a staged piece whose read is not answered is read again, not fetched again") {
     constexpr auto runners = 3U;
     site_fixture fixture{1U};
