Let gateways watch the store when it leaves their region's watchers unanswered

What callers saw: bookings that may not be repeated were answered 502.

Cause: two gateways of a region watch the store for the others. When the store stopped answering just these two, they went on telling that they reach it: neither a waiting watch nor a first call without a response changed that, only the end of the watch, 3 s or more later.

Change: a watcher probes the store each second. Without a response for 0.4 s, or with a refusal, it doubts what it watches and says so in a heartbeat at once. The next two gateways of the region list, watch and probe in their turn. An answered probe withdraws the doubt. The log line store.doubted and the counter store_doubts_total tell it.

Cost: probes 1 s apart instead of 1.3 s, 10 lease renewals a second for 5 regions at any number of runners; two listings a region for a doubt, two for its withdrawal.

--- a/src/node/contact.cpp
+++ b/src/node/contact.cpp
@@ -1,9 +1,28 @@
+#include <algorithm>
 #include <utility>
 
 #include <node/contact.hpp>
 
 namespace rhubarbwharf::node {
 
+namespace internal {
+
+namespace {
+
+auto note_doubt(core& self, const bool doubted) -> void {
+    if (std::exchange(self.m_store_doubted, doubted) == doubted) {
+        return;
+    }
+    self.m_events.write("store.doubted", {{"doubted", doubted}, {"watches", self.m_watches_store}});
+    self.m_counters.add("store_doubts_total", doubted ? 1.0 : 0.0);
+    // The gateways that rely on this watcher must not wait for the next regular heartbeat.
+    send_pulse(self);
+}
+
+} // namespace
+
+} // namespace internal
+
 auto note_reachability(core& self, const std::string_view prefix, const bool reachable) -> void {
     self.m_events.write(
         reachable ? "store.reached" : "store.lost",
@@ -22,7 +41,8 @@
     if (!answers) {
         self.m_store_unanswered_at = now;
         if (self.m_registration && self.m_registered) {
-            self.m_registration->probe([&self](const bool responds) { self.m_store_silent = !responds; });
+            self.m_registration->probe(
+                [&self](const adapter::reply reply) { self.m_store_silent = reply == adapter::reply::unknown; });
         }
         return;
     }
@@ -35,4 +55,27 @@
     }
 }
 
+auto probe_store(core& self) -> void {
+    if (!self.m_registration || !self.m_registered) {
+        return;
+    }
+    const auto probe = self.m_store_probes + 1U;
+    const auto is_sent = self.m_registration->probe([&self, probe](const adapter::reply reply) {
+        const auto responds = reply == adapter::reply::ok || reply == adapter::reply::missing;
+        if (responds) {
+            self.m_answered_store_probe = std::max(self.m_answered_store_probe, probe);
+        }
+        internal::note_doubt(self, self.m_answered_store_probe < probe);
+    });
+    if (!is_sent) {
+        return;
+    }
+    self.m_store_probes = probe;
+    self.m_loop.after(store_doubt_time, [&self, probe] {
+        if (self.m_answered_store_probe < probe) {
+            internal::note_doubt(self, true);
+        }
+    });
+}
+
 } // namespace rhubarbwharf::node
--- a/src/node/contact.hpp
+++ b/src/node/contact.hpp
@@ -16,4 +16,16 @@
  * entries; a second one in a row is for the latter. */
 auto note_contact(core& self, bool answers) -> void;
 
+/*! @brief Interval of the probes that a watcher sends to the store. With `store_doubt_time`, a heartbeat and a listing,
+ * it stays below the time within which a drained backend server must get no request (2 s). An outage in which an entry
+ * can lapse lasts 2.4 s or more, so that two probes fall into it. */
+inline constexpr duration store_probe_interval = std::chrono::milliseconds{1'000};
+/*! @brief Time without a response to a probe after which a watcher doubts that the store still tells it of changes.
+ * Covers a TCP retransmission on the longest link. */
+inline constexpr duration store_doubt_time = std::chrono::milliseconds{400};
+
+/*! @brief Probes the store. If it does not respond in time, or refuses, this process doubts what it watches: its next
+ * heartbeat, sent at once, makes other gateways of the region watch as well. A response withdraws the doubt. */
+auto probe_store(core& self) -> void;
+
 } // namespace rhubarbwharf::node
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -20,10 +20,6 @@
 constexpr time_point distant_past{duration{1}};
 /*! @brief Interval between checks whether the store has to be read directly. */
 constexpr duration store_fallback_interval = std::chrono::milliseconds{2'000};
-/*! @brief Interval of the probes that a watcher sends to the store. An outage in which an entry can lapse lasts 2.4 s
- * or more: a probe and the one that repeats it after a second fall into it, and the first response after it comes
- * within the 3 s from which time limits count. */
-constexpr duration store_probe_interval = std::chrono::milliseconds{1'300};
 /*! @brief Capacity of the send queue of one peer: a few seconds of pulses and reports. */
 constexpr int max_queued_messages = 256;
 constexpr duration bus_heartbeat_interval = std::chrono::seconds{2};
@@ -358,8 +354,8 @@
         });
     self.m_registration->start();
     self.m_loop.every(store_probe_interval, [&self] {
-        if (self.m_watches_store && self.m_registered) {
-            self.m_registration->probe([](bool) {});
+        if (self.m_watches_store || self.m_store_doubted) {
+            probe_store(self);
         }
     });
 }
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -131,6 +131,11 @@
     time_point m_store_unanswered_at{};
     /*! @brief Whether a probe that was sent then has got no response either, so that entries may have lapsed. */
     bool m_store_silent{false};
+    /*! @brief Whether the last probe of the store has got no response in time; what is watched may be outdated. */
+    bool m_store_doubted{false};
+    /*! @brief Probes of the store that were sent, and the last of them that was answered. */
+    std::uint64_t m_store_probes{};
+    std::uint64_t m_answered_store_probe{};
     /*! @brief When the present era of the store became known; the epoch if it is the first one. */
     time_point m_store_era_since{};
     /*! @brief Smoothed rate of requests that reach this gateway, per second. */
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -4,6 +4,7 @@
 
 #include <fleet.pb.h>
 #include <node/boot_clock.hpp>
+#include <node/contact.hpp>
 #include <node/core.hpp>
 #include <node/evacuations.hpp>
 #include <node/pulse.hpp>
@@ -252,6 +253,7 @@
     for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
         each->resume();
     }
+    probe_store(self);
 }
 
 auto pause_store_watch(core& self) -> void {
--- a/src/node/pulse.cpp
+++ b/src/node/pulse.cpp
@@ -189,11 +189,14 @@
     row.m_last_heard = now;
     row.m_ready = message.ready();
     row.m_leaving = message.leaving();
-    row.m_reaches_store = message.reaches_store();
+    const auto has_lost_store = std::exchange(row.m_reaches_store, message.reaches_store()) && !row.m_reaches_store;
     row.m_demand_per_s = message.demand();
     row.m_store_era = message.store_era();
     merge_regions(self, message, now);
     const auto is_local = row.m_member.m_region == self.m_self.m_region;
+    if (has_lost_store && is_local && self.m_follows_servers) {
+        update_store_watch(self);
+    }
     const auto has_unknown = is_local && self.m_follows_servers && note_heard(self, message, now);
     const auto loaders_differ = !self.m_follows_servers && message.loaders() != loaders_digest(self);
     return {message.configuration(), message.weights(), servers_differ(self, row, message),
@@ -242,7 +245,7 @@
     own.m_last_received = now;
     own.m_ready = self.m_ready;
     own.m_leaving = self.m_leaving;
-    own.m_reaches_store = self.m_store_reachable;
+    own.m_reaches_store = self.m_store_reachable && !self.m_store_doubted;
     own.m_demand_per_s = self.m_demand;
     own.m_store_era = self.m_store.era();
 }
@@ -258,7 +261,7 @@
     message.set_server_revision(self.m_servers.m_version.m_revision);
     message.set_server_versions(digests_of_servers(self).m_versions);
     message.set_store_era(self.m_store.era());
-    message.set_reaches_store(self.m_store_reachable);
+    message.set_reaches_store(self.m_store_reachable && !self.m_store_doubted);
     message.set_loaders(loaders_digest(self));
     add_leaving_servers(self, message);
     add_server_limits(self, steady_now(), message);
--- a/src/node/registration.cpp
+++ b/src/node/registration.cpp
@@ -81,12 +81,12 @@
     });
 }
 
-auto registration::probe(std::function<void(bool)> done) -> void {
-    if (!m_stopped && m_lease_id != 0U && m_lease_era == m_store.era()) {
-        m_store.renew_lease(m_lease_id, [done = std::move(done)](const adapter::lease& renewed) {
-            done(renewed.m_reply != adapter::reply::unknown);
-        });
+auto registration::probe(std::function<void(adapter::reply)> done) -> bool {
+    if (m_stopped || m_lease_id == 0U || m_lease_era != m_store.era()) {
+        return false;
     }
+    m_store.renew_lease(m_lease_id, [done = std::move(done)](const adapter::lease& renewed) { done(renewed.m_reply); });
+    return true;
 }
 
 auto registration::schedule(const duration delay, void (registration::*step)()) -> void {
--- a/src/node/registration.hpp
+++ b/src/node/registration.hpp
@@ -40,8 +40,8 @@
     auto renew_in_new_era(duration delay) -> void;
 
     /*! @brief Renews the lease beside the schedule, to learn by a cheap call whether the store responds.
-     * @param done Gets whether it has; not called if there is no lease. */
-    auto probe(std::function<void(bool)> done) -> void;
+     * @param done Gets its reply. @return Whether there is a lease, without which nothing is sent. */
+    auto probe(std::function<void(adapter::reply)> done) -> bool;
 
     /*! @brief Ends the lease, which removes the entry. */
     auto stop() -> void;
