Replace the watch of operators' keys too once the store answers again

Cause: a store that fell silent right after its acknowledgement lost the responses to the watches of all regions. Once it answered again, a watcher replaced its watch of backend servers, not that of the operators' keys, as heartbeats tell their versions.

Change: both watches are replaced, also one that began during the outage.

Cost: one call more for a watcher and an outage, 10 for 5 regions.

--- a/src/node/contact.cpp
+++ b/src/node/contact.cpp
@@ -50,8 +50,10 @@
         self.m_store_reachable_since = now;
     }
     const auto watch_timeout = std::chrono::milliseconds{self.m_settings.m_store.m_watch_ms};
-    if (self.m_server_follower) {
-        self.m_server_follower->replace_watch(self.m_store_unanswered_at, watch_timeout);
+    for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
+        if (each) {
+            each->replace_watch(now, watch_timeout);
+        }
     }
 }
 
--- a/src/node/contact.hpp
+++ b/src/node/contact.hpp
@@ -9,11 +9,10 @@
 /*! @brief Notes whether the calls for a prefix reach the store, which decides who watches it. */
 auto note_reachability(core& self, std::string_view prefix, bool reachable) -> void;
 
-/*! @brief Notes that the store has left a call without a response, or responds again. The watch of backend servers that
- * began before may have lost its response meanwhile and would wait in vain, so it is replaced. That of the operators'
- * keys is not: they are written while the store responds, and heartbeats tell their versions. One call without a
- * response is no reason to leave the watch to others, who would have to list everything, nor to hold the removals of
- * entries; a second one in a row is for the latter. */
+/*! @brief Notes that the store has left a call without a response, or responds again. The watches that began
+ * before may have lost their responses meanwhile and would wait in vain, so they are replaced; peers cannot tell what
+ * all watchers have lost. One call without a response is no reason to hold the removals of entries; a second one in a
+ * row is. */
 auto note_contact(core& self, bool answers) -> void;
 
 /*! @brief Interval of the probes that a watcher sends to the store. With `store_doubt_time`, a heartbeat and a listing,
--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -90,6 +90,25 @@
     CHECK(fixture.is_draining());
 }
 
+// The watch of the operators' keys waited for its own time limit, 20 s, so that a revoked key worked on.
+TEST_CASE("a configuration whose notice was lost in an outage is applied once the store answers again") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    standin_site::store_faults faults{};
+    faults.m_unresponsive = true;
+    faults.m_lose_changes = true;
+    fixture.m_platform_store.set_faults(faults);
+    REQUIRE(self.m_configuration == nullptr);
+    fixture.m_platform_store.put("op/config", R"({"version":7,"routes":[],"services":[],"limits":{},"tenants":[]})");
+    fixture.let_pass(shortest_outage);
+    fixture.m_platform_store.set_faults({});
+    const auto returned = steady_now();
+    REQUIRE(fixture.wait_until([&] { return self.m_configuration != nullptr; }));
+    CHECK(self.m_configuration->m_version == 7U);
+    const std::chrono::milliseconds apply_limit{2'000};
+    CHECK(steady_now() - returned < apply_limit);
+}
+
 TEST_CASE("a server whose entry lapsed in an outage stays in use until it can have written it again") {
     watching_gateway fixture{};
     fixture.lose_entry_in_outage(shortest_outage);
