Reject entries of backend servers with numbers or texts out of range

Cause here: numbers were cut to the width of their fields. An entry with 2^32 slots was used as one with none, 2^64 - 1 milliseconds of cold time overflowed, and a port of 0 was used. An id with a line break would have become part of the header that names the instance.

Change: an entry above 64 KiB, with a number out of range or of another type, with port 0 or with control characters names no server. Counts in a runner's report saturate, and its pace is positive.

--- a/test/adapter/decode.cpp
+++ b/test/adapter/decode.cpp
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <limits>
 
 #include <platform/decode.hpp>
 #include <platform/encode.hpp>
@@ -95,6 +96,40 @@
               ->m_draining);
 }
 
+// Another writer's numbers were cut to the width of their fields: an entry with 2^32 slots was used as one with none,
+// and a cold time overflowed. Ids become part of a header. A list of all layers one by one kept a gateway busy for
+// minutes.
+TEST_CASE("entries of another writer with odd values name no backend server") {
+    const auto entry = [](const std::string& fields) {
+        return R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)" + fields + "}";
+    };
+    const std::string nesting(100'000U, '[');
+    REQUIRE(decode_server("i", entry(R"("slots":4)"), {1U, 9U}));
+    for (const auto& bad :
+         {entry(R"("slots":4294967296)"), entry(R"("slots":18446744073709551615)"), entry(R"("slots":1e400)"),
+          entry(R"("slots":-4)"), entry(R"("slots":4,"cold-remaining-ms":18446744073709551615)"),
+          entry(R"("slots":4,"cold-remaining-ms":99999999999999999999)"),
+          entry(R"("slots":4,"born":99999999999999999999)"), entry(R"("slots":4,"born":"12")"),
+          entry(R"("slots":4,"models":)" + nesting), nesting, entry(R"("slots":4,"note":")" + nesting + '"'),
+          std::string{R"({"service":"s","address":"10.0.0.9:0","zone":"z","slots":4,"state":"ready"})"},
+          std::string{R"({"service":"s","address":"10.0.0.9:65536","zone":"z","slots":4,"state":"ready"})"},
+          std::string{R"({"service":"s","address":"10.0.0.9:-1","zone":"z","slots":4,"state":"ready"})"}}) {
+        CHECK_FALSE(decode_server("i", bad, {1U, 9U}));
+    }
+    CHECK_FALSE(decode_server("i\r\nA: b", entry(R"("slots":4)"), {1U, 9U}));
+    CHECK_FALSE(decode_server("i", R"({"service":"s","address":"10.0.0.9:80","zone":"z\n","slots":4,"state":"ready"})",
+                              {1U, 9U}));
+}
+
+TEST_CASE("numbers of a load report that are too large are bounded, and a pace is positive") {
+    const auto report =
+        decode_load_report(R"({"sequence":1,"waiting":4294967296,"running":18446744073709551615,"pace":-1.0})");
+    REQUIRE(report);
+    CHECK(report->m_waiting_requests == std::numeric_limits<unsigned>::max());
+    CHECK(report->m_running_requests == std::numeric_limits<unsigned>::max());
+    CHECK(report->m_slowdown == 1.0);
+}
+
 TEST_CASE("only layers without a gap from the first one on are counted") {
     const auto decoded =
         decode_load_report(R"({"sequence":2,"models":[{"name":"m","version":3}],)"
