Attribute each response on a used connection to its request

Report of another operator: a faulty runner wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that ran (REFUSED), or such a request ran at a second runner (TWICE).

A request that was refused and is sent to the same server again has the id of its refusal, so that a copy of it on the same connection looked like the answer. And a response without an id was believed on any connection.

Change: a connection remembers the digests of the last 32 ids that it carried, and a request whose id is among them uses another one. On a connection that was used before, a response without the id fails the call with an unknown outcome, with the log line response.unattributed.

Cost: 256 bytes for a kept connection to a backend server; a new connection for a request that is sent again to the same server.

--- a/app/standin-site/arrivals.cpp
+++ b/app/standin-site/arrivals.cpp
@@ -11,8 +11,9 @@
 class recording_responder final : public net::responder {
 public:
     recording_responder(std::shared_ptr<net::responder> target, std::shared_ptr<arrival> stay,
-                        std::shared_ptr<bool> server_alive)
-        : m_target{std::move(target)}, m_stay{std::move(stay)}, m_alive{std::move(server_alive)} {
+                        std::shared_ptr<bool> server_alive, std::string attempt)
+        : m_target{std::move(target)}, m_stay{std::move(stay)}, m_alive{std::move(server_alive)}, m_attempt{std::move(
+                                                                                                      attempt)} {
         set_close_handler({});
     }
 
@@ -26,6 +27,9 @@
     auto respond(net::http_response response) -> void override {
         const auto is_refusal = !net::find(response.m_headers, adapter::field::not_executed).empty();
         m_stay->end(is_refusal ? stay_end::refused : stay_end::answered);
+        if (net::find(response.m_headers, adapter::field::attempt).empty()) {
+            response.m_headers.push_back({std::string{adapter::field::attempt}, m_attempt});
+        }
         m_target->respond(std::move(response));
     }
 
@@ -62,6 +66,7 @@
     std::shared_ptr<net::responder> m_target;
     std::shared_ptr<arrival> m_stay;
     std::shared_ptr<bool> m_alive;
+    std::string m_attempt{};
 };
 
 } // namespace
@@ -90,8 +95,9 @@
 }
 
 auto record_stay(std::shared_ptr<net::responder> target, std::shared_ptr<arrival> stay,
-                 std::shared_ptr<bool> server_alive) -> std::shared_ptr<net::responder> {
-    return std::make_shared<recording_responder>(std::move(target), std::move(stay), std::move(server_alive));
+                 std::shared_ptr<bool> server_alive, std::string attempt) -> std::shared_ptr<net::responder> {
+    return std::make_shared<recording_responder>(std::move(target), std::move(stay), std::move(server_alive),
+                                                 std::move(attempt));
 }
 
 } // namespace rhubarbwharf::standin_site
--- a/app/standin-site/arrivals.hpp
+++ b/app/standin-site/arrivals.hpp
@@ -55,8 +55,10 @@
  * @param target Responder of the request.
  * @param stay Record of the stay.
  * @param server_alive False once the server is destroyed, which counts as broken off by the server.
+ * @param attempt Id of the request, which every response repeats.
  */
 [[nodiscard]] auto record_stay(std::shared_ptr<net::responder> target, std::shared_ptr<arrival> stay,
-                               std::shared_ptr<bool> server_alive) -> std::shared_ptr<net::responder>;
+                               std::shared_ptr<bool> server_alive, std::string attempt)
+    -> std::shared_ptr<net::responder>;
 
 } // namespace rhubarbwharf::standin_site
--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -302,7 +302,7 @@
     if (auto prompt = make_prompt_event(request, stays.size() == 1U); !prompt.m_parts.empty()) {
         m_observations.m_prompts.m_arrivals.push_back(std::move(prompt));
     }
-    handle_request(request, record_stay(responder, stay, m_alive), stay->m_arrived_at);
+    handle_request(request, record_stay(responder, stay, m_alive, attempt), stay->m_arrived_at);
 }
 
 auto server::handle_request(const net::http_request& request, const responder_ptr& responder,
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -245,7 +245,9 @@
      * is bounded by `max_collected_bytes`. */
     std::optional<std::size_t> m_body_bytes{};
     /*! @brief Field that the response must repeat unchanged if it has it; a response with another value answers an
-     * earlier request and is skipped. An empty name checks nothing. */
+     * earlier request and is skipped. On a connection that has carried other requests the response must have it, or
+     * the call fails; one that has carried this value is not used, as a copy of the earlier response would have it as
+     * well. An empty name checks nothing. */
     header m_echo{};
 };
 
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -82,7 +82,7 @@
     if (!m_owner->m_sweeping_calls) {
         m_owner->sweep();
     }
-    if (auto kept = m_owner->take(m_server, now, m_limits.m_kept_time)) {
+    if (auto kept = m_owner->take(m_server, now, m_limits.m_kept_time, echo_digest())) {
         begin(std::move(kept), true);
     } else {
         connect();
@@ -115,6 +115,7 @@
 auto client_call::begin(shared_connection ready, const bool kept) -> void {
     m_connection = std::move(ready);
     m_is_kept = kept;
+    note_echo(*m_connection, echo_digest());
     begin_response();
     write();
 }
@@ -276,6 +277,15 @@
         m_has_skipped = true;
         return;
     }
+    if (echoed.empty() && echo_digest() != 0U && m_is_kept) {
+        // It may be a copy of the response to an earlier request on this connection.
+        if (auto* const log = m_owner->m_loop.find_event_log()) {
+            log->write("response.unattributed",
+                       {{"server", to_string(m_server)}, {"status", static_cast<std::int64_t>(head.m_status)}});
+        }
+        end_later(code::connection_failed);
+        return;
+    }
     m_head_seen = true;
     m_body_bytes = 0U;
     m_extension_bytes = 0U;
@@ -285,6 +295,11 @@
     }
 }
 
+auto client_call::echo_digest() const -> std::uint64_t {
+    const auto& echo = m_limits.m_echo;
+    return echo.m_name.empty() || echo.m_value.empty() ? 0U : std::hash<std::string>{}(echo.m_value) | 1U;
+}
+
 auto client_call::note_keep_alive(const http_response& head) -> void {
     constexpr std::string_view parameter = "timeout=";
     const auto field = find(head.m_headers, "Keep-Alive");
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <rhubarbwharf/net/loop.hpp>
 
 #include "net/client.hpp"
@@ -21,12 +23,30 @@
 
 } // namespace
 
-auto client_state::take(const endpoint& server, const time_point now, const duration most_idle)
-    -> std::shared_ptr<connection> {
+auto has_carried(const connection& kept, const std::uint64_t echo) noexcept -> bool {
+    return echo != 0U && std::ranges::find(kept.m_echoes, echo) != kept.m_echoes.end();
+}
+
+auto note_echo(connection& used, const std::uint64_t echo) noexcept -> void {
+    if (echo != 0U) {
+        used.m_echoes[used.m_echo_count++ % used.m_echoes.size()] = echo;
+    }
+}
+
+auto client_state::take(const endpoint& server, const time_point now, const duration most_idle,
+                        const std::uint64_t echo) -> std::shared_ptr<connection> {
     const auto found = m_idle.find({server.m_address, server.m_port});
-    while (found != m_idle.end() && !found->second.empty()) {
-        auto kept = std::move(found->second.back());
-        found->second.pop_back();
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    auto& idle = found->second;
+    for (auto index = idle.size(); index > 0U; --index) {
+        const auto at = idle.begin() + static_cast<std::ptrdiff_t>(index - 1U);
+        if (has_carried(**at, echo)) {
+            continue;
+        }
+        const auto kept = std::move(*at);
+        idle.erase(at);
         if (now < kept->m_idle_until && now - kept->m_idle_since <= most_idle && is_sound(*kept)) {
             return kept;
         }
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +23,9 @@
 
 class client_call;
 
+/*! @brief Requests of a connection whose echo values are remembered; a copy of a response comes with the next ones. */
+constexpr std::size_t remembered_echoes = 32U;
+
 /*! @brief One connection of a client; used by one call at a time. */
 struct connection {
     explicit connection(asio::io_context& context) : m_socket{context} {}
@@ -29,8 +35,19 @@
     time_point m_idle_since{};
     /*! @brief Until when the server is thought to keep it open. */
     time_point m_idle_until{};
+    /*! @brief Digests of the echo values of the last requests on it, as a ring. */
+    std::array<std::uint64_t, remembered_echoes> m_echoes{};
+    std::size_t m_echo_count{};
 };
 
+/*! @brief Tells whether a request with this echo value was sent on a connection before, so that its response does not
+ * tell a copy of the earlier one apart. @param echo Digest of the value; 0 if the call has none. */
+[[nodiscard]] auto has_carried(const connection& kept, std::uint64_t echo) noexcept -> bool;
+
+/*! @brief Records that a request with this echo value is sent. @param echo Digest of the value; 0 if the call has none.
+ */
+auto note_echo(connection& used, std::uint64_t echo) noexcept -> void;
+
 /*! @brief Longest time that an idle connection is kept. */
 constexpr duration most_kept_time = std::chrono::seconds{20};
 
@@ -55,9 +72,11 @@
      * @param server The server.
      * @param now The time.
      * @param most_idle Longest time that it may have been idle.
+     * @param echo Digest of the call's echo value; a connection that has carried it is left to other calls.
      * @return It, or nothing.
      */
-    [[nodiscard]] auto take(const endpoint& server, time_point now, duration most_idle) -> std::shared_ptr<connection>;
+    [[nodiscard]] auto take(const endpoint& server, time_point now, duration most_idle, std::uint64_t echo)
+        -> std::shared_ptr<connection>;
 
     /**
      * @brief Keeps a connection for later calls.
@@ -151,6 +170,8 @@
     auto read() -> void;
     auto on_read(const shared_connection& on, boost::system::error_code failure, std::size_t count) -> void;
     auto parse() -> void;
+    /*! @brief Returns the digest of the value that the response must repeat; 0 if there is none. */
+    [[nodiscard]] auto echo_digest() const -> std::uint64_t;
     auto note_keep_alive(const http_response& head) -> void;
     /*! @brief Bounds the bytes of the body of a response that is collected or skipped. */
     [[nodiscard]] auto most_body_bytes() const noexcept -> std::size_t;
--- a/test/soak/endless.cpp
+++ b/test/soak/endless.cpp
@@ -282,6 +282,23 @@
     CHECK(got.m_response.m_status == 0U);
 }
 
+// The caller must neither get the text of the error within its stream nor a stream that looks complete.
+TEST_CASE("a stream that broke off holds nothing of the error with which the next server answers") {
+    for (const auto status : std::initializer_list<std::uint16_t>{400U, 429U, 500U, 503U}) {
+        for (const auto end : {ending::reset, ending::close}) {
+            scripted_site tried{"llm", {unframed_head + first_events(3U) + "id: 4\ndata", {}, end}};
+            standin_site::server_faults faults{};
+            faults.m_resume_status = status;
+            tried.m_fixture.set_server_faults(faults);
+            const auto got = tried.send_until_reached(standin_site::model_path);
+            CAPTURE(status);
+            CAPTURE(got.m_response.m_body);
+            CHECK(got.m_end.m_code != code::ok);
+            CHECK(got.m_response.m_body == first_events(3U));
+        }
+    }
+}
+
 TEST_CASE("a plain response without an end is replaced by that of another server, early") {
     check_endless_plain(unframed_head, "x", "buffered_bytes");
     check_endless_plain(chunked_head, "3\r\nabc\r\n", "buffered_bytes");
