--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -45,7 +45,7 @@
         if (has_carried(**at, echo)) {
             continue;
         }
-        const auto kept = std::move(*at);
+        auto kept = std::move(*at);
         idle.erase(at);
         if (now < kept->m_idle_until && now - kept->m_idle_since <= most_idle && is_sound(*kept)) {
             return kept;
