Log each result of a loader's check for inherited orders once

A loader that can't tell which version its predecessor ordered stages nothing for a while, and said so in no log line.

--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -72,6 +72,8 @@
     std::vector<piece_state> m_pieces{};
     /*! @brief Digests of the pieces that were found staged, by index; none for a piece that was not staged. */
     std::vector<std::optional<digest>> m_staged_digests{};
+    /*! @brief What was last found out of inherited orders; none before. */
+    std::optional<inherited_order> m_judged_order{};
     /*! @brief Whether the pieces staged earlier have been checked against the manifest, or there are none. */
     bool m_staged_scanned{false};
     bool m_staged_scan_requested{false};
--- a/src/loader/inherited.cpp
+++ b/src/loader/inherited.cpp
@@ -61,8 +61,26 @@
     }
 }
 
-auto log_inherited_order(daemon& self, const model_state& model, const staged_evidence& staged,
-                         const std::string_view judged) -> void {
+[[nodiscard]] auto to_string(const inherited_order value) noexcept -> std::string_view {
+    switch (value) {
+    case inherited_order::none:
+        return "none";
+    case inherited_order::wanted_version:
+        return "wanted";
+    case inherited_order::previous_version:
+        return "previous";
+    case inherited_order::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+/*! @brief Logs the result of a check if it has changed. */
+auto log_inherited_order(daemon& self, model_state& model, const staged_evidence& staged, const inherited_order judged)
+    -> void {
+    if (std::exchange(model.m_judged_order, judged) == judged) {
+        return;
+    }
     self.m_core.m_events.write("load.inherited",
                                {{"model", model.m_name},
                                 {"version", static_cast<std::int64_t>(staged.m_wanted_version)},
@@ -70,7 +88,7 @@
                                 {"staged", static_cast<std::int64_t>(staged.m_staged)},
                                 {"wanted", static_cast<std::int64_t>(staged.m_wanted)},
                                 {"previous", static_cast<std::int64_t>(staged.m_previous.value_or(0U))},
-                                {"order", judged}});
+                                {"order", to_string(judged)}});
 }
 
 /*! @brief Frees what only the check of inherited orders needs. */
@@ -110,19 +128,18 @@
         return;
     }
     const auto staged = internal::compare_staged_pieces(model);
-    switch (judge_inherited_order(staged)) {
+    const auto judged = judge_inherited_order(staged);
+    internal::log_inherited_order(self, model, staged, judged);
+    switch (judged) {
     case inherited_order::none:
-        internal::log_inherited_order(self, model, staged, "none");
         model.m_open_orders = {};
         internal::end_check(model);
         break;
     case inherited_order::wanted_version:
-        internal::log_inherited_order(self, model, staged, "wanted");
         model.m_open_orders.m_is_inherited = false;
         internal::end_check(model);
         break;
     case inherited_order::previous_version:
-        internal::log_inherited_order(self, model, staged, "previous");
         model.m_open_orders.m_is_inherited = false;
         internal::begin_previous_version(self, model);
         break;
