Do not finish a version that a killed loader was still staging

A loader was killed while it staged version 2 and version 3 was named. Its successor found 4 of 48 pieces of version 2, took this for a possible order, and fetched the other 44 over the link that all share.

An order can be open only if all pieces belonged to its version when it was sent. Up to a quarter of them may have turned corrupt since; with fewer of a version than that, it was not ordered. If there is one version between the held and the wanted one, or none, and its pieces are not there, no order is open, without a wait.

--- a/include/rhubarbwharf/loader/order.hpp
+++ b/include/rhubarbwharf/loader/order.hpp
@@ -58,11 +58,12 @@
     /*! @brief Pieces of a version. */
     std::size_t m_piece_count{};
     std::size_t m_staged{};
-    /*! @brief Staged pieces that belong to the wanted version only. */
+    /*! @brief Staged pieces that belong to the wanted version only; to both while the previous one is not known. */
     std::size_t m_wanted{};
-    /*! @brief Staged pieces that belong to the previous version only; none while its manifest is not known. Pieces of
-     * both versions count as `m_wanted` until then. */
+    /*! @brief Staged pieces that belong to the previous version only; none while its manifest is not known. */
     std::optional<std::size_t> m_previous{};
+    /*! @brief Staged pieces that belong to both versions, as far as that is known. */
+    std::size_t m_shared{};
     std::uint64_t m_wanted_version{};
     /*! @brief Version that the runner holds completely; 0 for none. */
     std::uint64_t m_held_version{};
@@ -82,7 +83,8 @@
 
 /*! @brief Tells from the staged pieces which version an earlier process may have ordered. They outlive it, and show it
  * because an order is sent only once all pieces of its version are staged, and no piece of another version is staged
- * while the order may be accepted. */
+ * while the order may be accepted. Up to a quarter of the pieces may have turned corrupt since; if fewer belong to a
+ * version, its pieces were still being staged when the process ended. */
 [[nodiscard]] auto judge_inherited_order(const staged_evidence& staged) noexcept -> inherited_order;
 
 } // namespace rhubarbwharf::loader
--- a/src/loader/inherited.cpp
+++ b/src/loader/inherited.cpp
@@ -31,6 +31,7 @@
         const auto is_wanted = has_digest(model.m_manifest, piece, *found);
         const auto is_previous = has_digest(model.m_previous_manifest, piece, *found);
         out.m_wanted += is_wanted && !is_previous ? 1U : 0U;
+        out.m_shared += is_wanted && is_previous ? 1U : 0U;
         if (is_previous && !is_wanted) {
             ++*out.m_previous;
         }
--- a/src/loader/order.cpp
+++ b/src/loader/order.cpp
@@ -54,24 +54,29 @@
 }
 
 auto judge_inherited_order(const staged_evidence& staged) noexcept -> inherited_order {
-    const auto previous_version = staged.m_wanted_version - 1U;
-    const auto may_have_ordered_previous = staged.m_held_version < previous_version;
-    const auto wanted =
-        staged.m_held_version >= staged.m_wanted_version ? inherited_order::none : inherited_order::wanted_version;
-    if (staged.m_staged < staged.m_piece_count) {
+    constexpr std::size_t parts = 4U;
+    constexpr std::size_t least_parts = 3U;
+    if (staged.m_staged < staged.m_piece_count || staged.m_held_version >= staged.m_wanted_version) {
         return inherited_order::none;
     }
-    if (!staged.m_previous) {
-        const auto is_wanted = staged.m_wanted == staged.m_piece_count;
-        return is_wanted || (staged.m_wanted != 0U && !may_have_ordered_previous) ? wanted : inherited_order::unknown;
+    const auto may_be_ordered = [&staged](const std::size_t pieces) {
+        return pieces * parts >= staged.m_piece_count * least_parts;
+    };
+    const auto versions_between = staged.m_wanted_version - staged.m_held_version - 1U;
+    if (versions_between > 0U && !staged.m_previous) {
+        return staged.m_wanted == staged.m_piece_count ? inherited_order::wanted_version : inherited_order::unknown;
     }
-    if (staged.m_wanted != 0U) {
-        return *staged.m_previous == 0U ? wanted : inherited_order::none;
+    const auto previous = staged.m_previous.value_or(0U);
+    if (previous == 0U && may_be_ordered(staged.m_wanted + staged.m_shared)) {
+        return inherited_order::wanted_version;
     }
-    if (*staged.m_previous == 0U) {
-        return inherited_order::unknown;
+    if (staged.m_wanted != 0U || versions_between == 0U) {
+        return inherited_order::none;
+    }
+    if (previous != 0U) {
+        return may_be_ordered(previous + staged.m_shared) ? inherited_order::previous_version : inherited_order::none;
     }
-    return may_have_ordered_previous ? inherited_order::previous_version : inherited_order::none;
+    return versions_between > 1U ? inherited_order::unknown : inherited_order::none;
 }
 
 } // namespace rhubarbwharf::loader
