--- a/test/adapter/decode.cpp
+++ b/test/adapter/decode.cpp
@@ -97,8 +97,7 @@
 }
 
 // Another writer's numbers were cut to the width of their fields: an entry with 2^32 slots was used as one with none,
-// and a cold time overflowed. Ids become part of a header. A list of all layers one by one kept a gateway busy for
-// minutes.
+// and a cold time overflowed. Ids become part of a header.
 TEST_CASE("entries of another writer with odd values name no backend server") {
     const auto entry = [](const std::string& fields) {
         return R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)" + fields + "}";
