Count, log and dump what draws on the retry budgets

Each grant names its cause (failure, resumption, hedge, withdrawal): retries_granted_total and retries_denied_total by cause, a line retry.denied, and retry_budgets in the dump. retries_sent_total counts each attempt after one that may have reached a server at the place where all attempts are sent, so that sent and granted can be compared.

--- a/include/rhubarbwharf/dispatch/retry_budget.hpp
+++ b/include/rhubarbwharf/dispatch/retry_budget.hpp
@@ -1,13 +1,29 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
+#include <string_view>
 
 #include <rhubarbwharf/core/time.hpp>
 #include <rhubarbwharf/dispatch/fwd.hpp>
 
 namespace rhubarbwharf::dispatch {
 
+/*! @brief Why a request is sent to another backend server after one has got it. */
+enum class retry_cause : std::uint8_t {
+    /*! @brief The server refused it, failed, or broke off its response. */
+    failure,
+    /*! @brief Another server goes on with a stream of which the caller has got a part. */
+    resumption,
+    /*! @brief The server is silent, or slow; another one is asked as well. */
+    hedge,
+    /*! @brief It waited at a server whose version of the weights may no longer begin a request. */
+    withdrawal,
+};
+
+[[nodiscard]] auto to_string(retry_cause value) noexcept -> std::string_view;
+
 /*! @brief Retry budget of one service over a sliding window. Each gateway spends its own part without coordination. */
 struct service_retry_budget {
     /*! @brief Retries allowed per request in the window. */
@@ -27,6 +43,12 @@
 /*! @brief Counts the first attempt of a request, which adds to the budget. */
 auto record_request(service_retry_budget& budget, time_point now) -> void;
 
+/*! @brief Returns the retries that count at a time. */
+[[nodiscard]] auto count_retries(service_retry_budget& budget, time_point now) -> std::size_t;
+
+/*! @brief Returns the retries that may count at a time. */
+[[nodiscard]] auto count_allowed_retries(service_retry_budget& budget, time_point now) -> double;
+
 /*! @brief Spends one retry if the budget allows it. @return False if the budget is exhausted. */
 [[nodiscard]] auto try_acquire_retry(service_retry_budget& budget, time_point now) -> bool;
 
--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -22,8 +22,22 @@
     return {200U, {{"Content-Type", std::string{type}}}, std::move(text)};
 }
 
-/*! @brief Returns configuration version, backend servers and members known to this process as JSON. */
-[[nodiscard]] auto dump(const daemon& self) -> std::string {
+/*! @brief Returns the retry budgets of all services as elements of a JSON array. */
+[[nodiscard]] auto dump_retry_budgets(daemon& self, const time_point now) -> std::string {
+    std::string out{};
+    for (auto& [name, service] : self.m_services) {
+        auto& budget = service.m_retry_budget;
+        out += out.empty() ? "{" : ",{";
+        out += "\"service\":" + net::json_string(name) +
+               ",\"used\":" + std::to_string(dispatch::count_retries(budget, now)) +
+               ",\"allowed\":" + std::to_string(dispatch::count_allowed_retries(budget, now)) +
+               ",\"slack\":" + std::to_string(budget.m_extra_retries) + "}";
+    }
+    return out;
+}
+
+/*! @brief Returns configuration version, backend servers, members and retry budgets of this process as JSON. */
+[[nodiscard]] auto dump(daemon& self) -> std::string {
     const auto now = steady_now();
     std::string out{"{\"instance\":"};
     out += net::json_string(self.m_core.m_settings.m_instance);
@@ -65,7 +79,7 @@
         out += ",\"age_ms\":" + std::to_string(age.count());
         out += ",\"exact\":" + std::string{each.m_has_exact_write_time ? "true" : "false"} + "}";
     }
-    return out + "]}";
+    return out + "],\"retry_budgets\":[" + dump_retry_budgets(self, now) + "]}";
 }
 
 } // namespace
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -4,6 +4,7 @@
 
 #include <fleet.pb.h>
 #include <gateway/parts.hpp>
+#include <gateway/retries.hpp>
 #include <rhubarbwharf/dispatch/hedge.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -216,9 +217,9 @@
     }
     const auto now = steady_now();
     const auto in_time = now + dispatch::min_attempt_time < item->m_deadline;
-    auto& budget = self.m_services[item->m_service->m_name].m_retry_budget;
     const auto retries = internal::may_retry(*item, failure) && in_time;
-    if (retries && (!failure.m_sent || dispatch::try_acquire_retry(budget, now))) {
+    const auto cause = item->m_stream_started ? dispatch::retry_cause::resumption : dispatch::retry_cause::failure;
+    if (retries && (!failure.m_sent || grant_retry(self, *item, cause))) {
         schedule(self, item);
     } else {
         internal::end_failed(self, item, failure);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -4,6 +4,7 @@
 
 #include <gateway/limits.hpp>
 #include <gateway/parts.hpp>
+#include <gateway/retries.hpp>
 #include <platform/names.hpp>
 
 namespace rhubarbwharf::gateway::internal {
@@ -191,7 +192,7 @@
         }
         const auto idempotent = item->m_route->m_idempotency == fleet::idempotency::idempotent;
         if (idempotent && item->m_tried_servers.size() < item->m_route->m_max_attempts) {
-            if (dispatch::try_acquire_retry(self.m_services[item->m_service->m_name].m_retry_budget, steady_now())) {
+            if (grant_retry(self, *item, dispatch::retry_cause::failure)) {
                 item->m_server_error = net::http_response{status, current.m_head->m_headers, std::move(current.m_body)};
                 cancel_attempt(self, item, ended, "server error");
                 item->m_may_have_run = true;
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -7,6 +7,7 @@
 #include <gateway/crash_records.hpp>
 #include <gateway/limits.hpp>
 #include <gateway/parts.hpp>
+#include <gateway/retries.hpp>
 #include <rhubarbwharf/gateway/run.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -53,25 +54,6 @@
     self.m_core.m_demand += sample_weight * (request_rate - self.m_core.m_demand);
 }
 
-/*! @brief Sets this gateway's part of each service's retry budget; the gateways share the slack equally. */
-auto divide_retry_budget(daemon& self) -> void {
-    if (!self.m_core.m_configuration) {
-        return;
-    }
-    const auto& configuration = *self.m_core.m_configuration;
-    const auto gateways = static_cast<double>(
-        std::max<std::ptrdiff_t>(1, std::ranges::count_if(self.m_core.m_members, [](const auto& each) {
-                                     return each.second.m_member.is_gateway();
-                                 })));
-    const auto& bounds = self.m_core.m_settings.m_bounds;
-    for (const auto& service : configuration.m_services) {
-        auto& budget = self.m_services[service.m_name].m_retry_budget;
-        budget.m_retry_ratio = bounds.m_retry_ratio;
-        budget.m_extra_retries = bounds.m_retry_slack / gateways;
-        budget.m_window = std::chrono::milliseconds{bounds.m_retry_window_ms};
-    }
-}
-
 /*! @brief Reports the restrictions of the configuration in force that name no region of the deployment. */
 auto report_unknown_regions(daemon& self) -> void {
     std::set<std::string_view> known{};
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -3,6 +3,7 @@
 
 #include <gateway/parts.hpp>
 #include <gateway/placing.hpp>
+#include <gateway/retries.hpp>
 #include <platform/names.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -203,7 +204,8 @@
         return has_eligible_backend(self, *item, now) ? dispatch::send_result::no_capacity
                                                       : dispatch::send_result::no_server;
     }
-    if (!dispatch::try_acquire_retry(state.m_retry_budget, now)) {
+    const auto cause = item->m_stream_started ? dispatch::retry_cause::resumption : dispatch::retry_cause::hedge;
+    if (!grant_retry(self, *item, cause)) {
         return dispatch::send_result::no_server;
     }
     withdraw_hedge(self, *item);
@@ -269,6 +271,7 @@
     } else {
         item->m_attempt = current;
     }
+    note_retry(self, *item);
     item->m_last_event_at = item->m_tried_servers.empty() ? now : item->m_last_event_at;
     item->m_tried_servers.push_back(backend->m_id);
     dispatch::record_sent(self.m_services[item->m_service->m_name].m_queue, now);
@@ -343,7 +346,7 @@
     options.m_max_excess_requests = -internal::free_slots_for_extra_work(*item);
     const auto chosen = internal::choose_backend(self, *item, options, now);
     if (!chosen || state.m_backends[chosen->m_index]->m_turns ||
-        !dispatch::try_acquire_retry(state.m_retry_budget, now) ||
+        !grant_retry(self, *item, dispatch::retry_cause::hedge) ||
         !dispatch::try_acquire_hedge(state.m_hedge_allowance)) {
         return;
     }
