--- a/app/standin-site/arrivals.hpp
+++ b/app/standin-site/arrivals.hpp
@@ -29,6 +29,8 @@
 /*! @brief Stay of one request at one server. */
 struct arrival {
     std::string m_server{};
+    /*! @brief Whether the server is a model runner. */
+    bool m_at_runner{false};
     time_point m_arrived_at{};
     time_point m_ended_at{time_point::max()};
     stay_end m_end{stay_end::held};
--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -296,6 +296,7 @@
     }
     auto stay = std::make_shared<arrival>();
     stay->m_server = m_options.m_id;
+    stay->m_at_runner = !m_options.m_model.empty();
     stay->m_arrived_at = steady_now();
     auto& stays = m_observations.m_stays[attempt];
     stays.push_back(stay);
--- a/test/soak/site_fixture.hpp
+++ b/test/soak/site_fixture.hpp
@@ -76,15 +76,21 @@
         });
     }
 
-    /*! @brief Restarts the first gateway with another grace period, and waits until requests succeed again. */
-    auto restart_gateway_with_grace(const std::chrono::milliseconds grace) -> void {
-        const auto& path = m_fleet.daemons()[0].m_settings_path;
+    /*! @brief Replaces a part of the settings of a daemon, which it reads when it starts or reloads them. */
+    auto replace_in_settings(const std::size_t index, const std::string_view part, const std::string_view replacement)
+        -> void {
+        const auto& path = m_fleet.daemons()[index].m_settings_path;
         std::ostringstream text{};
         text << std::ifstream{path}.rdbuf();
         auto settings = text.str();
-        const std::string bounds = "\"bounds\": {";
-        settings.insert(settings.find(bounds) + bounds.size(), "\"grace_ms\": " + std::to_string(grace.count()) + ", ");
+        settings.replace(settings.find(part), part.size(), replacement);
         std::ofstream{path} << settings;
+    }
+
+    /*! @brief Restarts the first gateway with another grace period, and waits until requests succeed again. */
+    auto restart_gateway_with_grace(const std::chrono::milliseconds grace) -> void {
+        const std::string bounds = "\"bounds\": {";
+        replace_in_settings(0U, bounds, bounds + "\"grace_ms\": " + std::to_string(grace.count()) + ", ");
         m_fleet.start_daemon(0U);
         REQUIRE(
             process::wait_until([this] { return send_request("a6", standin_site::model_path, "a").m_status == 200U; }));
