Draw on the retry budget for requests withdrawn from outdated versions

Servers got more repeats than the budget allows when they loaded a named version late: all gateways withdraw the requests that wait at servers with the former version at the same moment and sent each of them again without a grant, beside what the budget had granted for other reasons, and again for each further version.

Cause: a second send that does not pass through the budget.

A withdrawn request now needs a grant. Begun streams come first, then by priority, urgency and age. One without a grant ends at once with 502: it may run nowhere, as its server may not begin it any more, and waiting would only delay the caller's own retry.

--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <cstdio>
+#include <span>
+#include <tuple>
 #include <utility>
 
 #include <fleet.pb.h>
@@ -73,17 +75,43 @@
     return held_version != 0U && held_version < min_version;
 }
 
-/*! @brief Withdraws the outdated attempts of a request, and reschedules it if none is left. */
-auto reschedule_outdated(daemon& self, const std::shared_ptr<exchange>& item, const time_point now) -> void {
+constexpr std::string_view version_expired = "the version may no longer begin a request";
+
+/*! @brief Withdraws the outdated attempts of a request. @return Whether none is left. */
+[[nodiscard]] auto withdraw_outdated(daemon& self, const std::shared_ptr<exchange>& item, const time_point now)
+    -> bool {
     for (const auto& each : {item->m_hedge, item->m_attempt}) {
         if (each && is_outdated(self, *item, *each, now)) {
             item->m_may_have_run = true;
             item->m_withdrawn = true;
-            cancel_attempt(self, item, each, "the version may no longer begin a request");
+            cancel_attempt(self, item, each, version_expired);
         }
     }
-    if (!item->m_attempt) {
-        schedule(self, item);
+    return item->m_attempt == nullptr;
+}
+
+/*! @brief Withdraws all outdated attempts and reschedules their requests as far as the retry budget allows: begun
+ * streams first, then the more urgent and the older ones. The others end at once, as they may run nowhere. */
+auto reschedule_outdated(daemon& self, const std::span<const std::shared_ptr<exchange>> exchanges, const time_point now)
+    -> void {
+    std::vector<std::shared_ptr<exchange>> withdrawn{};
+    for (const auto& item : exchanges) {
+        if (!item->m_ended && item->m_attempt && withdraw_outdated(self, item, now)) {
+            withdrawn.push_back(item);
+        }
+    }
+    std::ranges::sort(withdrawn, {}, [](const auto& item) {
+        return std::tuple{!item->m_stream_started, item->m_priority, item->m_urgency, item->m_arrived_at};
+    });
+    for (const auto& item : withdrawn) {
+        if (item->m_ended) {
+            continue;
+        }
+        if (grant_retry(self, *item, dispatch::retry_cause::withdrawal)) {
+            schedule(self, item);
+        } else {
+            end_with_response(self, item, give_up_response(*item, 502U, version_expired), version_expired);
+        }
     }
 }
 
@@ -305,15 +333,14 @@
 }
 
 auto check_timeouts(daemon& self, const time_point now) -> void {
-    for (const auto& item : internal::list_exchanges(self)) {
-        if (item->m_ended) {
-            continue;
-        }
-        if (now >= item->m_deadline) {
+    const auto exchanges = internal::list_exchanges(self);
+    for (const auto& item : exchanges) {
+        if (!item->m_ended && now >= item->m_deadline) {
             end_unanswered(self, item, "the deadline passed");
-        } else if (item->m_attempt) {
-            internal::reschedule_outdated(self, item, now);
         }
+    }
+    internal::reschedule_outdated(self, exchanges, now);
+    for (const auto& item : exchanges) {
         if (!item->m_ended && item->m_attempt) {
             internal::hedge_silent(self, item, now);
         }
