Count a retry from its grant until a window after it was sent

Servers could get more repeats than the budget allows when a full fleet got room again: a retry counted at the time of its grant, waited in the queue for seconds and arrived together with those of the next window.

A grant now counts until the attempt is sent, and the attempt for a window and the time that it may take to arrive after that. All attempts are counted at the one place where they are sent, whatever sent them; one without a grant counts as well, so that it cannot be repeated without the budget's knowledge. A grant that is not used is returned, and so is that of an attempt of which no byte was sent.

dispatch.retry_budget failed before (32 retries in a window of 20) and passes now; its loop records the sending, as the function it called has been split in two.

--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -1,5 +1,7 @@
 #include <rhubarbwharf/dispatch/retry_budget.hpp>
 
+#include <algorithm>
+
 namespace rhubarbwharf::dispatch {
 
 namespace {
@@ -32,8 +34,8 @@
 }
 
 auto count_retries(service_retry_budget& budget, const time_point now) -> std::size_t {
-    evict_before(budget.m_retries, now - budget.m_window);
-    return budget.m_retries.size();
+    evict_before(budget.m_retries, now - budget.m_window - max_arrival_delay);
+    return budget.m_retries.size() + budget.m_granted;
 }
 
 auto count_allowed_retries(service_retry_budget& budget, const time_point now) -> double {
@@ -42,11 +44,32 @@
     return usable_budget_fraction * (earned + budget.m_extra_retries);
 }
 
-auto try_acquire_retry(service_retry_budget& budget, const time_point now) -> bool {
+auto try_grant_retry(service_retry_budget& budget, const time_point now) -> bool {
     if (static_cast<double>(count_retries(budget, now) + 1U) > count_allowed_retries(budget, now)) {
         return false;
     }
+    ++budget.m_granted;
+    return true;
+}
+
+auto record_retry(service_retry_budget& budget, const bool granted, const time_point now) -> void {
+    if (granted) {
+        withdraw_grant(budget);
+    }
     budget.m_retries.push_back(now);
+}
+
+auto withdraw_grant(service_retry_budget& budget) noexcept -> void {
+    budget.m_granted -= std::min<std::size_t>(1U, budget.m_granted);
+}
+
+auto restore_grant(service_retry_budget& budget, const time_point sent_at) -> bool {
+    const auto found = std::ranges::lower_bound(budget.m_retries, sent_at);
+    if (found == budget.m_retries.end() || *found != sent_at) {
+        return false;
+    }
+    budget.m_retries.erase(found);
+    ++budget.m_granted;
     return true;
 }
 
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -233,7 +233,10 @@
     const auto was_hedged = item->m_hedge != nullptr;
     cancel_attempt(self, item, failed, failure.m_reason);
     item->m_may_have_run = item->m_may_have_run || !failure.m_not_run;
-    item->m_unsent_attempts += failure.m_sent ? 0U : 1U;
+    if (!failure.m_sent) {
+        ++item->m_unsent_attempts;
+        uncount_attempt(self, *item, *failed);
+    }
     if (was_hedged) {
         return;
     }
@@ -247,7 +250,8 @@
     const auto in_time = now + dispatch::min_attempt_time < item->m_deadline;
     const auto retries = internal::may_retry(*item, failure) && in_time;
     const auto cause = item->m_stream_started ? dispatch::retry_cause::resumption : dispatch::retry_cause::failure;
-    if (retries && (!failure.m_sent || grant_retry(self, *item, cause))) {
+    const auto reached_none = item->m_tried_servers.size() == item->m_unsent_attempts;
+    if (retries && (reached_none || grant_retry(self, *item, cause))) {
         schedule(self, item);
     } else {
         internal::end_failed(self, item, failure);
@@ -308,6 +312,7 @@
         }
     }
     end_trial(self, *item);
+    withdraw_grant(self, *item);
     dispatch::erase(self.m_services[service].m_queue, item->m_id);
     self.m_exchanges.erase(item->m_id);
     item->m_responder = nullptr;
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -43,6 +43,8 @@
     /*! @brief Body received so far, if the response is buffered instead of streamed. */
     std::string m_body{};
     bool m_is_stream{false};
+    /*! @brief Whether an earlier attempt may have reached a server, so that this one counts as a retry. */
+    bool m_is_retry{false};
     /*! @brief Times at which complete events arrived, up to `begun_deliveries`. */
     unsigned m_deliveries{};
     /*! @brief Events received so far if this is a hedge; those of the other attempt go to the exchange's. */
@@ -98,6 +100,8 @@
     bool m_hedged_as_slow{false};
     /*! @brief Tried backend servers that got no byte of the request, so that they do not count as attempts. */
     std::size_t m_unsent_attempts{};
+    /*! @brief Whether the retry budget has granted a further attempt that was not sent yet. */
+    bool m_has_retry_grant{false};
     /*! @brief Whether an earlier attempt may have run the request. */
     bool m_may_have_run{false};
     /*! @brief Whether an attempt was withdrawn from a server with outdated weights. Its caller gets no refusal that
--- a/src/gateway/retries.cpp
+++ b/src/gateway/retries.cpp
@@ -1,9 +1,22 @@
 #include <algorithm>
+#include <utility>
 
 #include <gateway/retries.hpp>
 
 namespace rhubarbwharf::gateway {
 
+namespace internal {
+
+namespace {
+
+[[nodiscard]] auto budget_of(daemon& self, const exchange& item) -> dispatch::service_retry_budget& {
+    return self.m_services[item.m_service->m_name].m_retry_budget;
+}
+
+} // namespace
+
+} // namespace internal
+
 auto divide_retry_budget(daemon& self) -> void {
     if (!self.m_core.m_configuration) {
         return;
@@ -22,26 +35,46 @@
     }
 }
 
-auto grant_retry(daemon& self, const exchange& item, const dispatch::retry_cause cause) -> bool {
+auto grant_retry(daemon& self, exchange& item, const dispatch::retry_cause cause) -> bool {
+    if (item.m_has_retry_grant) {
+        return true;
+    }
     const auto now = steady_now();
-    auto& budget = self.m_services[item.m_service->m_name].m_retry_budget;
+    auto& budget = internal::budget_of(self, item);
     const auto name = dispatch::to_string(cause);
-    if (dispatch::try_acquire_retry(budget, now)) {
-        self.m_core.m_counters.add("retries_granted_total", 1.0, name);
-        return true;
+    if (!dispatch::try_grant_retry(budget, now)) {
+        self.m_core.m_counters.add("retries_denied_total", 1.0, name);
+        self.m_core.m_events.write("retry.denied",
+                                   {{"id", item.m_attempt_id},
+                                    {"cause", name},
+                                    {"used", static_cast<std::int64_t>(dispatch::count_retries(budget, now))},
+                                    {"allowed", dispatch::count_allowed_retries(budget, now)}});
+        return false;
+    }
+    item.m_has_retry_grant = true;
+    self.m_core.m_counters.add("retries_granted_total", 1.0, name);
+    return true;
+}
+
+auto count_attempt(daemon& self, exchange& item, attempt& current) -> void {
+    current.m_is_retry = item.m_tried_servers.size() > item.m_unsent_attempts;
+    if (!current.m_is_retry) {
+        return;
+    }
+    self.m_core.m_counters.add("retries_sent_total", 1.0, item.m_service->m_name);
+    dispatch::record_retry(internal::budget_of(self, item), std::exchange(item.m_has_retry_grant, false),
+                           current.m_sent_at);
+}
+
+auto uncount_attempt(daemon& self, exchange& item, const attempt& unsent) -> void {
+    if (unsent.m_is_retry && !item.m_has_retry_grant) {
+        item.m_has_retry_grant = dispatch::restore_grant(internal::budget_of(self, item), unsent.m_sent_at);
     }
-    self.m_core.m_counters.add("retries_denied_total", 1.0, name);
-    self.m_core.m_events.write("retry.denied",
-                               {{"id", item.m_attempt_id},
-                                {"cause", name},
-                                {"used", static_cast<std::int64_t>(dispatch::count_retries(budget, now))},
-                                {"allowed", dispatch::count_allowed_retries(budget, now)}});
-    return false;
 }
 
-auto note_retry(daemon& self, const exchange& item) -> void {
-    if (item.m_tried_servers.size() > item.m_unsent_attempts) {
-        self.m_core.m_counters.add("retries_sent_total", 1.0, item.m_service->m_name);
+auto withdraw_grant(daemon& self, exchange& item) -> void {
+    if (std::exchange(item.m_has_retry_grant, false)) {
+        dispatch::withdraw_grant(internal::budget_of(self, item));
     }
 }
 
--- a/src/gateway/retries.hpp
+++ b/src/gateway/retries.hpp
@@ -7,11 +7,19 @@
 /*! @brief Sets this gateway's part of each service's retry budget; the gateways share the slack equally. */
 auto divide_retry_budget(daemon& self) -> void;
 
-/*! @brief Grants a request a further attempt, which counts against the budget of its service.
- * @return False if the budget is exhausted. */
-[[nodiscard]] auto grant_retry(daemon& self, const exchange& item, dispatch::retry_cause cause) -> bool;
+/*! @brief Grants a request a further attempt, which counts against the budget of its service from now on.
+ * @return False if the budget is exhausted; true also if the request holds a grant already. */
+[[nodiscard]] auto grant_retry(daemon& self, exchange& item, dispatch::retry_cause cause) -> bool;
 
-/*! @brief Counts and logs an attempt after one that may have reached a server. */
-auto note_retry(daemon& self, const exchange& item) -> void;
+/*! @brief Counts an attempt that is sent now, unless it is the first one that may reach a server. It uses the grant of
+ * the request, and counts without one as well. */
+auto count_attempt(daemon& self, exchange& item, attempt& current) -> void;
+
+/*! @brief Takes back the count of an attempt of which no byte was sent; the request keeps the grant for the next one.
+ */
+auto uncount_attempt(daemon& self, exchange& item, const attempt& unsent) -> void;
+
+/*! @brief Takes back the grant of a request that does not use it. */
+auto withdraw_grant(daemon& self, exchange& item) -> void;
 
 } // namespace rhubarbwharf::gateway
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -271,7 +271,7 @@
     } else {
         item->m_attempt = current;
     }
-    note_retry(self, *item);
+    count_attempt(self, *item, *current);
     item->m_last_event_at = item->m_tried_servers.empty() ? now : item->m_last_event_at;
     item->m_tried_servers.push_back(backend->m_id);
     dispatch::record_sent(self.m_services[item->m_service->m_name].m_queue, now);
@@ -346,8 +346,11 @@
     options.m_max_excess_requests = -internal::free_slots_for_extra_work(*item);
     const auto chosen = internal::choose_backend(self, *item, options, now);
     if (!chosen || state.m_backends[chosen->m_index]->m_turns ||
-        !grant_retry(self, *item, dispatch::retry_cause::hedge) ||
-        !dispatch::try_acquire_hedge(state.m_hedge_allowance)) {
+        !grant_retry(self, *item, dispatch::retry_cause::hedge)) {
+        return;
+    }
+    if (!dispatch::try_acquire_hedge(state.m_hedge_allowance)) {
+        withdraw_grant(self, *item);
         return;
     }
     const auto slow = item->m_attempt;
--- a/test/dispatch/decisions.cpp
+++ b/test/dispatch/decisions.cpp
@@ -271,7 +271,8 @@
             if (*rc::gen::arbitrary<bool>()) {
                 record_request(budget, at);
                 requests.push_back(at);
-            } else if (try_acquire_retry(budget, at)) {
+            } else if (try_grant_retry(budget, at)) {
+                record_retry(budget, true, at);
                 retries.push_back(at);
             }
             const auto count_in_window = [&](const std::deque<time_point>& times) {
