Keep the retry budget through restarts, and divide the slack among all gateways that may spend it

Servers got more repeats than the budget allows when gateways restarted among failing servers: the counts were in the memory of one process, so each successor spent the budget once more.

Gateways now tell their peers what they have spent whenever they grant a retry, gathered for 20 ms (all gateways in a fleet of less than 12, else those of the region), and a gateway that starts is told by each peer that has heard all of the last window what its predecessor had spent; that counts as its own. While nobody can tell, as all peers have just started too, it spends the fifth that other gateways leave of what its own requests earn, and none of the slack: these requests are counted once however often it restarts, so the sum holds.

The slack is divided by the most gateways that were known within a window, since one that is no longer listed has not spent less by that. A gateway that the store has not answered for the time after which it may be removed from the others' lists takes none of the slack.

The soak's fleet has a window of 1 s, so that its gateways may spend their whole part when the cases begin.

--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -28,6 +28,30 @@
     return "withdrawal";
 }
 
+auto part_of_budget(const budget_claim& claim, const duration window) noexcept -> budget_part {
+    const auto is_old = claim.m_age >= window + max_arrival_delay;
+    if (!is_old && !claim.m_knows_predecessor) {
+        return {1.0 - usable_budget_fraction, 0.0};
+    }
+    if (claim.m_store_silence > claim.m_max_store_silence) {
+        return {usable_budget_fraction, 0.0};
+    }
+    return {usable_budget_fraction, claim.m_slack / static_cast<double>(std::max<std::size_t>(1U, claim.m_gateways))};
+}
+
+auto note_gateways(gateway_peak& peak, const std::size_t gateways, const duration window, const time_point now)
+    -> std::size_t {
+    auto& samples = peak.m_samples;
+    while (!samples.empty() && samples.back().m_gateways <= gateways) {
+        samples.pop_back();
+    }
+    samples.push_back({now, gateways});
+    while (samples.front().m_at < now - window - max_arrival_delay) {
+        samples.pop_front();
+    }
+    return samples.front().m_gateways;
+}
+
 auto record_request(service_retry_budget& budget, const time_point now) -> void {
     evict_before(budget.m_requests, now - budget.m_window);
     budget.m_requests.push_back(now);
@@ -35,13 +59,14 @@
 
 auto count_retries(service_retry_budget& budget, const time_point now) -> std::size_t {
     evict_before(budget.m_retries, now - budget.m_window - max_arrival_delay);
-    return budget.m_retries.size() + budget.m_granted;
+    const auto inherited = now < budget.m_inherited.m_until ? budget.m_inherited.m_count : 0U;
+    return budget.m_retries.size() + budget.m_granted + inherited;
 }
 
 auto count_allowed_retries(service_retry_budget& budget, const time_point now) -> double {
     evict_before(budget.m_requests, now - budget.m_window);
     const auto earned = budget.m_retry_ratio * static_cast<double>(budget.m_requests.size());
-    return usable_budget_fraction * (earned + budget.m_extra_retries);
+    return budget.m_usable_fraction * (earned + budget.m_extra_retries);
 }
 
 auto try_grant_retry(service_retry_budget& budget, const time_point now) -> bool {
@@ -73,4 +98,9 @@
     return true;
 }
 
+auto inherit_retries(service_retry_budget& budget, const std::size_t count, const time_point until) -> void {
+    budget.m_inherited.m_count = std::max(budget.m_inherited.m_count, count);
+    budget.m_inherited.m_until = std::max<time_point>(budget.m_inherited.m_until, until);
+}
+
 } // namespace rhubarbwharf::dispatch
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -7,6 +7,7 @@
 #include <gateway/limits.hpp>
 #include <gateway/loads.hpp>
 #include <gateway/parts.hpp>
+#include <gateway/retries.hpp>
 #include <node/wire.hpp>
 #include <platform/decode.hpp>
 #include <platform/names.hpp>
@@ -189,6 +190,8 @@
         on_part_news(self, peer, frame.parts());
     } else if (frame.has_blame()) {
         on_crash_report(self, peer, frame.incarnation(), frame.blame());
+    } else if (frame.has_retry_use()) {
+        on_retry_use(self, peer, frame.retry_use());
     }
 }
 
--- a/src/gateway/retries.cpp
+++ b/src/gateway/retries.cpp
@@ -2,6 +2,8 @@
 #include <utility>
 
 #include <gateway/retries.hpp>
+#include <rhubarbwharf/fleet/region.hpp>
+#include <rhubarbwharf/fleet/stall.hpp>
 
 namespace rhubarbwharf::gateway {
 
@@ -13,25 +15,82 @@
     return self.m_services[item.m_service->m_name].m_retry_budget;
 }
 
+[[nodiscard]] auto retry_window(const daemon& self) -> duration {
+    return std::chrono::milliseconds{self.m_core.m_settings.m_bounds.m_retry_window_ms};
+}
+
+/*! @brief Returns the time for which a retry counts after it was sent. */
+[[nodiscard]] auto retry_lifetime(const daemon& self) -> duration {
+    return retry_window(self) + dispatch::max_arrival_delay;
+}
+
+[[nodiscard]] auto claim_of(daemon& self, const time_point now) -> dispatch::budget_claim {
+    dispatch::budget_claim out{};
+    out.m_slack = self.m_core.m_settings.m_bounds.m_retry_slack;
+    const auto gateways = fleet::count_gateways(self.m_core.m_members);
+    out.m_gateways = dispatch::note_gateways(self.m_gateway_peak, gateways, retry_window(self), now);
+    out.m_age = now - self.m_core.m_started;
+    out.m_knows_predecessor = self.m_knows_predecessor;
+    out.m_store_silence = now - self.m_core.m_store.last_response();
+    out.m_max_store_silence = fleet::member_retention;
+    return out;
+}
+
+/*! @brief Checks whether this process has heard its peers for as long as retries count, so that it knows of all. */
+[[nodiscard]] auto knows_all_retries(const daemon& self, const time_point now) -> bool {
+    const auto lifetime = retry_lifetime(self);
+    return now - self.m_core.m_started >= lifetime &&
+           !fleet::has_just_stalled(self.m_core.m_stalls, now, fleet::heartbeat_timeout, lifetime);
+}
+
+/*! @brief Checks whether retries are told to all gateways, as the fleet is small, instead of to those of the region. */
+[[nodiscard]] auto tells_all_gateways(const daemon& self) -> bool {
+    return fleet::count_gateways(self.m_core.m_members) < fleet::min_gateways_exchanging_loads;
+}
+
+auto accept_predecessor(daemon& self, const std::string_view peer, const wire::fleet::RetryUse& update,
+                        const time_point now) -> void {
+    const auto lifetime = retry_lifetime(self);
+    if (now - self.m_core.m_started >= lifetime) {
+        return;
+    }
+    std::int64_t retries{};
+    for (const auto& each : update.services()) {
+        auto& budget = self.m_services[each.service()].m_retry_budget;
+        dispatch::inherit_retries(budget, each.retries(), now - std::chrono::milliseconds{update.age_ms()} + lifetime);
+        retries += each.retries();
+    }
+    self.m_core.m_events.write(
+        "retries.inherited",
+        {{"source", peer}, {"retries", retries}, {"age_ms", static_cast<std::int64_t>(update.age_ms())}});
+    self.m_knows_predecessor = true;
+    divide_retry_budget(self);
+}
+
 } // namespace
 
 } // namespace internal
 
 auto divide_retry_budget(daemon& self) -> void {
+    const auto now = steady_now();
+    std::erase_if(self.m_peer_retries, [oldest = now - internal::retry_lifetime(self)](const auto& each) {
+        return each.second.m_told_at < oldest;
+    });
+    const auto part = dispatch::part_of_budget(internal::claim_of(self, now), internal::retry_window(self));
     if (!self.m_core.m_configuration) {
         return;
     }
-    const auto& configuration = *self.m_core.m_configuration;
-    const auto gateways = static_cast<double>(
-        std::max<std::ptrdiff_t>(1, std::ranges::count_if(self.m_core.m_members, [](const auto& each) {
-                                     return each.second.m_member.is_gateway();
-                                 })));
-    const auto& bounds = self.m_core.m_settings.m_bounds;
-    for (const auto& service : configuration.m_services) {
+    for (const auto& service : self.m_core.m_configuration->m_services) {
         auto& budget = self.m_services[service.m_name].m_retry_budget;
-        budget.m_retry_ratio = bounds.m_retry_ratio;
-        budget.m_extra_retries = bounds.m_retry_slack / gateways;
-        budget.m_window = std::chrono::milliseconds{bounds.m_retry_window_ms};
+        budget.m_retry_ratio = self.m_core.m_settings.m_bounds.m_retry_ratio;
+        budget.m_extra_retries = part.m_extra_retries;
+        budget.m_usable_fraction = part.m_usable_fraction;
+        budget.m_window = internal::retry_window(self);
+    }
+    if (std::exchange(self.m_retry_part, part) != part) {
+        self.m_core.m_events.write(
+            "retries.part",
+            {{"usable", part.m_usable_fraction}, {"slack", part.m_extra_retries}, {"told", self.m_knows_predecessor}});
     }
 }
 
@@ -52,6 +111,7 @@
         return false;
     }
     item.m_has_retry_grant = true;
+    ++self.m_unannounced_grants;
     self.m_core.m_counters.add("retries_granted_total", 1.0, name);
     return true;
 }
@@ -78,4 +138,68 @@
     }
 }
 
+auto announce_retries(daemon& self) -> void {
+    if (std::exchange(self.m_unannounced_grants, 0U) == 0U) {
+        return;
+    }
+    const auto now = steady_now();
+    wire::fleet::Frame frame{};
+    for (auto& [name, service] : self.m_services) {
+        if (const auto count = dispatch::count_retries(service.m_retry_budget, now); count > 0U) {
+            auto* const added = frame.mutable_retry_use()->add_services();
+            added->set_service(name);
+            added->set_retries(static_cast<std::uint32_t>(count));
+        }
+    }
+    if (!frame.has_retry_use()) {
+        return;
+    }
+    if (internal::tells_all_gateways(self)) {
+        node::send_to_gateways(self.m_core, frame);
+    } else {
+        node::send_to_region(self.m_core, frame);
+    }
+}
+
+auto tell_predecessor_retries(daemon& self, const std::string& gateway) -> void {
+    const auto now = steady_now();
+    const auto& members = self.m_core.m_members;
+    const auto row = members.find(gateway);
+    const auto hears_it = row != members.end() && (internal::tells_all_gateways(self) ||
+                                                   row->second.m_member.m_region == self.m_core.m_self.m_region);
+    if (!hears_it || !internal::knows_all_retries(self, now)) {
+        return;
+    }
+    wire::fleet::Frame frame{};
+    auto& update = *frame.mutable_retry_use();
+    update.set_instance(gateway);
+    if (const auto known = self.m_peer_retries.find(gateway); known != self.m_peer_retries.end()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known->second.m_told_at);
+        update.set_age_ms(static_cast<std::uint32_t>(age.count()));
+        for (const auto& [service, count] : known->second.m_counts) {
+            auto* const added = update.add_services();
+            added->set_service(service);
+            added->set_retries(count);
+        }
+    }
+    node::connect_to_gateway(self.m_core, gateway);
+    node::send(self.m_core, gateway, frame);
+}
+
+auto on_retry_use(daemon& self, const std::string_view peer, const wire::fleet::RetryUse& update) -> void {
+    const auto now = steady_now();
+    if (!update.instance().empty()) {
+        if (update.instance() == self.m_core.m_self.m_instance) {
+            internal::accept_predecessor(self, peer, update, now);
+        }
+        return;
+    }
+    auto& known = self.m_peer_retries[std::string{peer}];
+    known.m_told_at = now;
+    known.m_counts.clear();
+    for (const auto& each : update.services()) {
+        known.m_counts.emplace_back(each.service(), each.retries());
+    }
+}
+
 } // namespace rhubarbwharf::gateway
--- a/src/gateway/retries.hpp
+++ b/src/gateway/retries.hpp
@@ -1,10 +1,14 @@
 #pragma once
 
+#include <string>
+#include <string_view>
+
+#include <fleet.pb.h>
 #include <gateway/daemon.hpp>
 
 namespace rhubarbwharf::gateway {
 
-/*! @brief Sets this gateway's part of each service's retry budget; the gateways share the slack equally. */
+/*! @brief Sets this gateway's part of each service's retry budget. */
 auto divide_retry_budget(daemon& self) -> void;
 
 /*! @brief Grants a request a further attempt, which counts against the budget of its service from now on.
@@ -22,4 +26,15 @@
 /*! @brief Takes back the grant of a request that does not use it. */
 auto withdraw_grant(daemon& self, exchange& item) -> void;
 
+/*! @brief Tells the peers what this gateway has spent of its budgets, as a successor would not know it. Sends nothing
+ * unless retries were granted since the last time. */
+auto announce_retries(daemon& self) -> void;
+
+/*! @brief Tells a gateway that has started what its predecessor had spent. */
+auto tell_predecessor_retries(daemon& self, const std::string& gateway) -> void;
+
+/*! @brief Accepts what a peer has spent, or what it tells of the predecessor of this process.
+ * @param peer Name of the sender. */
+auto on_retry_use(daemon& self, std::string_view peer, const wire::fleet::RetryUse& update) -> void;
+
 } // namespace rhubarbwharf::gateway
--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -117,6 +117,7 @@
     node::note_running(self.m_core);
     const auto now = steady_now();
     check_timeouts(self, now);
+    announce_retries(self);
     update_readiness(self, now);
     if (self.m_leaving_since != time_point::max()) {
         stop_when_drained(self, now);
@@ -201,6 +202,7 @@
     handlers.m_on_gateway = [&self](const std::string& name) {
         send_verdicts(self, name);
         send_crash_records(self, name);
+        tell_predecessor_retries(self, name);
     };
     handlers.m_on_state = [&self](const std::string_view source, const wire::fleet::State& state) {
         accept_crash_records(self, source, state);
--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -114,7 +114,7 @@
                     ", \"data_centres\": [" + data_centre_settings() + "], \"listen\": {" + listen + "}, \"store\": {" +
                     json_member("address", net::to_string(added.m_store_proxy->address())) +
                     ", \"call_ms\": 500, \"lease_ms\": 3000, \"watch_ms\": 2000}, " +
-                    R"("bounds": {"version_ms": 6000, "retry_slack": 30}, )";
+                    R"("bounds": {"version_ms": 6000, "retry_slack": 30, "retry_window_ms": 1000}, )";
     if (!is_gateway) {
         settings += "\"runner\": {" + json_member("address", net::to_string(runner)) + ", " +
                     json_member("service", "llm") + "}, ";
--- a/test/soak/retry_budget.cpp
+++ b/test/soak/retry_budget.cpp
@@ -11,7 +11,7 @@
 
 /*! @brief Time limit of a version in the settings of the fleet. */
 constexpr duration version_limit = std::chrono::milliseconds{6'000};
-constexpr repeat_bounds bounds{0.2, 12.0, std::chrono::seconds{10}};
+constexpr repeat_bounds bounds{0.2, 12.0, std::chrono::seconds{4}};
 constexpr std::size_t gateway_count = 3U;
 
 /*! @brief Fleet whose settings have the bounds above. */
@@ -19,9 +19,13 @@
 public:
     budget_fixture() : site_fixture{gateway_count, {}} {
         for (std::size_t gateway = 0U; gateway < gateway_count; ++gateway) {
-            replace_in_settings(gateway, R"("retry_slack": 30)", R"("retry_slack": 12)");
+            replace_in_settings(gateway, R"("retry_slack": 30, "retry_window_ms": 1000)",
+                                R"("retry_slack": 12, "retry_window_ms": 4000)");
             restart(gateway);
         }
+        for (std::size_t gateway = 0U; gateway < gateway_count; ++gateway) {
+            REQUIRE(process::wait_until([&] { return has_whole_budget(gateway); }));
+        }
     }
 
     /*! @brief Kills a gateway, starts it again and waits until it answers. */
@@ -117,4 +121,23 @@
     CHECK_FALSE(peak.is_exceeded());
 }
 
+TEST_CASE("a gateway that restarts learns from its peers what its predecessor has spent of the retry budget") {
+    constexpr std::string_view inherited = R"("event":"retries.inherited")";
+    budget_fixture fixture{};
+    standin_site::server_faults faults{};
+    faults.m_refuse_every = 1U;
+    fixture.set_server_faults(faults);
+    fixture.start_requests(gateway_count * 20U, standin_site::lookup_path);
+    static_cast<void>(fixture.wait_for_requests());
+    REQUIRE(fixture.repeats(false).m_repeats > 0U);
+    fixture.set_server_faults({});
+    fixture.restart(0U);
+    const auto& gateway = *fixture.m_fleet.daemons()[0].m_process;
+    REQUIRE(process::wait_until([&] { return gateway.output().find(inherited) != std::string::npos; }));
+    const auto log = gateway.output();
+    const auto line = log.substr(log.find(inherited));
+    CHECK(line.substr(0U, line.find('}')).find(R"("retries":0)") == std::string::npos);
+    CHECK(fixture.has_whole_budget(0U));
+}
+
 } // namespace rhubarbwharf::soak
--- a/test/soak/site_fixture.hpp
+++ b/test/soak/site_fixture.hpp
@@ -22,6 +22,16 @@
             [this] { return send_request("a1", standin_site::lookup_path, "a").m_status == 200U; }));
         REQUIRE(
             process::wait_until([this] { return send_request("a2", standin_site::model_path, "a").m_status == 200U; }));
+        for (std::size_t gateway = 0U; gateway < gateways; ++gateway) {
+            REQUIRE(process::wait_until([&] { return has_whole_budget(gateway); }));
+        }
+    }
+
+    /*! @brief Checks whether a gateway may spend its whole part of the retry budgets, which one that has just started
+     * does not. */
+    [[nodiscard]] auto has_whole_budget(const std::size_t gateway) -> bool {
+        return m_fleet.daemons()[gateway].m_process->output().find(R"("event":"retries.part","usable":0.8)") !=
+               std::string::npos;
     }
 
     /*! @brief Sends a request to one of the gateways, by index. */
