Keep what peers know of a predecessor's retries when its successor does not know it

A gateway that starts while no peer can tell what its predecessor spent announces its own few retries only; its peers took these for all, so that a third process in the same window would have been told too little and could have spent the budget again. Peers keep the larger number of different processes until it has expired (merge_told); dispatch.retry_budget has a case of it, and its simulated gateways tell each other by the same function.

--- a/include/rhubarbwharf/dispatch/retry_budget.hpp
+++ b/include/rhubarbwharf/dispatch/retry_budget.hpp
@@ -54,6 +54,19 @@
     inherited_retries m_inherited{};
 };
 
+/*! @brief Retries of one service that a process of a gateway has told to count. */
+struct told_retries {
+    /*! @brief Incarnation of the process. */
+    std::uint64_t m_incarnation{};
+    std::size_t m_count{};
+    time_point m_told_at{};
+};
+
+/*! @brief Accepts what a gateway tells. A process that has started and does not know what its predecessor spent tells
+ * less; the larger number stays until it has expired.
+ * @param lifetime Time for which a retry counts. */
+auto merge_told(told_retries& known, const told_retries& update, duration lifetime) noexcept -> void;
+
 /*! @brief Fraction of its part that a gateway may spend. The rest is for gateways that start and do not know what their
  * predecessors have spent. */
 inline constexpr double usable_budget_fraction = 0.8;
--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -52,6 +52,14 @@
     return samples.front().m_gateways;
 }
 
+auto merge_told(told_retries& known, const told_retries& update, const duration lifetime) noexcept -> void {
+    const auto is_other_process = known.m_incarnation != update.m_incarnation;
+    const auto still_counts = update.m_told_at - known.m_told_at < lifetime;
+    if (!is_other_process || !still_counts || update.m_count >= known.m_count) {
+        known = update;
+    }
+}
+
 auto record_request(service_retry_budget& budget, const time_point now) -> void {
     evict_before(budget.m_requests, now - budget.m_window);
     budget.m_requests.push_back(now);
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -191,7 +191,7 @@
     } else if (frame.has_blame()) {
         on_crash_report(self, peer, frame.incarnation(), frame.blame());
     } else if (frame.has_retry_use()) {
-        on_retry_use(self, peer, frame.retry_use());
+        on_retry_use(self, peer, frame.incarnation(), frame.retry_use());
     }
 }
 
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -146,13 +146,6 @@
     time_point m_until{};
 };
 
-/*! @brief Retries that a peer has sent, or granted, within the window of its retry budgets. */
-struct peer_retries {
-    time_point m_told_at{};
-    /*! @brief By name of the service. */
-    std::vector<std::pair<std::string, std::uint32_t>> m_counts{};
-};
-
 /*! @brief Longest timeout that the callers of a route have sent recently. */
 struct caller_timeout {
     duration m_longest{};
@@ -187,8 +180,8 @@
     std::map<std::string, caller_timeout, std::less<>> m_caller_timeouts{};
     /*! @brief By name of the route. */
     std::map<std::string, dispatch::tail_latency, std::less<>> m_tail_latencies{};
-    /*! @brief By name of the gateway. */
-    std::map<std::string, peer_retries, std::less<>> m_peer_retries{};
+    /*! @brief Retries that peers have told to count, by name of the gateway and of the service. */
+    std::map<std::string, std::map<std::string, dispatch::told_retries, std::less<>>, std::less<>> m_peer_retries{};
     dispatch::gateway_peak m_gateway_peak{};
     dispatch::budget_part m_retry_part{};
     /*! @brief Whether a peer has told what the predecessor of this process may have spent of the retry budgets. */
--- a/src/gateway/retries.cpp
+++ b/src/gateway/retries.cpp
@@ -91,9 +91,12 @@
 
 auto divide_retry_budget(daemon& self) -> void {
     const auto now = steady_now();
-    std::erase_if(self.m_peer_retries, [oldest = now - internal::retry_lifetime(self)](const auto& each) {
-        return each.second.m_told_at < oldest;
-    });
+    for (auto& [peer, services] : self.m_peer_retries) {
+        std::erase_if(services, [oldest = now - internal::retry_lifetime(self)](const auto& each) {
+            return each.second.m_told_at < oldest;
+        });
+    }
+    std::erase_if(self.m_peer_retries, [](const auto& each) { return each.second.empty(); });
     const auto part = dispatch::part_of_budget(internal::claim_of(self, now), internal::retry_window(self));
     if (!self.m_core.m_configuration) {
         return;
@@ -169,19 +172,22 @@
     auto& update = *frame.mutable_retry_use();
     update.set_instance(gateway);
     if (const auto known = self.m_peer_retries.find(gateway); known != self.m_peer_retries.end()) {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known->second.m_told_at);
-        update.set_age_ms(static_cast<std::uint32_t>(age.count()));
-        for (const auto& [service, count] : known->second.m_counts) {
+        time_point told_at{};
+        for (const auto& [service, told] : known->second) {
             auto* const added = update.add_services();
             added->set_service(service);
-            added->set_retries(count);
+            added->set_retries(static_cast<std::uint32_t>(told.m_count));
+            told_at = std::max(told_at, told.m_told_at);
         }
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - told_at);
+        update.set_age_ms(static_cast<std::uint32_t>(age.count()));
     }
     node::connect_to_gateway(self.m_core, gateway);
     node::send(self.m_core, gateway, frame);
 }
 
-auto on_retry_use(daemon& self, const std::string_view peer, const wire::fleet::RetryUse& update) -> void {
+auto on_retry_use(daemon& self, const std::string_view peer, const std::uint64_t incarnation,
+                  const wire::fleet::RetryUse& update) -> void {
     const auto now = steady_now();
     if (!update.instance().empty()) {
         if (update.instance() == self.m_core.m_self.m_instance) {
@@ -190,10 +196,8 @@
         return;
     }
     auto& known = self.m_peer_retries[std::string{peer}];
-    known.m_told_at = now;
-    known.m_counts.clear();
     for (const auto& each : update.services()) {
-        known.m_counts.emplace_back(each.service(), each.retries());
+        dispatch::merge_told(known[each.service()], {incarnation, each.retries(), now}, internal::retry_lifetime(self));
     }
 }
 
--- a/src/gateway/retries.hpp
+++ b/src/gateway/retries.hpp
@@ -30,7 +30,8 @@
 auto tell_predecessor_retries(daemon& self, const std::string& gateway) -> void;
 
 /*! @brief Accepts what a peer has spent, or what it tells of the predecessor of this process.
- * @param peer Name of the sender. */
-auto on_retry_use(daemon& self, std::string_view peer, const wire::fleet::RetryUse& update) -> void;
+ * @param peer Name of the sender. @param incarnation Incarnation of the sender. */
+auto on_retry_use(daemon& self, std::string_view peer, std::uint64_t incarnation, const wire::fleet::RetryUse& update)
+    -> void;
 
 } // namespace rhubarbwharf::gateway
--- a/test/dispatch/retry_budget.cpp
+++ b/test/dispatch/retry_budget.cpp
@@ -99,6 +99,21 @@
     CHECK(note_gateways(peak, 9U, window, start + window + second) == 9U);
 }
 
+TEST_CASE("a successor that does not know what its predecessor spent does not make its peers forget it") {
+    constexpr duration lifetime = std::chrono::seconds{10};
+    told_retries known{};
+    merge_told(known, {1U, 8U, start}, lifetime);
+    merge_told(known, {1U, 7U, start + second}, lifetime);
+    CHECK(known.m_count == 7U);
+    merge_told(known, {2U, 1U, start + 2 * second}, lifetime);
+    CHECK(known.m_count == 7U);
+    CHECK(known.m_told_at == start + second);
+    merge_told(known, {2U, 9U, start + 3 * second}, lifetime);
+    CHECK(known.m_count == 9U);
+    merge_told(known, {3U, 2U, start + 3 * second + lifetime}, lifetime);
+    CHECK(known.m_count == 2U);
+}
+
 namespace {
 
 /*! @brief One gateway of a fleet in which every request is to be sent again as soon as the budget allows it. */
@@ -107,9 +122,9 @@
     time_point m_started{start - std::chrono::minutes{1}};
     bool m_knows_predecessor{false};
     std::size_t m_waiting{};
-    /*! @brief What its peers were last told that it had spent. */
-    std::size_t m_told{};
-    time_point m_told_at{};
+    std::uint64_t m_incarnation{};
+    /*! @brief What its peers know that it and its predecessors have spent. */
+    told_retries m_told{};
 };
 
 /*! @brief Fleet with random kills. */
@@ -117,6 +132,7 @@
     static constexpr std::size_t gateway_count = 8U;
     static constexpr double slack = 104.0;
     static constexpr duration window = std::chrono::seconds{10};
+    static constexpr duration lifetime = window + max_arrival_delay;
 
     std::vector<busy_gateway> m_gateways{gateway_count};
     std::vector<time_point> m_requests{};
@@ -126,13 +142,12 @@
         auto& former = m_gateways[index];
         busy_gateway successor{};
         successor.m_started = now;
+        successor.m_incarnation = former.m_incarnation + 1U;
         successor.m_told = former.m_told;
-        successor.m_told_at = former.m_told_at;
-        const auto has_informed_peer = std::ranges::any_of(m_gateways, [&](const busy_gateway& each) {
-            return &each != &former && now - each.m_started >= window + max_arrival_delay;
-        });
+        const auto has_informed_peer = std::ranges::any_of(
+            m_gateways, [&](const busy_gateway& each) { return &each != &former && now - each.m_started >= lifetime; });
         if (has_informed_peer) {
-            inherit_retries(successor.m_budget, former.m_told, former.m_told_at + window + max_arrival_delay);
+            inherit_retries(successor.m_budget, former.m_told.m_count, former.m_told.m_told_at + lifetime);
             successor.m_knows_predecessor = true;
         }
         former = successor;
@@ -155,11 +170,10 @@
             self.m_waiting += 2U;
         }
         for (; self.m_waiting > 0U && try_grant_retry(self.m_budget, now); --self.m_waiting) {
+            merge_told(self.m_told, {self.m_incarnation, count_retries(self.m_budget, now), now}, lifetime);
             record_retry(self.m_budget, true, now);
             m_repeats.push_back(now);
         }
-        self.m_told = count_retries(self.m_budget, now);
-        self.m_told_at = now;
     }
 
     /*! @brief Returns what a service may get in the window that ends at a time. */
