--- a/include/rhubarbwharf/dispatch/retry_budget.hpp
+++ b/include/rhubarbwharf/dispatch/retry_budget.hpp
@@ -31,6 +31,13 @@
     time_point m_until{};
 };
 
+/*! @brief Fraction of its part that a gateway may spend. The rest is for gateways that start and do not know what their
+ * predecessors have spent. */
+inline constexpr double usable_budget_fraction = 0.8;
+/*! @brief Longest time from the sending of a retry to its arrival: a connection may have to be opened first. Retries
+ * count for the window and this time, as two that are sent farther apart may arrive within one window. */
+inline constexpr duration max_arrival_delay = std::chrono::milliseconds{500};
+
 /**
  * @brief Retry budget of one service over a sliding window. Each gateway spends its own part of the budget.
  *
@@ -43,7 +50,7 @@
     /*! @brief Retries that this gateway may send in a window in addition to the ratio. */
     double m_extra_retries{};
     /*! @brief Fraction of its part that this gateway may spend; see `part_of_budget`. */
-    double m_usable_fraction{0.8};
+    double m_usable_fraction{usable_budget_fraction};
     duration m_window{std::chrono::seconds{10}};
     /*! @brief Times of the first attempts in the window, oldest first. */
     std::deque<time_point> m_requests{};
@@ -67,13 +74,6 @@
  * @param lifetime Time for which a retry counts. */
 auto merge_told(told_retries& known, const told_retries& update, duration lifetime) noexcept -> void;
 
-/*! @brief Fraction of its part that a gateway may spend. The rest is for gateways that start and do not know what their
- * predecessors have spent. */
-inline constexpr double usable_budget_fraction = 0.8;
-/*! @brief Longest time from the sending of a retry to its arrival: a connection may have to be opened first. Retries
- * count for the window and this time, as two that are sent farther apart may arrive within one window. */
-inline constexpr duration max_arrival_delay = std::chrono::milliseconds{500};
-
 /*! @brief What decides which part of the budgets a gateway may spend. */
 struct budget_claim {
     /*! @brief Retries that all gateways together may send in a window in addition to the ratio. */
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -102,6 +102,9 @@
     std::size_t m_unsent_attempts{};
     /*! @brief Whether the retry budget has granted a further attempt that was not sent yet. */
     bool m_has_retry_grant{false};
+    /*! @brief Whether the retry budget has denied it a further attempt since the last grant; told once, as a hedge asks
+     * at each check. */
+    bool m_is_retry_denied{false};
     /*! @brief Whether an earlier attempt may have run the request. */
     bool m_may_have_run{false};
     /*! @brief Whether an attempt was withdrawn from a server with outdated weights. Its caller gets no refusal that
--- a/src/gateway/retries.cpp
+++ b/src/gateway/retries.cpp
@@ -123,6 +123,9 @@
     auto& budget = internal::budget_of(self, item);
     const auto name = dispatch::to_string(cause);
     if (!dispatch::try_grant_retry(budget, now)) {
+        if (std::exchange(item.m_is_retry_denied, true)) {
+            return false;
+        }
         self.m_core.m_counters.add("retries_denied_total", 1.0, name);
         self.m_core.m_events.write("retry.denied",
                                    {{"id", item.m_attempt_id},
@@ -132,6 +135,7 @@
         return false;
     }
     item.m_has_retry_grant = true;
+    item.m_is_retry_denied = false;
     self.m_core.m_counters.add("retries_granted_total", 1.0, name);
     internal::announce_retries(self, now);
     return true;
