Review cases 8 and 9: DRAIN after cut watches, CONFIG after lost watch answers

Case 8: a watch that the store cuts makes a gateway hold back removals of servers for 2.3 s, longer than drain-ms.

Case 9: the store loses the answers of the waiting operator watches once. The next configuration, 5 s later, is not in force for 11 s.

--- a/review/harness-2.hpp
+++ b/review/harness-2.hpp
@@ -476,6 +476,15 @@
         erase(key);
     }
 
+    // Loses the answers of the watches of a prefix that wait now, once there is something to answer: their channels
+    // stay open and return nothing further. @return Number of these watches.
+    auto lose_watch_answers(const std::string& prefix) -> unsigned {
+        const std::lock_guard lock{m_mutex};
+        m_lost_prefix = prefix;
+        m_lost_until_watch = m_watches;
+        return m_waiting[prefix];
+    }
+
     // Cuts all watches that wait.
     auto cut_watches() -> void {
         const std::lock_guard lock{m_mutex};
@@ -642,6 +651,8 @@
         const auto deadline = clock::now() + milliseconds{std::stoll(request.query("wait-ms"))};
         std::unique_lock lock{m_mutex};
         const auto cuts = m_cuts;
+        const auto number = ++m_watches;
+        ++m_waiting[prefix];
         json::array events{};
         for (;;) {
             for (const auto& each : m_changes) {
@@ -653,12 +664,20 @@
                 break;
             }
             if (m_cuts != cuts) {
+                --m_waiting[prefix];
                 return false;
             }
             m_changed.wait_until(lock, deadline);
         }
         const json::object out{{"events", events}, {"store-revision", m_revision}};
+        const auto is_lost = prefix == m_lost_prefix && number <= m_lost_until_watch && !events.empty();
+        --m_waiting[prefix];
         lock.unlock();
+        if (is_lost) {
+            while (on.fill(clock::now() + std::chrono::seconds{100})) {
+            }
+            return false;
+        }
         return respond(on, 200, json::serialize(out));
     }
 
@@ -670,6 +689,10 @@
     std::uint64_t m_revision{100U};
     std::uint64_t m_last_lease{};
     unsigned m_cuts{};
+    std::uint64_t m_watches{};
+    std::map<std::string, unsigned> m_waiting{};
+    std::string m_lost_prefix{};
+    std::uint64_t m_lost_until_watch{};
     http_server m_server;
 };
 
@@ -781,6 +804,7 @@
 
 struct gateway {
     std::string m_name{};
+    std::string m_region{"ost"};
     std::uint16_t m_callers{free_port()};
     std::uint16_t m_readiness{free_port()};
     std::uint16_t m_directory{free_port()};
@@ -795,6 +819,19 @@
     }
 };
 
+// Returns the data centres of a deployment, one in each region.
+inline auto data_centres_of(const std::vector<gateway>& gateways) -> json::array {
+    std::set<std::string> regions{};
+    for (const auto& each : gateways) {
+        regions.insert(each.m_region);
+    }
+    json::array out{};
+    for (const auto& each : regions) {
+        out.push_back(json::object{{"name", each + "-a"}, {"region", each}});
+    }
+    return out;
+}
+
 // Writes the settings of a gateway as deploy/gateway.json yields them with the bounds of kalkulhof-prod.
 inline auto write_gateway_settings(const std::string& file, const gateway& of, const std::vector<gateway>& all,
                                    const std::uint16_t store_port) -> void {
@@ -804,8 +841,8 @@
     }
     const json::object settings{{"role", "gateway"},
                                 {"instance", of.m_name},
-                                {"region", "ost"},
-                                {"data_centre", "ost-a"},
+                                {"region", of.m_region},
+                                {"data_centre", of.m_region + "-a"},
                                 {"listen", json::object{{"callers", address_of(of.m_callers)},
                                                         {"readiness", address_of(of.m_readiness)},
                                                         {"directory", address_of(of.m_directory)},
@@ -820,7 +857,7 @@
                                                         {"retry_ratio", 0.2},
                                                         {"retry_window_ms", 10000},
                                                         {"retry_slack", 106}}},
-                                {"data_centres", json::array{json::object{{"name", "ost-a"}, {"region", "ost"}}}},
+                                {"data_centres", data_centres_of(all)},
                                 {"seeds", seeds}};
     std::ofstream{file} << json::serialize(settings);
 }
@@ -842,7 +879,7 @@
                                 {"store", json::object{{"address", address_of(store_port)}}},
                                 {"bounds", json::object{{"grace_ms", 8000}, {"version_ms", 8000}}},
                                 {"runner", json::object{{"address", address_of(runner_port)}, {"service", service}}},
-                                {"data_centres", json::array{json::object{{"name", "ost-a"}, {"region", "ost"}}}},
+                                {"data_centres", data_centres_of(gateways)},
                                 {"seeds", seeds}};
     std::ofstream{file} << json::serialize(settings);
 }
--- a/review/site-2.hpp
+++ b/review/site-2.hpp
@@ -66,6 +66,7 @@
 
 struct server_options {
     std::string m_service{};
+    std::string m_zone{"ost-a"};
     unsigned m_slots{8U};
     bool m_has_model{false};
     int m_work_ms{15};
@@ -155,14 +156,10 @@
     }
 
     auto write_entry() -> void {
-        json::object entry{{"service", m_options.m_service},
-                           {"address", address_of(port())},
-                           {"zone", "ost-a"},
-                           {"version", "1"},
-                           {"slots", m_options.m_slots},
-                           {"state", "ready"},
-                           {"cold-remaining-ms", 0},
-                           {"born", m_born},
+        json::object entry{{"service", m_options.m_service}, {"address", address_of(port())},
+                           {"zone", m_options.m_zone},       {"version", "1"},
+                           {"slots", m_options.m_slots},     {"state", "ready"},
+                           {"cold-remaining-ms", 0},         {"born", m_born},
                            {"sequence", ++m_beats}};
         if (m_options.m_has_model) {
             add_models(entry);
@@ -408,7 +405,16 @@
 };
 
 // Routes `/stream/` (a resumable stream of a model), `/book/` (may run once at most) and `/look/` (may be repeated).
-inline auto configuration(const std::uint64_t version, const std::uint16_t origin_port) -> std::string {
+struct configuration_options {
+    // Whether the route `/new/`, which leads to the same servers as `/look/`, is there.
+    bool m_has_new_route{false};
+    // Whether the organisation `org-b` holds the key `key-b`.
+    bool m_has_key_b{true};
+    int m_book_timeout_ms{1'000};
+};
+
+inline auto configuration(const std::uint64_t version, const std::uint16_t origin_port,
+                          const configuration_options& options = {}) -> std::string {
     const auto route = [](const char* const prefix, const char* const kind, const char* const service,
                           const int timeout_ms, const int target_ms, const int attempts) {
         const auto is_stream = std::string_view{kind} == "streaming";
@@ -446,11 +452,19 @@
                               {"act_bytes", 16'384},
                               {"chunks", pieces},
                               {"chunk-bytes", piece_bytes}};
+    json::array routes{route("/stream/", "streaming", "llm", 6'000, 500, 2),
+                       route("/book/", "non_idempotent", "ledger", options.m_book_timeout_ms, 100, 1),
+                       route("/look/", "idempotent", "ledger", 1'000, 100, 2)};
+    if (options.m_has_new_route) {
+        routes.push_back(route("/new/", "idempotent", "ledger", 1'000, 100, 2));
+    }
+    json::array keys_b{};
+    if (options.m_has_key_b) {
+        keys_b.emplace_back("key-b");
+    }
     const json::object out{
         {"version", version},
-        {"routes", json::array{route("/stream/", "streaming", "llm", 6'000, 500, 2),
-                               route("/book/", "non_idempotent", "ledger", 1'000, 100, 1),
-                               route("/look/", "idempotent", "ledger", 1'000, 100, 2)}},
+        {"routes", routes},
         {"services",
          json::array{
              json::object{{"name", "llm"}, {"health-path", "/health"}, {"max-connections", 374}, {"engine", engine}},
@@ -460,16 +474,18 @@
                                 {"max-body-bytes", 4'194'304},
                                 {"header-timeout-ms", 5'000},
                                 {"idle-timeout-ms", 15'000}}},
-        {"tenants", json::array{json::object{{"name", "org-a"}, {"api-keys", json::array{"key-a"}}}}}};
+        {"tenants", json::array{json::object{{"name", "org-a"}, {"api-keys", json::array{"key-a"}}},
+                                json::object{{"name", "org-b"}, {"api-keys", keys_b}}}}};
     return json::serialize(out);
 }
 
 // Text of a request. @param extra Further headers, each with its line end.
 inline auto request_text(const std::string& method, const std::string& target, const std::string& attempt,
-                         const std::string& body, const int deadline_ms, const std::string& extra = {}) -> std::string {
+                         const std::string& body, const int deadline_ms, const std::string& extra = {},
+                         const std::string& key = "key-a") -> std::string {
     return method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nRhubarbwharf-Attempt-Id: " + attempt +
-           "\r\nRhubarbwharf-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nAuthorization: Bearer key-a\r\n" +
-           extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+           "\r\nRhubarbwharf-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nAuthorization: Bearer " + key +
+           "\r\n" + extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 // Headers of a request to the model. @param own Id of the part of the prompt that belongs to the request.
@@ -482,7 +498,7 @@
 inline auto start_gateways(std::vector<gateway>& gateways, const folder& files, const std::uint16_t store_port)
     -> bool {
     for (std::size_t index = 0U; index < gateways.size(); ++index) {
-        gateways[index].m_name = "edge-ost-a-" + std::to_string(index + 1U);
+        gateways[index].m_name = "edge-" + gateways[index].m_region + "-a-" + std::to_string(index + 1U);
     }
     for (auto& each : gateways) {
         const auto settings = files.file(each.m_name + ".json");
