--- a/review/harness-2.hpp
+++ b/review/harness-2.hpp
@@ -163,12 +163,6 @@
         }
     }
 
-    // The next close resets the connection instead of ending it in order.
-    auto reset_on_close() -> void {
-        const linger abort{1, 0};
-        setsockopt(m_handle, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
-    }
-
     [[nodiscard]] auto handle() const -> int { return m_handle; }
 
     auto write(const std::string_view text) -> bool {
@@ -303,18 +297,20 @@
     return out;
 }
 
-// Returns a port that is free now. Each one is returned once only.
+// Returns a port that is free now, below those that the kernel gives to outgoing connections. Each one is returned once
+// only.
 inline auto free_port() -> std::uint16_t {
-    static std::set<std::uint16_t> given{};
+    constexpr unsigned first = 10'000U;
+    constexpr unsigned count = 22'000U;
+    static auto next = static_cast<unsigned>(::getpid()) * 131U % count;
     for (;;) {
+        const auto port = static_cast<std::uint16_t>(first + next++ % count);
         const auto handle = ::socket(AF_INET, SOCK_STREAM, 0);
-        auto address = loopback(0U);
-        socklen_t size = sizeof(address);
-        ::bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-        ::getsockname(handle, reinterpret_cast<sockaddr*>(&address), &size);
+        const auto address = loopback(port);
+        const auto is_free = ::bind(handle, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
         ::close(handle);
-        if (given.insert(ntohs(address.sin_port)).second) {
-            return ntohs(address.sin_port);
+        if (is_free) {
+            return port;
         }
     }
 }
@@ -359,7 +355,7 @@
         if (::bind(handle, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
             ::listen(handle, 512) != 0) {
             std::perror("a stand-in can't listen");
-            std::exit(exit_cannot_run);
+            std::_Exit(exit_cannot_run);
         }
         const std::lock_guard lock{m_mutex};
         m_listener = handle;
@@ -379,8 +375,7 @@
             m_listener = -1;
         }
         for (const auto& each : m_streams) {
-            each->reset_on_close();
-            ::shutdown(each->handle(), SHUT_RD);
+            ::shutdown(each->handle(), SHUT_RDWR);
         }
     }
 
@@ -782,18 +777,17 @@
     folder() {
         auto name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
         if (::mkdtemp(name.data()) == nullptr) {
-            std::exit(exit_cannot_run);
+            std::_Exit(exit_cannot_run);
         }
         m_path = name;
     }
 
-    ~folder() {
-        if (std::getenv("KEEP_LOGS") == nullptr) {
-            std::error_code ignored{};
-            std::filesystem::remove_all(m_path, ignored);
-        } else {
-            std::fprintf(stderr, "logs in %s\n", m_path.c_str());
-        }
+    folder(const folder&) = delete;
+    auto operator=(const folder&) -> folder& = delete;
+
+    auto remove() const -> void {
+        std::error_code ignored{};
+        std::filesystem::remove_all(m_path, ignored);
     }
 
     [[nodiscard]] auto file(const std::string& name) const -> std::string { return m_path + "/" + name; }
@@ -884,6 +878,18 @@
     std::ofstream{file} << json::serialize(settings);
 }
 
+// Ends the scenario: all processes first. The threads of the stand-ins still run, so that nothing else is destroyed.
+[[noreturn]] inline auto end_scenario(std::vector<gateway>& gateways, const folder& files, const int result) -> void {
+    for (auto& each : gateways) {
+        each.m_process.reset();
+    }
+    if (std::getenv("KEEP_LOGS") == nullptr) {
+        files.remove();
+    }
+    std::fflush(nullptr);
+    std::_Exit(result);
+}
+
 inline auto wait_until(const int timeout_ms, const std::function<bool()>& holds) -> bool {
     const auto deadline = clock::now() + milliseconds{timeout_ms};
     while (clock::now() < deadline) {
--- a/review/site-2.hpp
+++ b/review/site-2.hpp
@@ -9,7 +9,8 @@
 constexpr auto host = "site.example";
 constexpr auto model = "model0";
 constexpr unsigned layers = 16U;
-constexpr unsigned pieces = 8U;
+// Pieces of a version; set before anything starts.
+inline unsigned pieces = 8U;
 constexpr std::size_t piece_bytes = 4096U;
 
 inline auto piece_of(const std::uint64_t version, const std::size_t index) -> std::string {
@@ -133,6 +134,27 @@
     int m_down_ms{2'500};
     int m_entry_ms{3'600};
 
+    // Time that it takes to read a staged piece.
+    int m_stage_read_ms{0};
+    // Called after a staged piece was read.
+    std::function<void(std::size_t)> m_on_stage_read{};
+
+    // Staged pieces turn bad.
+    auto spoil(const std::vector<std::size_t>& indices) -> void {
+        const std::lock_guard lock{m_mutex};
+        for (const auto index : indices) {
+            m_staged[index][0] = '!';
+            m_spoilt_at[index] = m_record.now_s();
+            m_record.write("piece %zu that lies at %s turns bad", index, m_id.c_str());
+        }
+    }
+
+    // Streams begun with a layer that was taken while one of its pieces was bad for longer than 3 s.
+    [[nodiscard]] auto spoilt_streams() const -> unsigned { return m_spoilt_streams; }
+
+    // Crashes, whatever it runs.
+    auto fail() -> void { crash({}); }
+
     // Leaves without reporting `draining`: the entry is removed, and the server goes on serving. @return Its id.
     auto leave_silently() -> std::string {
         const std::lock_guard lock{m_mutex};
@@ -200,19 +222,21 @@
             m_version = 0U;
             id = m_id;
         }
-        m_record.write("server %s crashes on '%s'", id.c_str(), body.c_str());
+        m_record.write("server %s crashes%s%s", id.c_str(), body.empty() ? "" : " on ", body.c_str());
         {
             const std::lock_guard lock{m_seen.m_mutex};
             m_seen.m_crashes.push_back({m_record.now_s(), {}, id, body, true});
         }
         m_http.crash();
+        std::thread{[this, id] {
+            sleep_ms(m_entry_ms);
+            m_registry.remove("servers/" + id);
+        }}.detach();
         std::thread{[this, id] {
             sleep_ms(m_down_ms);
             m_http.open();
             begin();
             m_record.write("server %s is back as %s", id.c_str(), this->id().c_str());
-            sleep_ms(std::max(0, m_entry_ms - m_down_ms));
-            m_registry.remove("servers/" + id);
         }}.detach();
     }
 
@@ -239,21 +263,35 @@
     }
 
     auto stage(stream& on, const message& request) -> bool {
-        const std::lock_guard lock{m_mutex};
         const auto text = request.query("chunk-count");
         if (request.method() == "PUT") {
+            const std::lock_guard lock{m_mutex};
             m_staged[std::stoull(text)] = request.m_body;
+            m_spoilt_at.erase(std::stoull(text));
             return respond(on, 200, "");
         }
         if (text.empty()) {
+            const std::lock_guard lock{m_mutex};
             json::array held{};
             for (const auto& [index, bytes] : m_staged) {
                 held.emplace_back(index);
             }
             return respond(on, 200, json::serialize(json::object{{"held", held}}));
         }
-        const auto found = m_staged.find(std::stoull(text));
-        return found == m_staged.end() ? respond(on, 404, "") : respond(on, 200, found->second);
+        sleep_ms(m_stage_read_ms);
+        const auto index = std::stoull(text);
+        std::optional<std::string> bytes{};
+        {
+            const std::lock_guard lock{m_mutex};
+            if (const auto found = m_staged.find(index); found != m_staged.end()) {
+                bytes = found->second;
+            }
+        }
+        const auto kept = bytes ? respond(on, 200, *bytes) : respond(on, 404, "");
+        if (m_on_stage_read) {
+            m_on_stage_read(index);
+        }
+        return kept;
     }
 
     auto order(stream& on, const message& request) -> bool {
@@ -270,6 +308,17 @@
             }
             ++m_orders;
             m_is_loading = true;
+            m_holds_spoilt = false;
+            for (std::size_t index = 0U; index < pieces; ++index) {
+                const auto is_whole = m_staged.count(index) != 0U && m_staged[index] == piece_of(version, index);
+                const auto spoilt_at = m_spoilt_at.count(index) != 0U ? m_spoilt_at[index] : 0.0;
+                if (!is_whole && m_record.now_s() - spoilt_at > 3.0) {
+                    m_holds_spoilt = true;
+                    m_record.write("server %s accepts the order of version %llu; piece %zu has been bad for %.2f s",
+                                   m_id.c_str(), static_cast<unsigned long long>(version), index,
+                                   m_record.now_s() - spoilt_at);
+                }
+            }
         }
         std::thread{[this, version, boots = m_http.boots()] {
             sleep_ms(300);
@@ -329,6 +378,10 @@
             const std::lock_guard lock{m_seen.m_mutex};
             m_seen.m_arrivals.push_back({m_record.now_s(), attempt, id(), request.m_body, true});
         }
+        if (m_options.m_has_model && m_holds_spoilt) {
+            ++m_spoilt_streams;
+            m_record.write("attempt %s runs on a layer with a bad piece", attempt.c_str());
+        }
         const auto kept = m_options.m_has_model ? write_stream(on, request, boots) : write_answer(on, request, boots);
         const std::lock_guard lock{m_mutex};
         if (m_http.boots() == boots && m_running > 0U) {
@@ -401,6 +454,9 @@
     bool m_is_up{false};
     bool m_is_registered{false};
     std::map<std::size_t, std::string> m_staged{};
+    std::map<std::size_t, double> m_spoilt_at{};
+    std::atomic<bool> m_holds_spoilt{false};
+    std::atomic<unsigned> m_spoilt_streams{};
     http_server m_http;
 };
 
