--- a/review/6/scenario.cpp
+++ b/review/6/scenario.cpp
@@ -12,8 +12,10 @@
 // Time to read a staged piece at the slow runner, and at the others.
 constexpr int slow_read_ms = 100;
 constexpr int read_ms = 25;
-// When the pieces turn bad, after the version was named. The site has 6 in 100 pieces turn bad at once.
-constexpr int spoil_after_ms = 16'300;
+// The pieces turn bad this long after both were read, once all pieces have been read back this often without a pause,
+// from the last one to the first. The site has 6 in 100 pieces turn bad at once.
+constexpr int rounds_before = 3;
+constexpr int spoil_after_ms = 200;
 const std::vector<std::size_t> spoilt_pieces{47U, 46U};
 constexpr double watched_s = 50.0;
 
@@ -38,9 +40,23 @@
         runners.back()->m_stage_read_ms = index == 0U ? slow_read_ms : read_ms;
     }
     auto& slow = *runners.front();
-    slow.m_on_stage_read = [&record](const std::size_t index) {
-        if (index == piece_count - 1U) {
-            record.write("piece %zu was read at the slow runner", index);
+    std::mutex mutex{};
+    std::size_t last_read{};
+    std::size_t in_round{};
+    int rounds{};
+    slow.m_on_stage_read = [&](const std::size_t index) {
+        const std::lock_guard lock{mutex};
+        const auto goes_on = in_round > 0U && index + 1U == last_read;
+        in_round = goes_on ? in_round + 1U : index == piece_count - 1U ? 1U : 0U;
+        last_read = index;
+        if (in_round == piece_count) {
+            record.write("round %d of read-backs is complete at the slow runner", ++rounds);
+        }
+        if (in_round == spoilt_pieces.size() && rounds == rounds_before && has_trouble()) {
+            std::thread{[&slow] {
+                sleep_ms(spoil_after_ms);
+                slow.spoil(spoilt_pieces);
+            }}.detach();
         }
     };
     std::vector<gateway> gateways(gateway_count);
@@ -60,12 +76,6 @@
     const auto named_at = clock::now();
     registry.put(std::string{"op/version/"} + model, json::serialize(json::object{{"model", model}, {"version", 2}}));
     record.write("version 2 is named");
-    if (has_trouble()) {
-        std::thread{[&slow, named_at] {
-            std::this_thread::sleep_until(named_at + milliseconds{spoil_after_ms});
-            slow.spoil(spoilt_pieces);
-        }}.detach();
-    }
     std::size_t whole{};
     std::size_t others{};
     for (int number = 0; clock::now() < named_at + std::chrono::duration<double>(watched_s); ++number) {
