--- a/app/standin-site/site.cpp
+++ b/app/standin-site/site.cpp
@@ -157,7 +157,7 @@
         boost::json::object{{"name", "book"}, {"max-connections", 200}},
         boost::json::object{{"name", "weights"}, {"origin", "127.0.0.1:" + std::to_string(m_origin->port())}}};
     const boost::json::object limits{{"max-header-bytes", 16'384},
-                                     {"max-body-bytes", 65'536},
+                                     {"max-body-bytes", options.m_max_body_bytes},
                                      {"header-timeout-ms", 3'000},
                                      {"idle-timeout-ms", options.m_idle_timeout_ms}};
     m_store->put("op/config",
--- a/app/standin-site/site.hpp
+++ b/app/standin-site/site.hpp
@@ -56,6 +56,8 @@
     unsigned m_extra_routes{};
     /*! @brief Time that gateways keep an idle connection of a caller, in milliseconds. */
     unsigned m_idle_timeout_ms{15'000U};
+    /*! @brief Longest body of a request that gateways accept. */
+    std::size_t m_max_body_bytes{65'536U};
     /*! @brief Regions in which requests for answers of the model may be served; all if empty. */
     std::vector<std::string> m_model_regions{};
     /*! @brief Regions of the organisation `org-a`; all if empty. */
