Cut responses whose connection is reset within the request

Cause: the kernel reports the error of a connection once. The write took ECONNRESET and was followed by a read, which saw an end of input; that ends a body with neither length nor chunks. Requests that had been written whole were not affected, as the read got the error.

Change: the client remembers the failure of a write, and the end of input ends such a body only if the connection had not failed before (is_whole_at_end). EPIPE as the first failure says that the server had ended its output, so a server that answers early, ends its output and drops the rest of the upload is still passed on.

Cost: one comparison at the end of such a body.

--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -12,6 +12,7 @@
 #include <rhubarbwharf/net/events.hpp>
 
 #include "net/client.hpp"
+#include "net/framing.hpp"
 
 namespace rhubarbwharf::net::internal {
 
@@ -159,7 +160,9 @@
         return;
     }
     m_request.consume(count);
-    if (!failure && m_request.size() > 0U) {
+    if (failure) {
+        m_write_failure = failure;
+    } else if (m_request.size() > 0U) {
         write();
     }
     m_may_read = true;
@@ -183,7 +186,7 @@
     if (m_ended || m_connection != on) {
         return;
     }
-    if (failure == asio::error::eof && m_head_seen && m_parser->need_eof()) {
+    if (m_head_seen && m_parser->need_eof() && is_whole_at_end(failure, m_write_failure)) {
         boost::system::error_code ended{};
         m_parser->put_eof(ended);
         end(ended ? code::cut_stream : code::ok);
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -197,6 +197,8 @@
     time_point m_total_deadline{};
     time_point m_idle_deadline{};
     sent m_sent{sent::nothing};
+    /*! @brief Failure of a write; no further one is made. */
+    boost::system::error_code m_write_failure{};
     bool m_is_head_request{};
     bool m_is_kept{};
     bool m_may_read{};
--- /dev/null
+++ b/src/net/framing.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <boost/system/error_code.hpp>
+
+namespace rhubarbwharf::net::internal {
+
+/**
+ * @brief Decides whether the end of a connection's input is the end of a body that has neither length nor chunks.
+ *
+ * The kernel reports an error of a connection once. If a write takes it, the next read sees an end of input like that
+ * of a server that has closed. `broken_pipe` alone says that the server had ended its output before it dropped the
+ * connection.
+ *
+ * @param read Failure of the read.
+ * @param write Failure of the first write that failed; none if all succeeded.
+ * @return Whether the body is whole.
+ */
+[[nodiscard]] auto is_whole_at_end(boost::system::error_code read, boost::system::error_code write) noexcept -> bool;
+
+} // namespace rhubarbwharf::net::internal
