Report malformed responses, and lay no crash to them

A server whose bytes are no HTTP response counted as one that has ended: the connection "broke" although the gateway closed it. So its request was a candidate for the records of requests that end servers, and operators could not tell the two apart.

Change: call_end says whether the bytes were no response. The client logs response.malformed with the library's reason; a gateway gives the attempt the reason "the answer is malformed", counts responses_malformed_total by service, and records a failure of the server but no crash.

Cost: a crash right after malformed bytes is not laid to its request.

--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -211,6 +211,9 @@
     sent m_sent{sent::some};
     /*! @brief With `too_large`, the limit that the response exceeds: `head_bytes` or `body_bytes`. */
     std::string_view m_limit{};
+    /*! @brief With `connection_failed` or `cut_stream`, whether the client ended the call because the bytes of the
+     * server are no HTTP/1.1 response. */
+    bool m_is_malformed{};
 };
 
 /*! @brief What an HTTP client calls as the response to one call comes; any may be empty. */
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -211,6 +211,24 @@
     end_with_response(self, item, std::move(response), "answered");
 }
 
+/*! @brief Reason of a failure after which the backend server may have ended. */
+constexpr std::string_view connection_broke = "the connection broke";
+
+/*! @brief Returns why a response is not complete. */
+[[nodiscard]] auto failure_reason(const net::call_end& end) noexcept -> std::string_view {
+    if (end.m_is_malformed) {
+        return "the answer is malformed";
+    }
+    switch (end.m_code) {
+    case code::timed_out:
+        return "no answer in time";
+    case code::too_large:
+        return "the answer exceeds a limit";
+    default:
+        return connection_broke;
+    }
+}
+
 /*! @brief Handles a call that ended before the response was complete. */
 auto on_incomplete_response(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& ended,
                             const net::call_end& end) -> void {
@@ -223,13 +241,15 @@
     } else if (dispatch::record_failure(backend.m_health, service_failure_rate(self, backend), now)) {
         self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
     }
-    const auto is_too_large = end.m_code == code::too_large;
-    if (sent && end.m_code != code::timed_out && !is_too_large) {
+    const auto reason = failure_reason(end);
+    if (end.m_is_malformed) {
+        self.m_core.m_counters.add("responses_malformed_total", 1.0, item->m_service->m_name);
+    }
+    if (sent && reason == connection_broke) {
         on_server_crash(self, *item, *ended);
         attribute_crash(self, item, ended->m_backend);
     }
-    const auto* const reason = end.m_code == code::timed_out ? "no answer in time" : "the connection broke";
-    retry_or_end(self, item, ended, {!sent, sent, is_too_large ? "the answer exceeds a limit" : reason});
+    retry_or_end(self, item, ended, {!sent, sent, reason});
 }
 
 auto on_call_end(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& ended,
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -193,7 +193,7 @@
         return;
     }
     if (failure) {
-        fail();
+        end(failure_code());
         return;
     }
     m_idle_deadline = steady_now() + m_limits.m_idle_time;
@@ -226,7 +226,7 @@
     } else if (const auto limit = exceeded_limit(failure); !limit.empty()) {
         end_too_large(limit);
     } else if (failure && failure != http::error::need_more) {
-        fail();
+        end_malformed(failure);
     } else {
         read();
     }
@@ -255,11 +255,20 @@
         log->write("response.too_large",
                    {{"server", to_string(m_server)}, {"limit", limit}, {"bytes", static_cast<std::int64_t>(bytes)}});
     }
-    end(code::too_large, limit);
+    end({code::too_large, m_sent, limit});
 }
 
-auto client_call::fail() -> void {
-    end(m_head_seen ? code::cut_stream : code::connection_failed);
+auto client_call::end_malformed(const boost::system::error_code fault) -> void {
+    if (auto* const log = m_owner->m_loop.find_event_log()) {
+        log->write("response.malformed", {{"server", to_string(m_server)}, {"reason", fault.message()}});
+    }
+    call_end result{failure_code(), m_sent};
+    result.m_is_malformed = true;
+    end(result);
+}
+
+auto client_call::failure_code() const noexcept -> code {
+    return m_head_seen ? code::cut_stream : code::connection_failed;
 }
 
 auto client_call::finish() -> void {
@@ -364,14 +373,18 @@
     }
 }
 
-auto client_call::end(const code value, const std::string_view limit) -> void {
+auto client_call::end(const code value) -> void {
+    end({value, m_sent});
+}
+
+auto client_call::end(const call_end result) -> void {
     const auto self = shared_from_this();
     m_ended = true;
     release();
     m_owner->m_calls.erase(self);
     const auto handlers = std::exchange(m_handlers, {});
     if (handlers.m_on_end) {
-        handlers.m_on_end({value, m_sent, limit});
+        handlers.m_on_end(result);
     }
 }
 
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -179,9 +179,13 @@
     [[nodiscard]] auto exceeded_limit(boost::system::error_code failure) const noexcept -> std::string_view;
     /*! @brief Logs which limit the response exceeds, and ends the call. */
     auto end_too_large(std::string_view limit) -> void;
-    auto fail() -> void;
+    /*! @brief Logs what of the bytes received is no response, and ends the call. */
+    auto end_malformed(boost::system::error_code fault) -> void;
+    /*! @brief Returns the code of a response that is not whole. */
+    [[nodiscard]] auto failure_code() const noexcept -> code;
     auto finish() -> void;
-    auto end(code value, std::string_view limit = {}) -> void;
+    auto end(code value) -> void;
+    auto end(call_end result) -> void;
     auto end_later(code value) -> void;
     auto release() -> void;
 
--- /dev/null
+++ b/test/net/malformed.cpp
@@ -0,0 +1,138 @@
+#include <array>
+#include <cctype>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <doctest/doctest.h>
+
+#include "net/fixture.hpp"
+#include "net/scripted_server.hpp"
+
+using namespace rhubarbwharf;
+using namespace rhubarbwharf::net;
+
+namespace {
+
+/*! @brief Longer than any call of these tests takes unless it waits for its time limit. */
+constexpr auto call_time = std::chrono::seconds{4};
+
+/*! @brief How a call ended, and its response. */
+struct result {
+    call_end m_end{};
+    http_response m_response{};
+    bool m_done{};
+};
+
+/*! @brief Returns how a call ends whose server sends given bytes and leaves the connection open. */
+[[nodiscard]] auto call_with(const std::string& bytes, const ending end = ending::never) -> result {
+    loop owner{};
+    scripted_server server{owner, {bytes, {}, end}};
+    http_client client{owner};
+    call_limits limits{};
+    limits.m_total_time = call_time;
+    result out{};
+    client.fetch(server.address(), {}, limits, [&](const call_end& ended, http_response got) {
+        out = {ended, std::move(got), true};
+    });
+    REQUIRE(run_until(owner, [&] { return out.m_done; }));
+    return out;
+}
+
+/*! @brief Checks that bytes end a call at once, and are no response. */
+auto check_refused(const std::string& bytes) -> void {
+    CAPTURE(bytes);
+    const auto got = call_with(bytes);
+    CHECK(got.m_end.m_code != code::ok);
+    CHECK(got.m_end.m_code != code::timed_out);
+    CHECK(got.m_end.m_sent == sent::some);
+    CHECK(got.m_end.m_is_malformed);
+    CHECK(got.m_response.m_status == 0U);
+}
+
+auto check_accepted(const std::string& bytes, const std::uint16_t status, const ending end = ending::never) -> void {
+    CAPTURE(bytes);
+    const auto got = call_with(bytes, end);
+    CHECK(got.m_end.m_code == code::ok);
+    CHECK_FALSE(got.m_end.m_is_malformed);
+    CHECK(got.m_response.m_status == status);
+    CHECK(got.m_response.m_body == "whole");
+}
+
+[[nodiscard]] auto with_field(const std::string& field) -> std::string {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + field + "\r\n\r\nwhole";
+}
+
+} // namespace
+
+TEST_CASE("a start line that is none ends its call at once") {
+    for (const auto* const line :
+         {"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.2 200 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
+          "HTTP/1.1 -20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK", " HTTP/1.1 200 OK", "http/1.1 200 OK",
+          "HTTP/1.1\t200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\nK"}) {
+        check_refused(std::string{line} + "\r\nContent-Length: 5\r\n\r\nwhole");
+    }
+}
+
+TEST_CASE("a byte that no name of a field may have ends its call at once, wherever it stands") {
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    for (auto byte = 0U; byte < 256U; ++byte) {
+        const std::string text(1U, static_cast<char>(byte));
+        const auto is_token =
+            byte < 128U && (std::isalnum(static_cast<int>(byte)) != 0 || marks.find(text) != std::string_view::npos);
+        const auto ends_name = byte == ':';
+        CAPTURE(byte);
+        const std::array<std::pair<std::string, bool>, 3U> fields{{{text + "AB: x", is_token},
+                                                                   {"A" + text + "B: x", is_token || ends_name},
+                                                                   {"AB" + text + ": x", is_token || ends_name}}};
+        for (const auto& [field, is_allowed] : fields) {
+            if (is_allowed) {
+                check_accepted(with_field(field), 200U);
+            } else {
+                check_refused(with_field(field));
+            }
+        }
+    }
+}
+
+TEST_CASE("a control byte in the value of a field ends its call at once") {
+    for (auto byte = 0U; byte < 256U; ++byte) {
+        const std::string field = "A: b" + std::string(1U, static_cast<char>(byte)) + "c";
+        CAPTURE(byte);
+        if ((byte < 32U && byte != '\t') || byte == 127U) {
+            check_refused(with_field(field));
+        } else {
+            check_accepted(with_field(field), 200U);
+        }
+    }
+}
+
+TEST_CASE("a line of trailers whose name is none cuts the body") {
+    const std::string begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
+    check_accepted(begin + "A: b\r\nC: d\r\n\r\n", 200U);
+    for (const auto* const trailers : {"A b: c\r\n\r\n", "A\x01: c\r\n\r\n", ": c\r\n\r\n"}) {
+        check_refused(begin + trailers);
+    }
+}
+
+TEST_CASE("a body with two framings, or one that can't be read, ends its call at once") {
+    const std::string chunks = "5\r\nwhole\r\n0\r\n\r\n";
+    check_refused("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + chunks);
+    check_refused("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+    check_refused("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nwhole");
+    for (const auto* const length :
+         {"", "-5", "+5", "0x5", "5 5", "5,", "5;", "5, 6", "99999999999999999999", "five"}) {
+        check_refused("HTTP/1.1 200 OK\r\nContent-Length: " + std::string{length} + "\r\n\r\nwhole");
+    }
+    check_accepted("HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\nwhole", 200U);
+    check_accepted("HTTP/1.0 200 OK\r\n\r\nwhole", 200U, ending::close);
+}
+
+TEST_CASE("chunks that can't be read cut the body at once") {
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto* const chunks :
+         {"x\r\nwhole\r\n0\r\n\r\n", "-5\r\nwhole\r\n0\r\n\r\n", "5\nwhole\r\n0\r\n\r\n", "5\r\nwholes\r\n0\r\n\r\n",
+          "5\r\nwhole0\r\n\r\n", "5 whole\r\n0\r\n\r\n", "11111111111111111\r\nwhole\r\n0\r\n\r\n"}) {
+        check_refused(head + chunks);
+    }
+}
--- a/test/soak/broken_answers.cpp
+++ b/test/soak/broken_answers.cpp
@@ -17,6 +17,36 @@
         [&](standin_site::site& site) { static_cast<void>(site.write_configuration(options)); });
 }
 
+/*! @brief Checks that a plain response that is none ends its request at once, or is replaced by that of another server,
+ * and that its server does not count as one that has ended. */
+auto check_malformed_plain(const std::string& response) -> void {
+    CAPTURE(response);
+    scripted_site tried{"book", {response, {}, ending::never}};
+    const auto got = tried.send_until_reached(standin_site::ledger_path);
+    CHECK(got.m_response.m_status == 502U);
+    CHECK(got.m_response.m_body.find("wrong") == std::string::npos);
+    CHECK(tried.m_took < early);
+    REQUIRE(process::wait_until([&] {
+        const auto logs = tried.m_fixture.m_fleet.logs();
+        return logs.find("\"event\":\"response.malformed\"") != std::string::npos &&
+               logs.find("\"reason\":\"the answer is malformed\"") != std::string::npos;
+    }));
+    CHECK(tried.m_fixture.m_fleet.logs().find("\"event\":\"server.crashed\"") == std::string::npos);
+    scripted_site repeated{"book", {response, {}, ending::never}};
+    CHECK(repeated.send_until_reached(standin_site::lookup_path).m_response.m_body.starts_with("done:"));
+    CHECK(repeated.m_took < early);
+}
+
+/*! @brief Checks that a stream whose response is none comes from another server. */
+auto check_malformed_stream(const std::string& response) -> void {
+    CAPTURE(response);
+    scripted_site tried{"llm", {response, {}, ending::never}};
+    const auto got = tried.send_until_reached(standin_site::model_path);
+    CHECK(got.m_end.m_code == code::ok);
+    CHECK(got.m_response.m_body == complete_stream());
+    CHECK(tried.m_took < early);
+}
+
 } // namespace
 
 TEST_CASE("the part of a plain response that a reset within a long upload leaves is no response") {
@@ -51,4 +81,12 @@
     CHECK(got.m_response.m_body == "whole");
 }
 
+TEST_CASE("a response whose head holds a blank or a control byte in the name of a field reaches no caller") {
+    const auto begin = "HTTP/1.1 200 OK\r\n" + seal;
+    check_malformed_plain(begin + "Content Length: 5\r\n\r\nwrong");
+    check_malformed_plain(begin + "Content-Length : 5\r\n\r\nwrong");
+    check_malformed_plain(begin + "Content-Length: 5\r\nA\x01: b\r\n\r\nwrong");
+    check_malformed_stream(begin + "A B: c\r\n\r\n" + first_events(1U));
+}
+
 } // namespace rhubarbwharf::soak
