Refuse responses whose status is none of HTTP

A server in trouble sent a response with status 000. Here its caller did not get it as a response, but waited until its deadline and got 504: statuses below 100 passed for interim ones, were skipped, and the next response was awaited. Statuses from 600 on were passed on, and 101 was skipped although no request asks for another protocol.

Change: is_valid_status (100 to 599 without 101) is checked where the status is read, so it holds for heads of interim responses and for all readers. The call ends at once as malformed; a request that may be repeated goes to another server, others get 502.

Cost: one comparison a response.

--- a/src/net/framing.cpp
+++ b/src/net/framing.cpp
@@ -8,4 +8,11 @@
     return read == boost::asio::error::eof && (!write || write == boost::asio::error::broken_pipe);
 }
 
+auto is_valid_status(const unsigned status) noexcept -> bool {
+    constexpr auto least = 100U;
+    constexpr auto most = 599U;
+    constexpr auto switching_protocols = 101U;
+    return status >= least && status <= most && status != switching_protocols;
+}
+
 } // namespace rhubarbwharf::net::internal
--- a/src/net/framing.hpp
+++ b/src/net/framing.hpp
@@ -17,4 +17,12 @@
  */
 [[nodiscard]] auto is_whole_at_end(boost::system::error_code read, boost::system::error_code write) noexcept -> bool;
 
+/**
+ * @brief Checks whether a response to a request that asks for no other protocol may have a status (RFC 9110, section
+ * 15).
+ * @param status The status.
+ * @return Whether it is one of 100 to 599, and not 101.
+ */
+[[nodiscard]] auto is_valid_status(unsigned status) noexcept -> bool;
+
 } // namespace rhubarbwharf::net::internal
--- a/src/net/response.cpp
+++ b/src/net/response.cpp
@@ -1,6 +1,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "net/client.hpp"
+#include "net/framing.hpp"
 
 namespace rhubarbwharf::net::internal {
 
@@ -17,6 +18,9 @@
 auto response_parser::on_response_impl(const int status, text, int, error_code& failure) -> void {
     failure = {};
     m_head.m_status = static_cast<std::uint16_t>(status);
+    if (!is_valid_status(m_head.m_status)) {
+        failure = beast::http::error::bad_status;
+    }
 }
 
 auto response_parser::on_field_impl(beast::http::field, const text name, const text value, error_code& failure)
--- a/test/net/malformed.cpp
+++ b/test/net/malformed.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include "net/fixture.hpp"
+#include "net/framing.hpp"
 #include "net/scripted_server.hpp"
 
 using namespace rhubarbwharf;
@@ -59,12 +60,41 @@
     CHECK(got.m_response.m_body == "whole");
 }
 
+[[nodiscard]] auto with_status(const std::string& status) -> std::string {
+    return "HTTP/1.1 " + status + " Reason\r\nContent-Length: 5\r\n\r\nwhole";
+}
+
 [[nodiscard]] auto with_field(const std::string& field) -> std::string {
     return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + field + "\r\n\r\nwhole";
 }
 
 } // namespace
 
+TEST_CASE("statuses are those of HTTP, without a switch of protocols") {
+    for (auto status = 0U; status <= 999U; ++status) {
+        CHECK(internal::is_valid_status(status) == (status >= 100U && status <= 599U && status != 101U));
+    }
+}
+
+// A status below 100 passed for an interim one, so that the caller waited for its time limit.
+TEST_CASE("a response whose status is none ends its call at once") {
+    for (const auto* const status : {"000", "001", "099", "600", "999"}) {
+        check_refused(with_status(status));
+        check_refused("HTTP/1.1 " + std::string{status} + " Reason\r\n\r\nwhole");
+        check_refused("HTTP/1.1 100 Continue\r\n\r\n" + with_status(status));
+    }
+    for (const auto status : {200, 299, 300, 404, 503, 599}) {
+        check_accepted(with_status(std::to_string(status)), static_cast<std::uint16_t>(status));
+    }
+    check_accepted("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Other\r\n\r\n" + with_status("200"), 200U);
+}
+
+// No request asks for another protocol, and what follows such a response is none.
+TEST_CASE("a switch to another protocol ends its call at once") {
+    check_refused("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
+    check_refused("HTTP/1.1 101 Switching Protocols\r\n\r\n" + with_status("200"));
+}
+
 TEST_CASE("a start line that is none ends its call at once") {
     for (const auto* const line :
          {"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.2 200 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
--- a/test/soak/broken_answers.cpp
+++ b/test/soak/broken_answers.cpp
@@ -89,4 +89,10 @@
     check_malformed_stream(begin + "A B: c\r\n\r\n" + first_events(1U));
 }
 
+TEST_CASE("a response whose status is none reaches no caller, and does not keep one waiting") {
+    check_malformed_plain("HTTP/1.1 000 None\r\n" + seal + "Content-Length: 5\r\n\r\nwrong");
+    check_malformed_plain("HTTP/1.1 600 Other\r\n" + seal + "Content-Length: 5\r\n\r\nwrong");
+    check_malformed_stream("HTTP/1.1 000 None\r\n" + seal + "\r\n" + first_events(1U));
+}
+
 } // namespace rhubarbwharf::soak
