Refuse heads with a line that begins with a blank

The library joins such a line with the value before it, and passes the result on as one field. A length or a coding in that line is lost, so that the body ended with the connection and could hold what was not the server's, or its caller waited for a close until its deadline.

Change: is_folded looks at the line behind each field of a response, of interim ones and of trailers, and the call ends at once as malformed. RFC 9112, section 5.2, lets a gateway discard such a message.

Cost: a search for the end of the line a field; servers that fold lines, which RFC 9112 forbids outside of message/http, get their responses refused.

--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -326,6 +326,14 @@
     }
 }
 
+auto client_call::input_from(const char* const first) const noexcept -> std::string_view {
+    if (!m_connection) {
+        return {};
+    }
+    const auto input = m_connection->m_input.data();
+    return {first, static_cast<const char*>(input.data()) + input.size()};
+}
+
 auto client_call::on_part(const std::string_view part) -> void {
     m_body_bytes += part.size();
     if (!m_ended && !m_skipping && m_handlers.m_on_part) {
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -152,6 +152,10 @@
     /*! @brief Hands the head on. @param head Status and headers. */
     auto on_head(const http_response& head) -> void;
 
+    /*! @brief Views what has arrived from a byte on. @param first The byte, in the input that is being parsed.
+     * @return The bytes; none once the call was cancelled by one of its handlers. */
+    [[nodiscard]] auto input_from(const char* first) const noexcept -> std::string_view;
+
     /*! @brief Hands a part on. @param part Its bytes. */
     auto on_part(std::string_view part) -> void;
 
--- a/src/net/framing.cpp
+++ b/src/net/framing.cpp
@@ -15,4 +15,11 @@
     return status >= least && status <= most && status != switching_protocols;
 }
 
+auto is_folded(const std::string_view rest) noexcept -> bool {
+    constexpr std::string_view line_end = "\r\n";
+    const auto at = rest.find(line_end);
+    const auto next = at == std::string_view::npos ? std::string_view{} : rest.substr(at + line_end.size());
+    return next.starts_with(' ') || next.starts_with('\t');
+}
+
 } // namespace rhubarbwharf::net::internal
--- a/src/net/framing.hpp
+++ b/src/net/framing.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 #include <boost/system/error_code.hpp>
 
 namespace rhubarbwharf::net::internal {
@@ -25,4 +27,12 @@
  */
 [[nodiscard]] auto is_valid_status(unsigned status) noexcept -> bool;
 
+/**
+ * @brief Checks whether a field goes on in a further line (obsolete line folding, RFC 9112, section 5.2). The library
+ * joins such lines, so that a field whose name was preceded by a blank is lost in the value before it.
+ * @param rest What has arrived, from the name of the field on, with the byte behind its line at least.
+ * @return Whether it does.
+ */
+[[nodiscard]] auto is_folded(std::string_view rest) noexcept -> bool;
+
 } // namespace rhubarbwharf::net::internal
--- a/src/net/response.cpp
+++ b/src/net/response.cpp
@@ -26,6 +26,10 @@
 auto response_parser::on_field_impl(beast::http::field, const text name, const text value, error_code& failure)
     -> void {
     failure = {};
+    if (is_folded(m_owner.input_from(name.data()))) {
+        failure = beast::http::error::bad_field;
+        return;
+    }
     m_head.m_headers.push_back({std::string{name.data(), name.size()}, std::string{value.data(), value.size()}});
 }
 
--- a/test/net/malformed.cpp
+++ b/test/net/malformed.cpp
@@ -1,5 +1,7 @@
 #include <array>
 #include <cctype>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -76,6 +78,15 @@
     }
 }
 
+TEST_CASE("a field is folded if the line behind its own begins with a blank") {
+    CHECK(internal::is_folded("A: b\r\n c"));
+    CHECK(internal::is_folded("A:\r\n\t\r\n"));
+    CHECK_FALSE(internal::is_folded("A: b\r\nC: d\r\n e"));
+    CHECK_FALSE(internal::is_folded("A: b\r\n\r\n body"));
+    CHECK_FALSE(internal::is_folded("A: b\r\n"));
+    CHECK_FALSE(internal::is_folded("A: b"));
+}
+
 // A status below 100 passed for an interim one, so that the caller waited for its time limit.
 TEST_CASE("a response whose status is none ends its call at once") {
     for (const auto* const status : {"000", "001", "099", "600", "999"}) {
@@ -137,14 +148,52 @@
     }
 }
 
-TEST_CASE("a line of trailers whose name is none cuts the body") {
+// The line was appended to the value before it, and a length in it was lost: the body then ended with the connection.
+TEST_CASE("a line of a head that begins with a blank ends its call at once") {
+    for (const auto* const blank : {" ", "\t", "  "}) {
+        const std::string line = blank;
+        check_refused(with_field("A: b\r\n" + line + "c: d"));
+        check_refused(with_field("A:\r\n" + line + "c: d"));
+        check_refused(with_field("A: b\r\n" + line));
+        check_refused(with_field("A:\r\n" + line));
+        check_refused("HTTP/1.1 200 OK\r\n" + line + "A: b\r\nContent-Length: 5\r\n\r\nwhole");
+        check_refused("HTTP/1.1 200 OK\r\nA: b\r\n" + line + "Content-Length: 5\r\n\r\nwhole and more");
+        check_refused("HTTP/1.1 200 OK\r\nA: b\r\n" + line +
+                      "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+        check_refused("HTTP/1.1 103 Early\r\nA: b\r\n" + line + "c\r\n\r\n" + with_status("200"));
+    }
+    check_accepted(with_field("A: b \t\r\nC:  d\t"), 200U);
+    check_accepted(with_field("A:\r\nC: "), 200U);
+}
+
+TEST_CASE("a line of trailers that begins with a blank, or whose name is none, cuts the body") {
     const std::string begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
     check_accepted(begin + "A: b\r\nC: d\r\n\r\n", 200U);
-    for (const auto* const trailers : {"A b: c\r\n\r\n", "A\x01: c\r\n\r\n", ": c\r\n\r\n"}) {
+    for (const auto* const trailers : {"A: b\r\n c\r\n\r\n", "A b: c\r\n\r\n", "A\x01: c\r\n\r\n", ": c\r\n\r\n"}) {
         check_refused(begin + trailers);
     }
 }
 
+TEST_CASE("a call that a handler cancels before its trailers are read ends") {
+    loop owner{};
+    scripted_server server{
+        owner,
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nA: b\r\n\r\n", {}, ending::never}};
+    http_client client{owner};
+    std::shared_ptr<call> running{};
+    std::optional<code> ended{};
+    call_handlers handlers{};
+    handlers.m_on_part = [&](std::string_view) {
+        running->cancel();
+    };
+    handlers.m_on_end = [&](const call_end& end) {
+        ended = end.m_code;
+    };
+    running = client.send(server.address(), {}, {}, std::move(handlers));
+    REQUIRE(run_until(owner, [&] { return ended.has_value(); }));
+    CHECK(ended == code::cancelled);
+}
+
 TEST_CASE("a body with two framings, or one that can't be read, ends its call at once") {
     const std::string chunks = "5\r\nwhole\r\n0\r\n\r\n";
     check_refused("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + chunks);
--- a/test/soak/broken_answers.cpp
+++ b/test/soak/broken_answers.cpp
@@ -95,4 +95,10 @@
     check_malformed_stream("HTTP/1.1 000 None\r\n" + seal + "\r\n" + first_events(1U));
 }
 
+TEST_CASE("a response with a line of its head that begins with a blank reaches no caller") {
+    const auto begin = "HTTP/1.1 200 OK\r\n" + seal + "A: b\r\n ";
+    check_malformed_plain(begin + "Content-Length: 5\r\n\r\nwrong");
+    check_malformed_stream(begin + "C: d\r\n\r\n" + first_events(1U));
+}
+
 } // namespace rhubarbwharf::soak
