Refuse responses in a transfer coding other than chunks

Transfer-Encoding is not passed on, so a caller got bytes in a coding such as gzip as the plain body (MIXED), with the length or the end of the connection as their framing.

Change: is_known_coding accepts `chunked` alone, and in HTTP/1.1 only (RFC 9112, section 6.1); any other coding ends the call at once as malformed.

Cost: a server that sends codings nobody asked for gets its responses refused.

--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -128,6 +128,8 @@
 
     client_call& m_owner;
     http_response m_head{};
+    /*! @brief Version of HTTP, 10 or 11. */
+    int m_version{};
 };
 
 /*! @brief One call of a client, kept alive by its client and its operations until it has ended. */
--- a/src/net/framing.cpp
+++ b/src/net/framing.cpp
@@ -1,4 +1,5 @@
 #include <boost/asio/error.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include "net/framing.hpp"
 
@@ -22,4 +23,9 @@
     return next.starts_with(' ') || next.starts_with('\t');
 }
 
+auto is_known_coding(const std::string_view coding, const int version) noexcept -> bool {
+    constexpr auto http_1_1 = 11;
+    return version == http_1_1 && boost::beast::iequals({coding.data(), coding.size()}, "chunked");
+}
+
 } // namespace rhubarbwharf::net::internal
--- a/src/net/framing.hpp
+++ b/src/net/framing.hpp
@@ -35,4 +35,13 @@
  */
 [[nodiscard]] auto is_folded(std::string_view rest) noexcept -> bool;
 
+/**
+ * @brief Checks whether the transfer coding of a response can be undone. The field is not passed on, so that bytes in
+ * any other coding would pass for the plain body.
+ * @param coding Value of the field `Transfer-Encoding`.
+ * @param version Version of the response, 10 or 11; chunks need 11.
+ * @return Whether it is `chunked` alone.
+ */
+[[nodiscard]] auto is_known_coding(std::string_view coding, int version) noexcept -> bool;
+
 } // namespace rhubarbwharf::net::internal
--- a/src/net/response.cpp
+++ b/src/net/response.cpp
@@ -15,21 +15,26 @@
     failure = beast::http::error::bad_version;
 }
 
-auto response_parser::on_response_impl(const int status, text, int, error_code& failure) -> void {
+auto response_parser::on_response_impl(const int status, text, const int version, error_code& failure) -> void {
     failure = {};
+    m_version = version;
     m_head.m_status = static_cast<std::uint16_t>(status);
     if (!is_valid_status(m_head.m_status)) {
         failure = beast::http::error::bad_status;
     }
 }
 
-auto response_parser::on_field_impl(beast::http::field, const text name, const text value, error_code& failure)
-    -> void {
+auto response_parser::on_field_impl(const beast::http::field known, const text name, const text value,
+                                    error_code& failure) -> void {
     failure = {};
     if (is_folded(m_owner.input_from(name.data()))) {
         failure = beast::http::error::bad_field;
         return;
     }
+    if (known == beast::http::field::transfer_encoding && !is_known_coding({value.data(), value.size()}, m_version)) {
+        failure = beast::http::error::bad_transfer_encoding;
+        return;
+    }
     m_head.m_headers.push_back({std::string{name.data(), name.size()}, std::string{value.data(), value.size()}});
 }
 
--- a/test/net/malformed.cpp
+++ b/test/net/malformed.cpp
@@ -174,6 +174,30 @@
     }
 }
 
+TEST_CASE("chunks in HTTP/1.1 are the only transfer coding") {
+    CHECK(internal::is_known_coding("chunked", 11));
+    CHECK(internal::is_known_coding("CHUNKED", 11));
+    CHECK_FALSE(internal::is_known_coding("chunked", 10));
+    for (const auto* const coding : {"", "gzip", "gzip, chunked", "chunked, gzip", "chunked ", "identity"}) {
+        CHECK_FALSE(internal::is_known_coding(coding, 11));
+    }
+}
+
+// The coding was dropped from the head, so that the caller got coded bytes as the plain body.
+TEST_CASE("a body with a transfer coding other than chunks ends its call at once") {
+    const std::string chunks = "5\r\nwhole\r\n0\r\n\r\n";
+    for (const auto* const coding : {"gzip", "gzip, chunked", "chunked, gzip", "identity", "xchunked", "chunked;a=b",
+                                     "chunked, chunked", "\"chunked\"", "", ","}) {
+        const auto field = "Transfer-Encoding: " + std::string{coding} + "\r\n";
+        CAPTURE(coding);
+        check_refused("HTTP/1.1 200 OK\r\n" + field + "\r\n" + chunks);
+        check_refused("HTTP/1.1 200 OK\r\n" + field + "Content-Length: 5\r\n\r\nwhole");
+        check_refused("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + field + "\r\nwhole");
+        check_refused("HTTP/1.1 200 OK\r\n" + field + "Transfer-Encoding: chunked\r\n\r\n" + chunks);
+    }
+    check_accepted("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n" + chunks, 200U);
+}
+
 TEST_CASE("a call that a handler cancels before its trailers are read ends") {
     loop owner{};
     scripted_server server{
@@ -199,6 +223,7 @@
     check_refused("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + chunks);
     check_refused("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
     check_refused("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nwhole");
+    check_refused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
     for (const auto* const length :
          {"", "-5", "+5", "0x5", "5 5", "5,", "5;", "5, 6", "99999999999999999999", "five"}) {
         check_refused("HTTP/1.1 200 OK\r\nContent-Length: " + std::string{length} + "\r\n\r\nwhole");
--- a/test/soak/broken_answers.cpp
+++ b/test/soak/broken_answers.cpp
@@ -101,4 +101,10 @@
     check_malformed_stream(begin + "C: d\r\n\r\n" + first_events(1U));
 }
 
+TEST_CASE("a response in a transfer coding other than chunks reaches no caller as the plain body") {
+    const auto begin = "HTTP/1.1 200 OK\r\n" + seal + "Transfer-Encoding: gzip";
+    check_malformed_plain(begin + "\r\nContent-Length: 5\r\n\r\nwrong");
+    check_malformed_stream(begin + ", chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n");
+}
+
 } // namespace rhubarbwharf::soak
