Bound the memory of incomplete responses of a gateway

A server that sends bytes without an end in the responses to many requests at once took the memory of a gateway, and with it the requests of all callers there. Each response was bounded (8 MiB, or 1 MiB an event), their sum was not.

Cost: one pass over the requests of a gateway for each read of a large response; nothing for those below 64 KiB. Not counted: what waits for callers who do not read.

--- a/src/gateway/event_stream.hpp
+++ b/src/gateway/event_stream.hpp
@@ -29,6 +29,9 @@
         return m_bytes_since_event + m_buffer.size() > max_event_bytes;
     }
 
+    /*! @brief Returns the memory that the buffer takes, in bytes. */
+    [[nodiscard]] auto buffered_bytes() const noexcept -> std::size_t { return m_buffer.capacity(); }
+
     /*! @brief Discards an incomplete event, as when the stream is resumed on another backend server. */
     auto drop_partial_event() noexcept -> void { continue_with({}); }
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -2,6 +2,7 @@
 #include <charconv>
 #include <utility>
 
+#include <gateway/held_bytes.hpp>
 #include <gateway/limits.hpp>
 #include <gateway/parts.hpp>
 #include <gateway/retries.hpp>
@@ -108,6 +109,37 @@
     on_incomplete_response(self, item, ended, {code::too_large, net::sent::some, limit});
 }
 
+/*! @brief Returns the events received so far in the response to an attempt. */
+[[nodiscard]] auto events_of(exchange& item, attempt& of) noexcept -> event_stream& {
+    return &of == item.m_hedge.get() ? of.m_events : item.m_events;
+}
+
+/*! @brief Ends the attempt with the largest response if all together take too much memory.
+ * @param current The attempt whose response has grown. */
+auto limit_held_bytes(daemon& self, exchange& item, attempt& current) -> void {
+    constexpr std::size_t least_checked_bytes = std::size_t{64} * 1024U;
+    const auto bytes_of = [](exchange& owner, attempt& each) {
+        return each.m_body.capacity() + events_of(owner, each).buffered_bytes();
+    };
+    if (bytes_of(item, current) < least_checked_bytes) {
+        return;
+    }
+    std::vector<std::pair<std::shared_ptr<exchange>, std::shared_ptr<attempt>>> attempts{};
+    std::vector<std::size_t> held{};
+    for (const auto& [id, owner] : self.m_exchanges) {
+        for (const auto& each : {owner->m_attempt, owner->m_hedge}) {
+            if (each) {
+                attempts.emplace_back(owner, each);
+                held.push_back(bytes_of(*owner, *each));
+            }
+        }
+    }
+    if (const auto largest = find_excess(held, max_held_bytes)) {
+        const auto& [owner, each] = attempts[*largest];
+        on_too_large(self, owner, each, "held_bytes");
+    }
+}
+
 auto on_body_part(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& current,
                   const std::string_view part) -> void {
     if (!current->m_is_stream) {
@@ -115,10 +147,11 @@
             on_too_large(self, item, current, "buffered_bytes");
         } else {
             current->m_body.append(part);
+            limit_held_bytes(self, *item, *current);
         }
         return;
     }
-    auto& received = current == item->m_hedge ? current->m_events : item->m_events;
+    auto& received = events_of(*item, *current);
     received.append(part);
     const auto events = received.take_complete_events();
     const auto is_too_large = received.is_event_too_large();
@@ -130,6 +163,8 @@
     }
     if (is_too_large) {
         on_too_large(self, item, current, "event_bytes");
+    } else {
+        limit_held_bytes(self, *item, *current);
     }
 }
 
@@ -254,7 +289,7 @@
 
 auto on_call_end(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& ended,
                  const net::call_end& end) -> void {
-    const auto& received = ended == item->m_hedge ? ended->m_events : item->m_events;
+    const auto& received = events_of(*item, *ended);
     const auto is_complete = end.m_code == code::ok && ended->m_head;
     if (!is_complete || (ended->m_is_stream && received.has_partial_event())) {
         on_incomplete_response(self, item, ended, end);
--- a/test/net/malformed.cpp
+++ b/test/net/malformed.cpp
@@ -185,17 +185,19 @@
 
 // The coding was dropped from the head, so that the caller got coded bytes as the plain body.
 TEST_CASE("a body with a transfer coding other than chunks ends its call at once") {
-    const std::string chunks = "5\r\nwhole\r\n0\r\n\r\n";
+    const std::string whole_chunks = "\r\n5\r\nwhole\r\n0\r\n\r\n";
+    const auto second_coding = "Transfer-Encoding: chunked\r\n" + whole_chunks;
     for (const auto* const coding : {"gzip", "gzip, chunked", "chunked, gzip", "identity", "xchunked", "chunked;a=b",
                                      "chunked, chunked", "\"chunked\"", "", ","}) {
         const auto field = "Transfer-Encoding: " + std::string{coding} + "\r\n";
+        const auto coded = "HTTP/1.1 200 OK\r\n" + field;
         CAPTURE(coding);
-        check_refused("HTTP/1.1 200 OK\r\n" + field + "\r\n" + chunks);
-        check_refused("HTTP/1.1 200 OK\r\n" + field + "Content-Length: 5\r\n\r\nwhole");
+        check_refused(coded + whole_chunks);
+        check_refused(coded + "Content-Length: 5\r\n\r\nwhole");
         check_refused("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + field + "\r\nwhole");
-        check_refused("HTTP/1.1 200 OK\r\n" + field + "Transfer-Encoding: chunked\r\n\r\n" + chunks);
+        check_refused(coded + second_coding);
     }
-    check_accepted("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n" + chunks, 200U);
+    check_accepted("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n" + whole_chunks, 200U);
 }
 
 TEST_CASE("a call that a handler cancels before its trailers are read ends") {
--- a/test/process/process.cpp
+++ b/test/process/process.cpp
@@ -178,6 +178,17 @@
     return WIFEXITED(m_wait_status) ? WEXITSTATUS(m_wait_status) : -WTERMSIG(m_wait_status);
 }
 
+auto child_process::peak_resident_bytes() const -> std::size_t {
+    constexpr std::string_view name = "VmHWM:";
+    std::ifstream status{"/proc/" + std::to_string(m_pid) + "/status"};
+    for (std::string line{}; std::getline(status, line);) {
+        if (line.starts_with(name)) {
+            return std::stoul(line.substr(name.size())) * 1024U;
+        }
+    }
+    throw std::runtime_error{"the process has no memory"};
+}
+
 auto child_process::output() const -> std::string {
     std::ostringstream text{};
     text << std::ifstream{m_log_path}.rdbuf();
--- a/test/process/process.hpp
+++ b/test/process/process.hpp
@@ -57,6 +57,8 @@
     /*! @brief Waits until the process exits. @return Its exit status, -SIGNAL if a signal ended it, 1000 on timeout. */
     [[nodiscard]] auto wait() -> int;
     [[nodiscard]] auto is_running() -> bool;
+    /*! @brief Returns the most memory that the process has had resident so far, in bytes. */
+    [[nodiscard]] auto peak_resident_bytes() const -> std::size_t;
     /*! @brief Returns the content of the log file. */
     [[nodiscard]] auto output() const -> std::string;
     /*! @brief Waits for the last `listening ADDRESS:PORT` in the log; throws `std::runtime_error` on timeout. */
--- a/test/soak/endless.cpp
+++ b/test/soak/endless.cpp
@@ -189,4 +189,32 @@
     CHECK(fixture.wait_until_version_everywhere(2U));
 }
 
+// Each response was within its limit, but their sum took the memory of the machine, and all its requests with it.
+TEST_CASE("many responses without an end at once leave a gateway within the memory of its machine") {
+    constexpr std::size_t machine_bytes = std::size_t{160} * 1000U * 1000U;
+    constexpr std::size_t request_count = 96U;
+    scripted_site tried{"book", {unframed_head, "x", ending::never}, 64U};
+    const auto& gateway = tried.m_fixture.m_fleet.daemons()[0U];
+    // The other servers are slow, so that most requests go to this one.
+    tried.m_fixture.set_server_faults(pause_before_event(1U));
+    REQUIRE(process::wait_until([&] {
+        std::vector<std::future<process::call_result>> calls{};
+        for (std::size_t index = 0U; index < request_count; ++index) {
+            calls.push_back(
+                tried.m_fixture.start_request("d" + std::to_string(++tried.m_number), standin_site::ledger_path, "b"));
+        }
+        for (auto& each : calls) {
+            each.wait();
+        }
+        return tried.count_requests() >= request_count / 3U;
+    }));
+    tried.m_fixture.set_server_faults({});
+    CHECK(gateway.m_process->is_running());
+    CHECK(gateway.m_process->peak_resident_bytes() < machine_bytes);
+    CHECK(process::wait_until([&] {
+        return tried.m_fixture.send_request("e" + std::to_string(++tried.m_number), standin_site::ledger_path, "a")
+                   .m_status == 200U;
+    }));
+}
+
 } // namespace rhubarbwharf::soak
--- a/test/soak/scripted_site.hpp
+++ b/test/soak/scripted_site.hpp
@@ -28,17 +28,13 @@
 /*! @brief Site with one gateway in which a scripted server of a service is registered. */
 class scripted_site {
 public:
-    scripted_site(const std::string_view service, script lines) {
+    scripted_site(const std::string_view service, script lines, const unsigned slots = 4U) {
         m_fixture.m_site.run_in_loop([&](standin_site::site& site) {
             m_server = std::make_unique<scripted_server>(site.loop(), std::move(lines));
-            boost::json::object entry{{"service", service},
-                                      {"address", net::to_string(m_server->address())},
-                                      {"zone", "dc-1"},
-                                      {"version", "v1"},
-                                      {"slots", 4},
-                                      {"state", "ready"},
-                                      {"cold-remaining-ms", 0},
-                                      {"born", 1},
+            boost::json::object entry{{"service", service},     {"address", net::to_string(m_server->address())},
+                                      {"zone", "dc-1"},         {"version", "v1"},
+                                      {"slots", slots},         {"state", "ready"},
+                                      {"cold-remaining-ms", 0}, {"born", 1},
                                       {"sequence", 0}};
             if (service == "llm") {
                 entry["models"] =
