Name the cases of malformed responses as the field does

Reading the change as a newcomer: the decision whether a server may have ended compared a log text, and names of tests said that a status or a line "is none". is_connection_lost decides now, and the tests say invalid, folded or malformed.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -114,8 +114,9 @@
     return &of == item.m_hedge.get() ? of.m_events : item.m_events;
 }
 
-/*! @brief Ends the attempt with the largest response if all together take too much memory.
- * @param current The attempt whose response has grown. */
+/*! @brief Ends the attempt with the largest incomplete response if those of all requests take more than
+ * `max_held_bytes`.
+ * @param current The attempt whose response has grown; small ones are not looked at. */
 auto limit_held_bytes(daemon& self, exchange& item, attempt& current) -> void {
     constexpr std::size_t least_checked_bytes = std::size_t{64} * 1024U;
     const auto bytes_of = [](exchange& owner, attempt& each) {
@@ -246,22 +247,20 @@
     end_with_response(self, item, std::move(response), "answered");
 }
 
-/*! @brief Reason of a failure after which the backend server may have ended. */
-constexpr std::string_view connection_broke = "the connection broke";
+/*! @brief Checks whether the connection to a backend server was lost, so that the server may have ended. */
+[[nodiscard]] auto is_connection_lost(const net::call_end& end) noexcept -> bool {
+    return !end.m_is_malformed && end.m_code != code::timed_out && end.m_code != code::too_large;
+}
 
 /*! @brief Returns why a response is not complete. */
 [[nodiscard]] auto failure_reason(const net::call_end& end) noexcept -> std::string_view {
+    if (is_connection_lost(end)) {
+        return "the connection broke";
+    }
     if (end.m_is_malformed) {
         return "the answer is malformed";
     }
-    switch (end.m_code) {
-    case code::timed_out:
-        return "no answer in time";
-    case code::too_large:
-        return "the answer exceeds a limit";
-    default:
-        return connection_broke;
-    }
+    return end.m_code == code::timed_out ? "no answer in time" : "the answer exceeds a limit";
 }
 
 /*! @brief Handles a call that ended before the response was complete. */
@@ -276,15 +275,14 @@
     } else if (dispatch::record_failure(backend.m_health, service_failure_rate(self, backend), now)) {
         self.m_core.m_events.write("server.ejected", {{"server", backend.m_id}, {"id", item->m_attempt_id}});
     }
-    const auto reason = failure_reason(end);
     if (end.m_is_malformed) {
         self.m_core.m_counters.add("responses_malformed_total", 1.0, item->m_service->m_name);
     }
-    if (sent && reason == connection_broke) {
+    if (sent && is_connection_lost(end)) {
         on_server_crash(self, *item, *ended);
         attribute_crash(self, item, ended->m_backend);
     }
-    retry_or_end(self, item, ended, {!sent, sent, reason});
+    retry_or_end(self, item, ended, {!sent, sent, failure_reason(end)});
 }
 
 auto on_call_end(daemon& self, const std::shared_ptr<exchange>& item, const std::shared_ptr<attempt>& ended,
--- a/test/net/malformed.cpp
+++ b/test/net/malformed.cpp
@@ -42,7 +42,7 @@
     return out;
 }
 
-/*! @brief Checks that bytes end a call at once, and are no response. */
+/*! @brief Checks that a malformed response ends its call at once. */
 auto check_refused(const std::string& bytes) -> void {
     CAPTURE(bytes);
     const auto got = call_with(bytes);
@@ -72,7 +72,7 @@
 
 } // namespace
 
-TEST_CASE("statuses are those of HTTP, without a switch of protocols") {
+TEST_CASE("valid statuses are 100 to 599 without a switch of protocols") {
     for (auto status = 0U; status <= 999U; ++status) {
         CHECK(internal::is_valid_status(status) == (status >= 100U && status <= 599U && status != 101U));
     }
@@ -88,7 +88,7 @@
 }
 
 // A status below 100 passed for an interim one, so that the caller waited for its time limit.
-TEST_CASE("a response whose status is none ends its call at once") {
+TEST_CASE("a response with an invalid status ends its call at once") {
     for (const auto* const status : {"000", "001", "099", "600", "999"}) {
         check_refused(with_status(status));
         check_refused("HTTP/1.1 " + std::string{status} + " Reason\r\n\r\nwhole");
@@ -100,13 +100,13 @@
     check_accepted("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Other\r\n\r\n" + with_status("200"), 200U);
 }
 
-// No request asks for another protocol, and what follows such a response is none.
+// No request asks for another protocol, and the bytes after such a response belong to that protocol.
 TEST_CASE("a switch to another protocol ends its call at once") {
     check_refused("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
     check_refused("HTTP/1.1 101 Switching Protocols\r\n\r\n" + with_status("200"));
 }
 
-TEST_CASE("a start line that is none ends its call at once") {
+TEST_CASE("an invalid start line ends its call at once") {
     for (const auto* const line :
          {"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.2 200 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
           "HTTP/1.1 -20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK", " HTTP/1.1 200 OK", "http/1.1 200 OK",
@@ -115,7 +115,7 @@
     }
 }
 
-TEST_CASE("a byte that no name of a field may have ends its call at once, wherever it stands") {
+TEST_CASE("an invalid byte in the name of a field ends its call at once, at each position") {
     constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
     for (auto byte = 0U; byte < 256U; ++byte) {
         const std::string text(1U, static_cast<char>(byte));
@@ -149,7 +149,7 @@
 }
 
 // The line was appended to the value before it, and a length in it was lost: the body then ended with the connection.
-TEST_CASE("a line of a head that begins with a blank ends its call at once") {
+TEST_CASE("a folded line in a head ends its call at once") {
     for (const auto* const blank : {" ", "\t", "  "}) {
         const std::string line = blank;
         check_refused(with_field("A: b\r\n" + line + "c: d"));
@@ -166,7 +166,7 @@
     check_accepted(with_field("A:\r\nC: "), 200U);
 }
 
-TEST_CASE("a line of trailers that begins with a blank, or whose name is none, cuts the body") {
+TEST_CASE("a folded line or an invalid name in trailers cuts the body") {
     const std::string begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
     check_accepted(begin + "A: b\r\nC: d\r\n\r\n", 200U);
     for (const auto* const trailers : {"A: b\r\n c\r\n\r\n", "A b: c\r\n\r\n", "A\x01: c\r\n\r\n", ": c\r\n\r\n"}) {
--- a/test/soak/broken_answers.cpp
+++ b/test/soak/broken_answers.cpp
@@ -17,7 +17,7 @@
         [&](standin_site::site& site) { static_cast<void>(site.write_configuration(options)); });
 }
 
-/*! @brief Checks that a plain response that is none ends its request at once, or is replaced by that of another server,
+/*! @brief Checks that a malformed plain response ends its request at once, or is replaced by that of another server,
  * and that its server does not count as one that has ended. */
 auto check_malformed_plain(const std::string& response) -> void {
     CAPTURE(response);
@@ -37,7 +37,7 @@
     CHECK(repeated.m_took < early);
 }
 
-/*! @brief Checks that a stream whose response is none comes from another server. */
+/*! @brief Checks that a stream whose response is malformed comes from another server. */
 auto check_malformed_stream(const std::string& response) -> void {
     CAPTURE(response);
     scripted_site tried{"llm", {response, {}, ending::never}};
@@ -49,7 +49,7 @@
 
 } // namespace
 
-TEST_CASE("the part of a plain response that a reset within a long upload leaves is no response") {
+TEST_CASE("a plain response that a reset within a long upload cuts is not passed on as whole") {
     const std::string upload(long_body_bytes, 'u');
     for (const auto end : {ending::close, ending::reset}) {
         scripted_site tried{"book", {unframed_head + "part", {}, end}};
@@ -60,7 +60,7 @@
     }
 }
 
-TEST_CASE("the events of a stream that a reset within a long upload leaves are no whole stream") {
+TEST_CASE("a stream that a reset within a long upload cuts is not passed on as whole") {
     const std::string upload(long_body_bytes, 'u');
     for (const auto end : {ending::close, ending::reset}) {
         scripted_site tried{"llm", {unframed_head + first_events(3U), {}, end}};
@@ -89,13 +89,13 @@
     check_malformed_stream(begin + "A B: c\r\n\r\n" + first_events(1U));
 }
 
-TEST_CASE("a response whose status is none reaches no caller, and does not keep one waiting") {
+TEST_CASE("a response with an invalid status reaches no caller, and does not keep one waiting") {
     check_malformed_plain("HTTP/1.1 000 None\r\n" + seal + "Content-Length: 5\r\n\r\nwrong");
     check_malformed_plain("HTTP/1.1 600 Other\r\n" + seal + "Content-Length: 5\r\n\r\nwrong");
     check_malformed_stream("HTTP/1.1 000 None\r\n" + seal + "\r\n" + first_events(1U));
 }
 
-TEST_CASE("a response with a line of its head that begins with a blank reaches no caller") {
+TEST_CASE("a response with a folded line in its head reaches no caller") {
     const auto begin = "HTTP/1.1 200 OK\r\n" + seal + "A: b\r\n ";
     check_malformed_plain(begin + "Content-Length: 5\r\n\r\nwrong");
     check_malformed_stream(begin + "C: d\r\n\r\n" + first_events(1U));
