End a response of the server whose responses take most

When the incomplete responses of a gateway together exceeded their limit, the largest one ended, whoever sent it. A caller of a sound server could lose a large response because a faulty server filled the memory with many smaller ones.

Change: find_excess adds up the responses by server, and the largest one of the server that takes most ends.

Evidence: in the new case of test_gateway one sound response of 50 bytes stands beside three faulty ones of 65 together; the former rule, which took the largest of all, ends the sound one. Cost: a sum by server for each read of a response of over 64 KiB.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -114,8 +114,7 @@
     return &of == item.m_hedge.get() ? of.m_events : item.m_events;
 }
 
-/*! @brief Ends the attempt with the largest incomplete response if those of all requests take more than
- * `max_held_bytes`.
+/*! @brief Ends one attempt if the incomplete responses to all requests take more than `max_held_bytes`.
  * @param current The attempt whose response has grown; small ones are not looked at. */
 auto limit_held_bytes(daemon& self, exchange& item, attempt& current) -> void {
     constexpr std::size_t least_checked_bytes = std::size_t{64} * 1024U;
@@ -126,17 +125,17 @@
         return;
     }
     std::vector<std::pair<std::shared_ptr<exchange>, std::shared_ptr<attempt>>> attempts{};
-    std::vector<std::size_t> held{};
+    std::vector<held_response> held{};
     for (const auto& [id, owner] : self.m_exchanges) {
         for (const auto& each : {owner->m_attempt, owner->m_hedge}) {
             if (each) {
                 attempts.emplace_back(owner, each);
-                held.push_back(bytes_of(*owner, *each));
+                held.push_back({each->m_backend->m_id, bytes_of(*owner, *each)});
             }
         }
     }
-    if (const auto largest = find_excess(held, max_held_bytes)) {
-        const auto& [owner, each] = attempts[*largest];
+    if (const auto excess = find_excess(held, max_held_bytes)) {
+        const auto& [owner, each] = attempts[*excess];
         on_too_large(self, owner, each, "held_bytes");
     }
 }
