Bound the memory of all responses that a client collects

A faulty server that sends bodies without an end to many calls at once took the memory of the process that had called it, and with it the requests of all its callers. Each collected body was bounded by 64 MiB, their sum was not; an agent collects the responses to all non-idempotent requests that run.

Change: the client counts the memory of what its calls collect. Beyond 32 MiB the largest response of the server whose responses take most ends as too large (find_excess, moved from the gateway to net and shared with it); the others go on. It holds for all who collect: agents, loaders, the relay of weights, the store, the command line. A collected body grows by blocks and is joined once, as a string that is copied while it grows took three to four times its bytes.

Cost: one more copy of each collected body; a collected body of more than 32 MiB in blocks is refused, 64 MiB before.

--- a/src/gateway/held_bytes.hpp
+++ b/include/rhubarbwharf/net/held_bytes.hpp
@@ -5,10 +5,11 @@
 #include <span>
 #include <string_view>
 
-namespace rhubarbwharf::gateway {
+namespace rhubarbwharf::net {
 
-/*! @brief Bytes of incomplete responses that a gateway holds for all requests together. Reading one response takes up
- * to three times its bytes for a moment, and the smallest machines of gateways have 160 MB. */
+/*! @brief Bytes of incomplete responses that a client collects for all its calls together, and that a gateway holds
+ * for all its requests. Reading one response takes up to three times its bytes for a moment, and the smallest machines
+ * have 128 MB. */
 inline constexpr std::size_t max_held_bytes = std::size_t{32} * 1024U * 1024U;
 
 /*! @brief Memory that an incomplete response takes. */
@@ -27,4 +28,4 @@
  */
 [[nodiscard]] auto find_excess(std::span<const held_response> held, std::size_t limit) -> std::optional<std::size_t>;
 
-} // namespace rhubarbwharf::gateway
+} // namespace rhubarbwharf::net
--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -209,7 +209,8 @@
      * `cancelled`. */
     code m_code{code::ok};
     sent m_sent{sent::some};
-    /*! @brief With `too_large`, the limit that the response exceeds: `head_bytes` or `body_bytes`. */
+    /*! @brief With `too_large`, the limit that the response exceeds: `head_bytes`, `body_bytes`, or `held_bytes` if it
+     * ended because all that are collected exceed `max_held_bytes`. */
     std::string_view m_limit{};
     /*! @brief With `connection_failed` or `cut_stream`, whether the client ended the call because the bytes of the
      * server are no HTTP/1.1 response. */
@@ -226,10 +227,6 @@
     std::function<void(const call_end&)> m_on_end{};
 };
 
-/*! @brief Bytes of a collected or skipped response body where the call sets no limit: those of the largest chunk of
- * weights. */
-inline constexpr std::size_t max_collected_bytes = std::size_t{64} * 1024U * 1024U;
-
 /*! @brief Limits of one call of an HTTP client. */
 struct call_limits {
     /*! @brief Time until the response has ended. */
@@ -245,7 +242,7 @@
      * of chunk framing, the trailers; and what chunk extensions may take in addition to the bytes of the body. */
     std::size_t m_head_bytes{std::size_t{64} * 1024U};
     /*! @brief Bytes of the body. Without a value `send` hands on a body of any length, while a collected or skipped one
-     * is bounded by `max_collected_bytes`. */
+     * is bounded by `max_held_bytes`. */
     std::optional<std::size_t> m_body_bytes{};
     /*! @brief Field that the response must repeat unchanged if it has it; a response with another value answers an
      * earlier request and is skipped. On a connection that has carried other requests the response must have it, or
@@ -298,12 +295,13 @@
     auto send(const endpoint& server, http_request request, const call_limits& limits, call_handlers handlers)
         -> std::shared_ptr<call>;
 
-    /*! @brief What `fetch` hands over: the whole response, its status 0 if it did not come whole, and how the call
-     * ended. */
+    /*! @brief What `fetch` hands over: how the call ended, and the whole response. Of one that did not come whole the
+     * status is 0 and the body what came, or nothing if the response is too large. */
     using fetched = std::function<void(const call_end&, http_response)>;
 
     /**
-     * @brief Sends a request and collects the whole response.
+     * @brief Sends a request and collects the whole response. All responses that a client collects at a time hold
+     * `max_held_bytes` at most; beyond that one of the server that takes most ends as too large.
      * @param server The server.
      * @param request The request.
      * @param limits The limits.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -2,11 +2,11 @@
 #include <charconv>
 #include <utility>
 
-#include <gateway/held_bytes.hpp>
 #include <gateway/limits.hpp>
 #include <gateway/parts.hpp>
 #include <gateway/retries.hpp>
 #include <platform/names.hpp>
+#include <rhubarbwharf/net/held_bytes.hpp>
 
 namespace rhubarbwharf::gateway::internal {
 
@@ -114,7 +114,7 @@
     return &of == item.m_hedge.get() ? of.m_events : item.m_events;
 }
 
-/*! @brief Ends one attempt if the incomplete responses to all requests take more than `max_held_bytes`.
+/*! @brief Ends one attempt if the incomplete responses to all requests take more than `net::max_held_bytes`.
  * @param current The attempt whose response has grown; small ones are not looked at. */
 auto limit_held_bytes(daemon& self, exchange& item, attempt& current) -> void {
     constexpr std::size_t least_checked_bytes = std::size_t{64} * 1024U;
@@ -125,7 +125,7 @@
         return;
     }
     std::vector<std::pair<std::shared_ptr<exchange>, std::shared_ptr<attempt>>> attempts{};
-    std::vector<held_response> held{};
+    std::vector<net::held_response> held{};
     for (const auto& [id, owner] : self.m_exchanges) {
         for (const auto& each : {owner->m_attempt, owner->m_hedge}) {
             if (each) {
@@ -134,7 +134,7 @@
             }
         }
     }
-    if (const auto excess = find_excess(held, max_held_bytes)) {
+    if (const auto excess = net::find_excess(held, net::max_held_bytes)) {
         const auto& [owner, each] = attempts[*excess];
         on_too_large(self, owner, each, "held_bytes");
     }
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/message.hpp>
 
 #include <rhubarbwharf/net/events.hpp>
+#include <rhubarbwharf/net/held_bytes.hpp>
 
 #include "net/client.hpp"
 #include "net/framing.hpp"
@@ -31,6 +32,7 @@
 constexpr unsigned unacknowledged_ms = 3'000;
 constexpr std::string_view head_bytes_limit = "head_bytes";
 constexpr std::string_view body_bytes_limit = "body_bytes";
+constexpr std::string_view held_bytes_limit = "held_bytes";
 
 /*! @brief Sends parts at once, and has the kernel find out about a server that has gone silently. */
 auto prepare(tcp_socket& socket) -> void {
@@ -94,7 +96,7 @@
     boost::system::error_code failure{};
     const auto address = asio::ip::make_address(m_server.m_address, failure);
     if (failure) {
-        end_later(code::connection_failed);
+        end_later({code::connection_failed, m_sent});
         return;
     }
     m_idle_deadline = steady_now() + m_limits.m_connect_time;
@@ -233,7 +235,7 @@
 }
 
 auto client_call::most_body_bytes() const noexcept -> std::size_t {
-    return m_limits.m_body_bytes.value_or(max_collected_bytes);
+    return m_limits.m_body_bytes.value_or(max_held_bytes);
 }
 
 auto client_call::exceeded_limit(const boost::system::error_code failure) const noexcept -> std::string_view {
@@ -249,15 +251,23 @@
     return {};
 }
 
-auto client_call::end_too_large(const std::string_view limit) -> void {
+auto client_call::log_too_large(const std::string_view limit, const std::size_t bytes) const -> void {
     if (auto* const log = m_owner->m_loop.find_event_log()) {
-        const auto bytes = limit == body_bytes_limit ? most_body_bytes() : m_limits.m_head_bytes;
         log->write("response.too_large",
                    {{"server", to_string(m_server)}, {"limit", limit}, {"bytes", static_cast<std::int64_t>(bytes)}});
     }
+}
+
+auto client_call::end_too_large(const std::string_view limit) -> void {
+    log_too_large(limit, limit == body_bytes_limit ? most_body_bytes() : m_limits.m_head_bytes);
     end({code::too_large, m_sent, limit});
 }
 
+auto client_call::end_for_held_bytes() -> void {
+    log_too_large(held_bytes_limit, max_held_bytes);
+    end_later({code::too_large, m_sent, held_bytes_limit});
+}
+
 auto client_call::end_malformed(const boost::system::error_code fault) -> void {
     if (auto* const log = m_owner->m_loop.find_event_log()) {
         log->write("response.malformed", {{"server", to_string(m_server)}, {"reason", fault.message()}});
@@ -295,13 +305,16 @@
             log->write("response.unattributed",
                        {{"server", to_string(m_server)}, {"status", static_cast<std::int64_t>(head.m_status)}});
         }
-        end_later(code::connection_failed);
+        end_later({code::connection_failed, m_sent});
         return;
     }
     m_head_seen = true;
     m_body_bytes = 0U;
     m_extension_bytes = 0U;
     note_keep_alive(head);
+    if (m_collected) {
+        m_collected->m_head = head;
+    }
     if (!m_ended && m_handlers.m_on_head) {
         m_handlers.m_on_head(head);
     }
@@ -336,7 +349,16 @@
 
 auto client_call::on_part(const std::string_view part) -> void {
     m_body_bytes += part.size();
-    if (!m_ended && !m_skipping && m_handlers.m_on_part) {
+    if (m_ended || m_skipping) {
+        return;
+    }
+    if (m_collected) {
+        auto& body = m_collected->m_body;
+        body.commit(asio::buffer_copy(body.prepare(part.size()), asio::buffer(part.data(), part.size())));
+        const auto bytes = body.capacity();
+        m_owner->m_collected_bytes += bytes - std::exchange(m_collected_bytes, bytes);
+        m_owner->limit_collected();
+    } else if (m_handlers.m_on_part) {
         m_handlers.m_on_part(part);
     }
 }
@@ -348,7 +370,7 @@
 
 auto client_call::cancel() -> void {
     if (!m_ended) {
-        end_later(code::cancelled);
+        end_later({code::cancelled, m_sent});
     }
 }
 
@@ -373,6 +395,7 @@
 }
 
 auto client_call::release() -> void {
+    m_owner->m_collected_bytes -= std::exchange(m_collected_bytes, 0U);
     const auto on = std::exchange(m_connection, nullptr);
     if (on) {
         boost::system::error_code ignored{};
@@ -396,12 +419,12 @@
     }
 }
 
-auto client_call::end_later(const code value) -> void {
+auto client_call::end_later(const call_end result) -> void {
     m_ended = true;
     release();
-    asio::post(m_owner->m_context, [self = shared_from_this(), value] {
+    asio::post(m_owner->m_context, [self = shared_from_this(), result] {
         if (!self->m_owner->m_closed) {
-            self->end(value);
+            self->end(result);
         }
     });
 }
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -1,5 +1,8 @@
 #include <algorithm>
 
+#include <boost/beast/core/buffers_to_string.hpp>
+
+#include <rhubarbwharf/net/held_bytes.hpp>
 #include <rhubarbwharf/net/loop.hpp>
 
 #include "net/client.hpp"
@@ -106,8 +109,45 @@
     }
 }
 
+auto client_state::start(const std::shared_ptr<client_call>& made, http_request request) -> void {
+    m_calls.insert(made);
+    made->start(std::move(request));
+}
+
+auto client_state::limit_collected() -> void {
+    if (m_collected_bytes <= max_held_bytes) {
+        return;
+    }
+    const std::vector<std::shared_ptr<client_call>> calls{m_calls.begin(), m_calls.end()};
+    std::vector<std::string> servers{};
+    servers.reserve(calls.size());
+    std::vector<held_response> held{};
+    for (const auto& each : calls) {
+        held.push_back({servers.emplace_back(to_string(each->server())), each->collected_bytes()});
+    }
+    if (const auto excess = find_excess(held, max_held_bytes)) {
+        calls[*excess]->end_for_held_bytes();
+    }
+}
+
 } // namespace internal
 
+namespace {
+
+/*! @brief Joins the parts of a response. One that did not come whole has the status 0; of one that is too large no body
+ * is left, as joining it would take its memory once more. */
+[[nodiscard]] auto take_response(internal::collected_response& from, const code ended) -> http_response {
+    auto out = std::move(from.m_head);
+    out.m_status = ended == code::ok ? out.m_status : std::uint16_t{0};
+    if (ended != code::too_large) {
+        out.m_body = internal::beast::buffers_to_string(from.m_body.data());
+    }
+    from.m_body = {};
+    return out;
+}
+
+} // namespace
+
 struct http_client::state : internal::client_state {
     using client_state::client_state;
 };
@@ -128,30 +168,23 @@
 auto http_client::send(const endpoint& server, http_request request, const call_limits& limits, call_handlers handlers)
     -> std::shared_ptr<call> {
     auto made = std::make_shared<internal::client_call>(m_state, server, limits, std::move(handlers));
-    m_state->m_calls.insert(made);
-    made->start(std::move(request));
+    m_state->start(made, std::move(request));
     return made;
 }
 
 auto http_client::fetch(const endpoint& server, http_request request, const call_limits& limits, fetched done)
     -> std::shared_ptr<call> {
     auto bounded = limits;
-    bounded.m_body_bytes = limits.m_body_bytes.value_or(max_collected_bytes);
-    auto into = std::make_shared<http_response>();
+    bounded.m_body_bytes = limits.m_body_bytes.value_or(max_held_bytes);
+    auto into = std::make_shared<internal::collected_response>();
     call_handlers handlers{};
-    handlers.m_on_head = [into](const http_response& head) {
-        *into = head;
-    };
-    handlers.m_on_part = [into](const std::string_view part) {
-        into->m_body.append(part);
-    };
     handlers.m_on_end = [into, done = std::move(done)](const call_end& end) {
-        if (end.m_code != code::ok) {
-            into->m_status = 0;
-        }
-        done(end, std::move(*into));
+        done(end, take_response(*into, end.m_code));
     };
-    return send(server, std::move(request), bounded, std::move(handlers));
+    auto made = std::make_shared<internal::client_call>(m_state, server, bounded, std::move(handlers));
+    made->collect(into);
+    m_state->start(made, std::move(request));
+    return made;
 }
 
 } // namespace rhubarbwharf::net
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/multi_buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <rhubarbwharf/net/http.hpp>
@@ -66,6 +67,14 @@
     bool m_sweeping{};
     bool m_sweeping_calls{};
     bool m_closed{};
+    /*! @brief Memory of the incomplete responses that its calls collect, in bytes. */
+    std::size_t m_collected_bytes{};
+
+    /*! @brief Starts a call, and keeps it until it has ended. @param made The call. @param request Its request. */
+    auto start(const std::shared_ptr<client_call>& made, http_request request) -> void;
+
+    /*! @brief Ends one call if the responses that are collected take more than `max_held_bytes`. */
+    auto limit_collected() -> void;
 
     /**
      * @brief Takes a kept connection that is still sound.
@@ -132,14 +141,33 @@
     int m_version{};
 };
 
+/*! @brief A response that is collected. Its body grows by blocks that stay where they are: one that is copied as it
+ * grows takes three to four times its bytes. */
+struct collected_response {
+    http_response m_head{};
+    beast::multi_buffer m_body{};
+};
+
 /*! @brief One call of a client, kept alive by its client and its operations until it has ended. */
 class client_call final : public call, public std::enable_shared_from_this<client_call> {
 public:
     client_call(std::shared_ptr<client_state> owner, endpoint server, call_limits limits, call_handlers handlers);
 
+    /*! @brief Collects the response, among those of the client. To be called before `start`. @param into Gets it. */
+    auto collect(std::shared_ptr<collected_response> into) noexcept -> void { m_collected = std::move(into); }
+
     /*! @brief Sends the request. @param request The request. */
     auto start(http_request request) -> void;
 
+    /*! @brief Ends the call as too large because of all that is collected; its handler is called later, as the caller
+     * may be another call. */
+    auto end_for_held_bytes() -> void;
+
+    [[nodiscard]] auto server() const noexcept -> const endpoint& { return m_server; }
+
+    /*! @brief Returns the memory of what was collected of the response, in bytes. */
+    [[nodiscard]] auto collected_bytes() const noexcept -> std::size_t { return m_collected_bytes; }
+
     auto cancel() -> void override;
     auto pause(bool paused) -> void override;
 
@@ -158,7 +186,7 @@
      * @return The bytes; none once the call was cancelled by one of its handlers. */
     [[nodiscard]] auto input_from(const char* first) const noexcept -> std::string_view;
 
-    /*! @brief Hands a part on. @param part Its bytes. */
+    /*! @brief Collects a part, or hands it on. @param part Its bytes. */
     auto on_part(std::string_view part) -> void;
 
     /*! @brief Counts the bytes of the extensions of a chunk. @param bytes The count. @return Whether they are within
@@ -183,6 +211,7 @@
     [[nodiscard]] auto most_body_bytes() const noexcept -> std::size_t;
     /*! @brief Names the limit that the bytes so far exceed. @return The name, or an empty view. */
     [[nodiscard]] auto exceeded_limit(boost::system::error_code failure) const noexcept -> std::string_view;
+    auto log_too_large(std::string_view limit, std::size_t bytes) const -> void;
     /*! @brief Logs which limit the response exceeds, and ends the call. */
     auto end_too_large(std::string_view limit) -> void;
     /*! @brief Logs what of the bytes received is no response, and ends the call. */
@@ -192,13 +221,16 @@
     auto finish() -> void;
     auto end(code value) -> void;
     auto end(call_end result) -> void;
-    auto end_later(code value) -> void;
+    /*! @brief Ends the call; its handler is called from the loop. */
+    auto end_later(call_end result) -> void;
     auto release() -> void;
 
     std::shared_ptr<client_state> m_owner;
     endpoint m_server{};
     call_limits m_limits{};
     call_handlers m_handlers{};
+    /*! @brief The response so far, if it is collected. */
+    std::shared_ptr<collected_response> m_collected{};
     shared_connection m_connection{};
     std::optional<response_parser> m_parser{};
     out_buffer m_request{};
@@ -221,6 +253,7 @@
     std::size_t m_bytes_ahead{};
     /*! @brief Bytes of the bodies of the response and of skipped ones. */
     std::size_t m_body_bytes{};
+    std::size_t m_collected_bytes{};
     std::size_t m_extension_bytes{};
     duration m_kept_time{most_kept_time};
     bool m_paused{};
--- a/src/gateway/held_bytes.cpp
+++ b/src/net/held_bytes.cpp
@@ -2,9 +2,9 @@
 #include <map>
 #include <utility>
 
-#include <gateway/held_bytes.hpp>
+#include <rhubarbwharf/net/held_bytes.hpp>
 
-namespace rhubarbwharf::gateway {
+namespace rhubarbwharf::net {
 
 auto find_excess(const std::span<const held_response> held, const std::size_t limit) -> std::optional<std::size_t> {
     std::map<std::string_view, std::size_t> by_server{};
@@ -22,4 +22,4 @@
     return static_cast<std::size_t>(largest - held.begin());
 }
 
-} // namespace rhubarbwharf::gateway
+} // namespace rhubarbwharf::net
--- a/test/net/scripted_server.hpp
+++ b/test/net/scripted_server.hpp
@@ -46,8 +46,8 @@
 /*! @brief Connections of a scripted server; kept alive by their operations, which may outlast the server. */
 class scripted_connections : public std::enable_shared_from_this<scripted_connections> {
 public:
-    scripted_connections(loop& owner, script lines)
-        : m_acceptor{owner.context(), {boost::asio::ip::make_address("127.0.0.1"), 0U}}, m_script{std::move(lines)} {
+    scripted_connections(loop& owner, script lines, const std::uint16_t port)
+        : m_acceptor{owner.context(), {boost::asio::ip::make_address("127.0.0.1"), port}}, m_script{std::move(lines)} {
         while (!m_script.m_again.empty() && m_script.m_again.size() < least_write_bytes) {
             m_script.m_again += m_script.m_again;
         }
@@ -196,8 +196,9 @@
  * is never sent whole. All calls are made on the thread of its loop. */
 class scripted_server {
 public:
-    scripted_server(loop& owner, script lines)
-        : m_connections{std::make_shared<scripted_connections>(owner, std::move(lines))} {
+    /*! @brief Listens on a port. @param port The port; 0 takes a free one. */
+    scripted_server(loop& owner, script lines, const std::uint16_t port = 0U)
+        : m_connections{std::make_shared<scripted_connections>(owner, std::move(lines), port)} {
         m_connections->accept();
     }
 
