Bound the memory of the incomplete answers that an agent relays

A faulty server that sends events, or bodies that are no streams, without an end to many requests at once took more memory than the machine of its agent has, and with the agent the requests of all other callers. Each answer was bounded (4 MiB), their sum was not.

Change: when an incomplete answer of over 64 KiB grows, those of all attempts are added up; beyond 16 MiB the attempt with the largest one ends as too large (find_excess, as in the gateway and the client). A counter tells how often.

Cost: one pass over the attempts of an agent for each read of an answer of over 64 KiB; several answers of up to 4 MiB at once can end that passed before.

--- a/src/agent/calls.cpp
+++ b/src/agent/calls.cpp
@@ -7,6 +7,7 @@
 #include <agent/calls.hpp>
 #include <agent/journal.hpp>
 #include <rhubarbwharf/core/assert.hpp>
+#include <rhubarbwharf/net/held_bytes.hpp>
 
 namespace rhubarbwharf::agent {
 
@@ -96,6 +97,27 @@
     send_head(self, attempt, head);
 }
 
+/*! @brief Ends the relay with the largest incomplete answer if those of all relays take more than `max_held_bytes`.
+ * @param attempt The relay whose answer has grown; small ones are not looked at. */
+auto limit_held_bytes(daemon& self, const relay& attempt) -> void {
+    constexpr std::size_t least_checked_bytes = 64U << 10U;
+    if (held_bytes(attempt.m_scanner) < least_checked_bytes) {
+        return;
+    }
+    std::vector<std::shared_ptr<relay>> relays{};
+    std::vector<net::held_response> held{};
+    for (const auto& [id, each] : self.m_relays) {
+        if (each->m_fault == code::ok) {
+            relays.push_back(each);
+            held.push_back({self.m_settings.m_backend.m_address, held_bytes(each->m_scanner)});
+        }
+    }
+    if (const auto excess = net::find_excess(held, max_held_bytes)) {
+        self.m_counters.add("agent_held_bytes_exceeded_total");
+        fail_relay(*relays[*excess], code::too_large);
+    }
+}
+
 auto on_part(daemon& self, relay& attempt, const std::string_view bytes) -> void {
     auto batch = scan(attempt.m_scanner, bytes);
     if (attempt.m_scanner.m_has_other_version) {
@@ -106,6 +128,7 @@
         return fail_relay(attempt, code::too_large);
     }
     send_part(self, attempt, std::move(batch));
+    limit_held_bytes(self, attempt);
 }
 
 /**
--- a/src/agent/events.cpp
+++ b/src/agent/events.cpp
@@ -82,4 +82,8 @@
     return scanner.m_rest.size() > max_event_bytes;
 }
 
+auto held_bytes(const event_scanner& scanner) noexcept -> std::size_t {
+    return scanner.m_rest.capacity();
+}
+
 } // namespace rhubarbwharf::agent
--- a/src/agent/events.hpp
+++ b/src/agent/events.hpp
@@ -32,6 +32,10 @@
 /*! @brief Maximum size of an event, or of an answer that is not a stream, in bytes. */
 inline constexpr std::size_t max_event_bytes = 4U << 20U;
 
+/*! @brief Bytes that the incomplete answers of all attempts may take. Reading one takes three to four times its bytes,
+ * as its buffer is copied while it grows, and the smallest machines of agents have 128 MB. */
+inline constexpr std::size_t max_held_bytes = 16U << 20U;
+
 /**
  * @brief Appends received bytes and returns the events that are complete.
  *
@@ -50,4 +54,7 @@
 /*! @brief Checks whether the buffered bytes exceed the maximum size of an event; the answer must be aborted then. */
 [[nodiscard]] auto is_oversize(const event_scanner& scanner) noexcept -> bool;
 
+/*! @brief Returns the memory that the buffered bytes take, in bytes. */
+[[nodiscard]] auto held_bytes(const event_scanner& scanner) noexcept -> std::size_t;
+
 } // namespace rhubarbwharf::agent
--- a/test/process/site.cpp
+++ b/test/process/site.cpp
@@ -290,6 +290,13 @@
     return m_client.start(m_entries.at(entry).m_caller_address, std::move(request));
 }
 
+auto test_cluster::send_lookup(const std::size_t entry) -> std::future<call_result> {
+    net::http_request request{};
+    request.m_target = "/v1/services/ledger/lookup";
+    request.m_headers = {internal::bearer(internal::caller_key)};
+    return m_client.start(m_entries.at(entry).m_caller_address, std::move(request));
+}
+
 auto test_cluster::count_executions(const std::string_view reference) const -> std::size_t {
     const auto line = "run " + std::string{reference};
     std::size_t count{};
--- a/test/process/site.hpp
+++ b/test/process/site.hpp
@@ -105,6 +105,8 @@
     /*! @brief Sends a payment through an entry. @param key Idempotency key; the reference if empty. */
     [[nodiscard]] auto send_payment(std::size_t entry, std::string_view reference, std::string_view key = {})
         -> std::future<call_result>;
+    /*! @brief Sends a request of the ledgers that may be repeated through an entry. */
+    [[nodiscard]] auto send_lookup(std::size_t entry) -> std::future<call_result>;
     /*! @brief Counts the executions of a payment by all ledgers, including those that have exited. */
     [[nodiscard]] auto count_executions(std::string_view reference) const -> std::size_t;
 
