--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -122,6 +122,7 @@
     std::vector<std::string> servers{};
     servers.reserve(calls.size());
     std::vector<held_response> held{};
+    held.reserve(calls.size());
     for (const auto& each : calls) {
         held.push_back({servers.emplace_back(to_string(each->server())), each->collected_bytes()});
     }
