Share the calls to a scripted store between two tests

site.endless and site.broken_answers each made one call of each kind to a scripted store; call_store does so for both now. They check what they checked.

--- a/test/soak/broken_answers.cpp
+++ b/test/soak/broken_answers.cpp
@@ -1,6 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <platform/store.hpp>
 #include <soak/scripted_site.hpp>
 
 namespace rhubarbwharf::soak {
@@ -48,34 +47,11 @@
     CHECK(tried.m_took < early);
 }
 
-/*! @brief Returns what the store's client makes of one response to each kind of call. */
+/*! @brief Returns what the store's client makes of one response to each kind of call. The write is a long one. */
 [[nodiscard]] auto store_replies(const std::string& response, const ending end) -> std::vector<adapter::reply> {
-    constexpr duration call_time = std::chrono::seconds{4};
-    net::loop loop{};
-    scripted_server server{loop, {response, {}, end}};
-    net::http_client client{loop};
-    adapter::store tried{client, server.address(), call_time};
-    std::vector<adapter::reply> out{};
-    const auto add = [&](const adapter::reply got) {
-        out.push_back(got);
-        loop.stop();
-    };
-    const auto into = [&](const auto& got) {
-        add(got.m_reply);
-    };
     adapter::transaction changes{};
     changes.m_puts.push_back({"key", std::string(long_body_bytes, 'v')});
-    tried.range("op/", {}, into);
-    loop.run();
-    tried.grant_lease(call_time, into);
-    loop.run();
-    tried.renew_lease(1U, into);
-    loop.run();
-    tried.commit(changes, [&](const adapter::reply got, std::uint64_t) { add(got); });
-    loop.run();
-    static_cast<void>(tried.watch("op/", 1U, call_time, into));
-    loop.run();
-    return out;
+    return call_store({response, {}, end}, changes).m_replies;
 }
 
 } // namespace
--- a/test/soak/endless.cpp
+++ b/test/soak/endless.cpp
@@ -1,6 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <platform/store.hpp>
 #include <soak/scripted_site.hpp>
 
 namespace rhubarbwharf::soak {
@@ -141,35 +140,13 @@
 
 TEST_CASE("a response of the store without an end ends the call early, and an endless watch lists anew") {
     const std::string head = "HTTP/1.1 200 OK\r\n\r\n{\"store-revision\":1,\"items\":[],\"events\":[";
-    net::loop loop{};
-    scripted_server server{loop, {head, "{}, ", ending::never}};
-    net::http_client client{loop};
-    constexpr duration call_time = std::chrono::seconds{4};
-    adapter::store tried{client, server.address(), call_time};
-    std::vector<adapter::reply> replies{};
-    const auto into = [&](const auto& got) {
-        replies.push_back(got.m_reply);
-        loop.stop();
-    };
     const auto begin = steady_now();
-    tried.range("op/", {}, into);
-    loop.run();
-    tried.grant_lease(call_time, into);
-    loop.run();
-    tried.renew_lease(1U, into);
-    loop.run();
-    tried.commit({}, [&](const adapter::reply got, std::uint64_t) {
-        replies.push_back(got);
-        loop.stop();
-    });
-    loop.run();
-    static_cast<void>(tried.watch("op/", 1U, call_time, into));
-    loop.run();
-    CHECK(replies == std::vector<adapter::reply>{adapter::reply::unknown, adapter::reply::unknown,
-                                                 adapter::reply::unknown, adapter::reply::unknown,
-                                                 adapter::reply::compacted});
-    CHECK(steady_now() - begin < call_time);
-    CHECK(server.most_bytes() <= refused_after_bytes);
+    const auto got = call_store({head, "{}, ", ending::never}, {});
+    CHECK(got.m_replies == std::vector<adapter::reply>{adapter::reply::unknown, adapter::reply::unknown,
+                                                       adapter::reply::unknown, adapter::reply::unknown,
+                                                       adapter::reply::compacted});
+    CHECK(steady_now() - begin < store_call_time);
+    CHECK(got.m_most_bytes <= refused_after_bytes);
 }
 
 TEST_CASE("a version of the weights is loaded after its origin has sent bytes without an end") {
--- a/test/soak/scripted_site.hpp
+++ b/test/soak/scripted_site.hpp
@@ -4,11 +4,13 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
 
 #include <net/scripted_server.hpp>
+#include <platform/store.hpp>
 #include <soak/site_fixture.hpp>
 
 namespace rhubarbwharf::soak {
@@ -102,6 +104,44 @@
     unsigned m_number{};
 };
 
+inline constexpr duration store_call_time = std::chrono::seconds{4};
+
+/*! @brief What the store's client made of a scripted store. */
+struct store_result {
+    /*! @brief Replies to a list, a grant and a renewal of a lease, a write and a watch. */
+    std::vector<adapter::reply> m_replies{};
+    /*! @brief Most bytes that the store sent on one connection. */
+    std::size_t m_most_bytes{};
+};
+
+/*! @brief Makes one call of each kind to a store that sends a script. @param changes What the write changes. */
+[[nodiscard]] inline auto call_store(script lines, const adapter::transaction& changes) -> store_result {
+    net::loop loop{};
+    scripted_server server{loop, std::move(lines)};
+    net::http_client client{loop};
+    adapter::store tried{client, server.address(), store_call_time};
+    store_result out{};
+    const auto add = [&](const adapter::reply got) {
+        out.m_replies.push_back(got);
+        loop.stop();
+    };
+    const auto into = [&](const auto& got) {
+        add(got.m_reply);
+    };
+    tried.range("op/", {}, into);
+    loop.run();
+    tried.grant_lease(store_call_time, into);
+    loop.run();
+    tried.renew_lease(1U, into);
+    loop.run();
+    tried.commit(changes, [&](const adapter::reply got, std::uint64_t) { add(got); });
+    loop.run();
+    static_cast<void>(tried.watch("op/", 1U, store_call_time, into));
+    loop.run();
+    out.m_most_bytes = server.most_bytes();
+    return out;
+}
+
 /*! @brief Returns the first events of a complete stream. */
 [[nodiscard]] inline auto first_events(const unsigned count) -> std::string {
     std::string out{};
