--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -67,7 +67,8 @@
     bool m_sweeping{};
     bool m_sweeping_calls{};
     bool m_closed{};
-    /*! @brief Memory of the incomplete responses that its calls collect, in bytes. */
+    /*! @brief Memory of the incomplete responses that its calls collect, in bytes. Their blocks count whole, as the
+     * allocator gives them memory that was in use before. */
     std::size_t m_collected_bytes{};
 
     /*! @brief Starts a call, and keeps it until it has ended. @param made The call. @param request Its request. */
--- a/test/net/held_bytes.cpp
+++ b/test/net/held_bytes.cpp
@@ -29,7 +29,7 @@
 }
 
 // Each body was within its limit, but their sum took the memory of the process.
-TEST_CASE("collected bodies without an end end together, and that of another server goes on") {
+TEST_CASE("endless bodies end once all that are collected exceed the limit, and one of another server goes on") {
     constexpr std::size_t sound_bytes = std::size_t{4} * 1024U * 1024U;
     constexpr std::size_t call_count = 8U;
     loop owner{};
