Order a load only with pieces that were read back in time

Cause: the loader read staged pieces back one after the other, and after the fourth round ordered the load whatever the age of the first read. Besides, nothing was read back for 1.5 s while an order was not answered.

Change: decide_load orders only within max_verification_age; slow runners are read with several reads at once, and get a pause and a log line if that does not suffice. Read-backs go on while an order is not answered.

The unit test of must_verify_again asserted the fault itself, that the fourth round orders at any age. It is replaced by cases that allow an order at no number of rounds beyond the age, and keep the bounds of repetition.

--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -144,16 +144,40 @@
 /*! @brief Share of a version's time limit after which the version is loaded regardless of the other loaders. */
 inline constexpr double max_load_delay_share = 0.625;
 
-/*! @brief Age of the first piece that was read back from which all are read again before the load is ordered: staged
- * data may become corrupt, and the load takes it as it is then. Leaves a second for the runner to accept the order. */
+/*! @brief Greatest age of a read-back at which the load may still be ordered: staged data may become corrupt, and the
+ * load takes it as it is then. The rule allows 3 s, which leaves a second for the runner to accept the order. */
 inline constexpr duration max_verification_age = std::chrono::seconds{2};
-/*! @brief Times that pieces are read back for one order, so that a runner that is always slow gets its order. */
+/*! @brief Time that reading all pieces back is to take; well below `max_verification_age`, as read times vary. */
+inline constexpr duration verification_target_time = std::chrono::seconds{1};
+/*! @brief Concurrent reads of staged pieces, so that a runner that serves meanwhile is not flooded. */
+inline constexpr unsigned max_concurrent_reads = 8U;
+/*! @brief Times that pieces are read back without a pause. */
 inline constexpr unsigned max_verifications = 4U;
+/*! @brief Pause after that, so that reads do not take a slow runner's time without end. */
+inline constexpr duration verification_pause = std::chrono::seconds{2};
+
+/*! @brief What follows after all staged pieces were found intact. */
+enum class load_decision : std::uint8_t {
+    order,
+    /*! @brief Too much time has passed since the first read; read them again now. */
+    verify_again,
+    /*! @brief The same, after `verification_pause`. */
+    pause,
+};
 
-/*! @brief Checks whether staged pieces that were found intact have to be read back again, as the process stood still or
- * the runner was slow meanwhile. @param age Elapsed time, suspensions included, since the first one was requested.
+/*! @brief Decides whether a load may be ordered. A load with pieces that were read too long ago is never ordered, as
+ * the runner would answer with what has become corrupt since; a runner that stays too slow keeps its version.
+ * @param age Elapsed time, suspensions included, since the first piece was requested.
  * @param verifications Times that the pieces were read back, this one included. */
-[[nodiscard]] auto must_verify_again(duration age, unsigned verifications) noexcept -> bool;
+[[nodiscard]] auto decide_load(duration age, unsigned verifications) noexcept -> load_decision;
+
+/**
+ * @brief Returns the number of staged pieces that are read at once, so that all are read in `verification_target_time`.
+ * @param read_time Time that the runner takes for one piece; zero if unknown.
+ * @param pieces Number of pieces.
+ * @return The limit, from 1 to `max_concurrent_reads`.
+ */
+[[nodiscard]] auto concurrent_read_limit(duration read_time, std::size_t pieces) noexcept -> unsigned;
 
 /**
  * @brief Checks whether a loader lets others of its region load a version first. A runner that has been ordered to load
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -93,8 +93,10 @@
     /*! @brief Whether the event that all pieces are staged has been logged. */
     bool m_complete_logged{false};
     time_point m_load_ordered_at{};
-    /*! @brief Times that the staged pieces were read back since the last order. */
+    /*! @brief Times that the staged pieces were read back since the last order or pause. */
     unsigned m_verifications{};
+    /*! @brief Time from which they may be read back again, after the runner was too slow. */
+    time_point m_verify_after{};
     /*! @brief Orders that the runner may still accept; no newer version begins before they are answered. */
     open_orders m_open_orders{};
 };
@@ -113,6 +115,8 @@
     /*! @brief Smoothed time that the link takes for a piece; zero until one has been received. */
     duration m_piece_transfer_time{};
     time_point m_last_piece_received{};
+    /*! @brief Smoothed time that the runner takes to return a staged piece; zero until it has returned one. */
+    duration m_staged_read_time{};
     fleet::load_report m_report{};
     bool m_report_received{false};
     bool m_report_requested{false};
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -224,8 +224,18 @@
     });
 }
 
-auto must_verify_again(const duration age, const unsigned verifications) noexcept -> bool {
-    return age > max_verification_age && verifications < max_verifications;
+auto decide_load(const duration age, const unsigned verifications) noexcept -> load_decision {
+    if (age <= max_verification_age) {
+        return load_decision::order;
+    }
+    return verifications < max_verifications ? load_decision::verify_again : load_decision::pause;
+}
+
+auto concurrent_read_limit(const duration read_time, const std::size_t pieces) noexcept -> unsigned {
+    const auto total = std::max(read_time, duration::zero()) * static_cast<duration::rep>(pieces);
+    const auto limit = (total + verification_target_time - duration{1}) / verification_target_time;
+    return static_cast<unsigned>(
+        std::clamp<duration::rep>(limit, 1, static_cast<duration::rep>(max_concurrent_reads)));
 }
 
 auto defers_load(const plan_input& in) -> bool {
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -25,6 +25,9 @@
 constexpr std::size_t max_report_bytes = std::size_t{1024} * 1024U;
 /*! @brief Time after which an order counts as lost if the runner is not busy loading. */
 constexpr duration load_order_timeout = std::chrono::milliseconds{1'500};
+/*! @brief Time after which the staged pieces are read back again while an order is not answered: the runner may accept
+ * it later, and loads what is staged then. */
+constexpr duration unanswered_order_timeout = std::chrono::milliseconds{500};
 /*! @brief Time before the loop stops, in which the log is written. */
 constexpr duration stop_delay = std::chrono::milliseconds{100};
 
@@ -132,8 +135,10 @@
     if (model.m_phase == load_phase::idle) {
         model.m_phase = load_phase::fetching;
     }
+    const auto order_timeout =
+        may_be_accepted(model.m_open_orders) ? unanswered_order_timeout : load_order_timeout;
     if (model.m_phase == load_phase::loading && !self.m_report.m_order_in_progress &&
-        now - model.m_load_ordered_at > load_order_timeout) {
+        now - model.m_load_ordered_at > order_timeout) {
         model.m_phase = load_phase::fetching;
     }
 }
@@ -368,7 +373,8 @@
                  {"took_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - model.m_wanted_since).count()}});
         }
-        if (model.m_manifest && model.m_staged_scanned && is_complete(model.m_pieces) &&
+        const auto may_order = !self.m_report.m_order_in_progress && now >= model.m_verify_after;
+        if (model.m_manifest && model.m_staged_scanned && is_complete(model.m_pieces) && may_order &&
             !must_defer_load(self, model)) {
             verify_and_order_load(self, model);
         }
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <numeric>
 
 #include <loader/daemon.hpp>
 #include <loader/transfer.hpp>
@@ -19,32 +20,54 @@
     std::vector<std::size_t> m_corrupt{};
     /*! @brief Digests of the pieces that were read, by index. */
     std::vector<std::optional<digest>> m_digests{};
-    /*! @brief Whether a read was not answered; the pieces after it were not read then. */
+    /*! @brief Whether a read was not answered; no further reads were started then. */
     bool m_interrupted{false};
 };
 
-/*! @brief Reads staged pieces back one after the other and checks their digests. */
+/*! @brief Updates the smoothed time that the runner takes to return a staged piece. */
+auto note_read_time(daemon& self, const duration took) -> void {
+    constexpr auto weight = 4;
+    auto& smoothed = self.m_staged_read_time;
+    smoothed = smoothed == duration::zero() ? took : smoothed + (took - smoothed) / weight;
+}
+
+/*! @brief Reads staged pieces back, several at once if the runner is slow, and checks their digests. */
 struct staged_reader : std::enable_shared_from_this<staged_reader> {
     daemon& m_self;
     std::string m_model{};
     std::uint64_t m_version{};
     std::vector<std::size_t> m_remaining{};
+    std::size_t m_piece_count{};
+    unsigned m_active_reads{};
     /*! @brief Not called if the version is no longer wanted. */
     std::function<void(const staged_pieces&)> m_on_done{};
     staged_pieces m_result{};
 
     explicit staged_reader(daemon& self) : m_self{self} {}
 
-    auto read_next() -> void {
-        if (m_remaining.empty() || m_result.m_interrupted) {
+    /*! @brief Starts reads up to the limit, or ends if none is left. */
+    auto read_more() -> void {
+        const auto limit = concurrent_read_limit(m_self.m_staged_read_time, m_piece_count);
+        while (!m_result.m_interrupted && !m_remaining.empty() && m_active_reads < limit) {
+            const auto piece = m_remaining.back();
+            m_remaining.pop_back();
+            ++m_active_reads;
+            read(piece);
+        }
+        if (m_active_reads == 0U) {
             m_on_done(m_result);
-            return;
         }
-        const auto piece = m_remaining.back();
-        m_remaining.pop_back();
+    }
+
+    auto read(const std::size_t piece) -> void {
         m_self.m_core.m_http.fetch(
             m_self.m_runner, adapter::encode_stage_get(m_model, piece), staged_piece_limits(m_self),
-            [self = shared_from_this(), piece](const net::call_end& end, const net::http_response& response) {
+            [self = shared_from_this(), piece, began = steady_now()](const net::call_end& end,
+                                                                     const net::http_response& response) {
+                --self->m_active_reads;
+                if (end.m_code == code::ok) {
+                    note_read_time(self->m_self, steady_now() - began);
+                }
                 self->on_piece(piece, end, response);
             });
     }
@@ -64,7 +87,7 @@
         } else {
             (result == read_result::intact ? m_result.m_valid : m_result.m_corrupt).push_back(piece);
         }
-        read_next();
+        read_more();
     }
 };
 
@@ -75,9 +98,10 @@
     reader->m_result.m_digests.resize(digest_count);
     reader->m_model = model.m_name;
     reader->m_version = model.m_version;
+    reader->m_piece_count = pieces.size();
     reader->m_remaining = std::move(pieces);
     reader->m_on_done = std::move(on_done);
-    reader->read_next();
+    reader->read_more();
 }
 
 auto order_load(daemon& self, model_state& model) -> void {
@@ -173,13 +197,43 @@
                              });
 }
 
+namespace internal {
+
+namespace {
+
+/*! @brief Orders the load if the read-backs of all pieces, which were intact, are recent enough.
+ * @param age Time since the first read began. */
+auto decide_verified_load(daemon& self, model_state& model, const duration age) -> void {
+    const auto decision = decide_load(age, model.m_verifications);
+    if (decision == load_decision::order) {
+        order_load(self, model);
+        return;
+    }
+    self.m_core.m_events.write("load.deferred",
+                               {{"model", model.m_name},
+                                {"version", static_cast<std::int64_t>(model.m_version)},
+                                {"reason", "the staged pieces were read back too slowly"},
+                                {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
+                                {"verifications", static_cast<std::int64_t>(model.m_verifications)}});
+    self.m_core.m_counters.add("loads_deferred_total");
+    if (decision == load_decision::verify_again) {
+        verify_and_order_load(self, model);
+        return;
+    }
+    model.m_phase = load_phase::fetching;
+    model.m_verifications = 0U;
+    model.m_verify_after = steady_now() + verification_pause;
+}
+
+} // namespace
+
+} // namespace internal
+
 auto verify_and_order_load(daemon& self, model_state& model) -> void {
     model.m_phase = load_phase::verifying;
     ++model.m_verifications;
     std::vector<std::size_t> all(model.m_pieces.size());
-    for (std::size_t index = 0U; index < all.size(); ++index) {
-        all[index] = index;
-    }
+    std::iota(all.begin(), all.end(), std::size_t{});
     internal::read_back_pieces(self, model, std::move(all), 0U,
                                [&self, name = model.m_name, version = model.m_version,
                                 began = node::boot_now()](const internal::staged_pieces& read) {
@@ -192,11 +246,7 @@
                                        return;
                                    }
                                    if (read.m_valid.size() == current->m_pieces.size()) {
-                                       if (must_verify_again(node::boot_now() - began, current->m_verifications)) {
-                                           verify_and_order_load(self, *current);
-                                       } else {
-                                           internal::order_load(self, *current);
-                                       }
+                                       internal::decide_verified_load(self, *current, node::boot_now() - began);
                                        return;
                                    }
                                    for (const auto piece : read.m_corrupt) {
--- a/test/loader/plan.cpp
+++ b/test/loader/plan.cpp
@@ -289,11 +289,27 @@
     CHECK_FALSE(defers(0U, std::chrono::seconds{2}));
 }
 
-TEST_CASE("pieces that were read back too long ago are read again, but not without end") {
-    CHECK_FALSE(must_verify_again(max_verification_age, 1U));
-    CHECK(must_verify_again(max_verification_age + duration{1}, 1U));
-    CHECK(must_verify_again(max_verification_age + duration{1}, max_verifications - 1U));
-    CHECK_FALSE(must_verify_again(max_verification_age + duration{1}, max_verifications));
+TEST_CASE("a load is ordered only if its pieces were read back recently, however often they were read") {
+    for (auto verifications = 1U; verifications <= 2U * max_verifications; ++verifications) {
+        CHECK(decide_load(max_verification_age, verifications) == load_decision::order);
+        CHECK(decide_load(max_verification_age + duration{1}, verifications) != load_decision::order);
+    }
+}
+
+TEST_CASE("pieces that were read back too long ago are read again, and after some times with a pause") {
+    constexpr auto outdated = max_verification_age + duration{1};
+    CHECK(decide_load(outdated, 1U) == load_decision::verify_again);
+    CHECK(decide_load(outdated, max_verifications - 1U) == load_decision::verify_again);
+    CHECK(decide_load(outdated, max_verifications) == load_decision::pause);
+}
+
+TEST_CASE("as many pieces are read at once as a slow runner needs, and one if it is fast or not known") {
+    constexpr std::size_t count = 48U;
+    CHECK(concurrent_read_limit(duration::zero(), count) == 1U);
+    CHECK(concurrent_read_limit(std::chrono::milliseconds{20}, count) == 1U);
+    CHECK(concurrent_read_limit(std::chrono::milliseconds{25}, count) == 2U);
+    CHECK(concurrent_read_limit(std::chrono::milliseconds{100}, count) == 5U);
+    CHECK(concurrent_read_limit(std::chrono::seconds{2}, count) == max_concurrent_reads);
 }
 
 } // namespace rhubarbwharf::loader
--- a/test/loader/staging.cpp
+++ b/test/loader/staging.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t pieces = 3U;
 /*! @brief Longer than the users' rules let a piece be corrupt unnoticed. */
 constexpr duration standstill = std::chrono::milliseconds{3'200};
+/*! @brief Longest time for which a piece may be corrupt when a load takes it, by the users' rules. */
+constexpr duration max_corrupt_time = std::chrono::milliseconds{3'000};
 
 [[nodiscard]] auto settings() -> config::node_settings {
     config::node_settings out{};
@@ -38,12 +40,20 @@
     std::set<std::size_t> m_corrupt{};
     /*! @brief Called before a piece is read back. */
     std::function<void(std::size_t)> m_on_read{};
+    /*! @brief Time from a read's arrival until its answer; one read at a time if the runner is serial. */
+    duration m_read_time{};
+    bool m_is_serial{false};
+    time_point m_busy_until{};
+    /*! @brief Time from an order's arrival until it is accepted. */
+    duration m_order_time{};
     unsigned m_reads{};
     unsigned m_orders{};
+    /*! @brief When each piece was last read. */
+    std::vector<time_point> m_read_at{pieces};
     /*! @brief Whether a load was ordered while a piece was corrupt. */
     bool m_loaded_corrupt{false};
 
-    fixture()
+    explicit fixture(const std::size_t piece_count = pieces)
         : m_runner{m_loader.m_core.m_loop, net::http_limits{},
                    [this](const net::http_request& request, const std::shared_ptr<net::responder>& responder) {
                        on_request(request, responder);
@@ -55,18 +65,21 @@
         model.m_version = version;
         model.m_phase = load_phase::fetching;
         model.m_staged_scanned = true;
-        model.m_pieces.assign(pieces, piece_state::held);
+        m_read_at.resize(piece_count);
+        model.m_pieces.assign(piece_count, piece_state::held);
         model.m_manifest.emplace();
-        for (std::size_t index = 0U; index < pieces; ++index) {
+        for (std::size_t index = 0U; index < piece_count; ++index) {
             model.m_manifest->m_digests.push_back(sha256(bytes_of(index)));
         }
     }
 
     auto on_request(const net::http_request& request, const std::shared_ptr<net::responder>& responder) -> void {
         if (request.m_target.starts_with("/api/order")) {
-            ++m_orders;
-            m_loaded_corrupt = m_loaded_corrupt || !m_corrupt.empty();
-            responder->respond({202U, {}, {}});
+            respond_after(m_order_time, [this, responder] {
+                ++m_orders;
+                m_loaded_corrupt = m_loaded_corrupt || !m_corrupt.empty();
+                responder->respond({202U, {}, {}});
+            });
             return;
         }
         const auto piece = std::stoul(request.m_target.substr(request.m_target.find('=') + 1U));
@@ -74,9 +87,25 @@
         if (m_on_read) {
             m_on_read(piece);
         }
-        responder->respond({200U, {}, m_corrupt.contains(piece) ? "other bytes" : bytes_of(piece)});
+        const auto now = steady_now();
+        m_busy_until = m_is_serial ? std::max(now, m_busy_until) + m_read_time : now + m_read_time;
+        respond_after(m_busy_until - now, [this, responder, piece] {
+            m_read_at[piece] = steady_now();
+            responder->respond({200U, {}, m_corrupt.contains(piece) ? "other bytes" : bytes_of(piece)});
+        });
     }
 
+    auto respond_after(const duration delay, std::function<void()> task) -> void {
+        if (delay <= duration::zero()) {
+            task();
+        } else {
+            m_loader.m_core.m_loop.after(delay, std::move(task));
+        }
+    }
+
+    /*! @brief Returns the time since the piece that was read first was read. */
+    [[nodiscard]] auto age_of_reads() const -> duration { return steady_now() - std::ranges::min(m_read_at); }
+
     [[nodiscard]] auto model() -> model_state& { return m_loader.m_models.at("m"); }
 
     [[nodiscard]] auto wait_until(const std::function<bool()>& condition) -> bool {
@@ -116,6 +145,54 @@
     }
 }
 
+// A loader read one piece after the other and ordered the load after the fourth time, however long that had taken.
+TEST_CASE("the pieces of a runner that takes long to read one are read in time for its load") {
+    fixture fixture{12U};
+    fixture.m_read_time = std::chrono::milliseconds{300};
+    verify_and_order_load(fixture.m_loader, fixture.model());
+    REQUIRE(fixture.wait_until([&] { return fixture.m_orders == 1U; }));
+    CHECK(fixture.age_of_reads() < max_corrupt_time);
+}
+
+TEST_CASE("a load is not ordered while the runner takes longer to read the pieces than they may be corrupt") {
+    fixture fixture{};
+    fixture.m_read_time = std::chrono::milliseconds{1'050};
+    fixture.m_is_serial = true;
+    verify_and_order_load(fixture.m_loader, fixture.model());
+    REQUIRE(fixture.wait_until(
+        [&] { return fixture.m_orders > 0U || fixture.model().m_phase == load_phase::fetching; }));
+    CHECK(fixture.m_orders == 0U);
+}
+
+TEST_CASE("a runner that was too slow to read the pieces gets its load once it is faster") {
+    fixture fixture{};
+    fixture.m_loader.m_report_received = true;
+    fixture.m_read_time = std::chrono::milliseconds{1'050};
+    fixture.m_is_serial = true;
+    fixture.m_loader.m_core.m_loop.every(fetch_interval, [&] { advance_models(fixture.m_loader); });
+    fixture.m_loader.m_core.m_loop.after(std::chrono::seconds{4},
+                                         [&] { fixture.m_read_time = std::chrono::milliseconds{10}; });
+    REQUIRE(fixture.wait_until([&] { return fixture.m_orders > 0U; }));
+    CHECK(fixture.age_of_reads() < max_corrupt_time);
+}
+
+// A piece that turned corrupt while the runner had not accepted the order was not noticed for 2 s and more.
+TEST_CASE("pieces that turn corrupt while an order is not answered are noticed") {
+    fixture fixture{};
+    fixture.m_loader.m_report_received = true;
+    fixture.m_order_time = std::chrono::milliseconds{2'500};
+    fixture.m_loader.m_core.m_loop.every(fetch_interval, [&] {
+        fixture.m_loader.m_report.m_order_in_progress = false;
+        advance_models(fixture.m_loader);
+    });
+    REQUIRE(fixture.wait_until([&] { return fixture.model().m_phase == load_phase::loading; }));
+    const auto turned_at = steady_now();
+    fixture.m_corrupt.insert(1U);
+    REQUIRE(fixture.wait_until([&] { return fixture.model().m_pieces[1U] == piece_state::missing; }));
+    CHECK(steady_now() - turned_at < std::chrono::seconds{1});
+    CHECK(fixture.m_orders == 0U);
+}
+
 // Load pattern: runners that are taken away while a new version spreads. Their loaders stay, and each fetched the
 // version over and over from the gateways of its data centre, as nothing could be staged.
 TEST_CASE("no piece is fetched for a runner that does not answer, and fetching goes on once it does") {
