Check watches of the store that wait

Cause: a watch that waits was believed until its own time limit of 22 s; a response that is lost shows nowhere if no other call is affected.

Change: a watch that has waited for 1.5 s is checked by a short call from the same revision. The operators' watch is only checked if the responses to the watch of the servers leave a revision unaccounted for, or there are none.

--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <rhubarbwharf/config/node.hpp>
+#include <rhubarbwharf/fleet/change_account.hpp>
 #include <rhubarbwharf/fleet/configuration.hpp>
 #include <rhubarbwharf/fleet/evacuation.hpp>
 #include <rhubarbwharf/fleet/limit.hpp>
@@ -178,6 +179,8 @@
     core_handlers m_handlers{};
     std::shared_ptr<follower> m_operator_follower{};
     std::shared_ptr<follower> m_server_follower{};
+    /*! @brief Changes that the watch of the backend servers accounts for, and with it the watch of operators' keys. */
+    fleet::change_account m_change_account{};
     /*! @brief Version of the list of backend servers that the own watch has not delivered. */
     fleet::missed_version m_missed_version{};
     /*! @brief Entry of a gateway in the store; null for a loader, which gateways know from its reports. */
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -32,6 +32,10 @@
         m_handlers.m_on_watch_replaced = [](duration) {
         };
     }
+    if (!m_handlers.m_on_answer) {
+        m_handlers.m_on_answer = [](const adapter::page&) {
+        };
+    }
 }
 
 auto follower::start(const duration first_watch_delay) -> void {
@@ -205,6 +209,80 @@
                                    self->on_changes(std::move(page));
                                }
                            });
+    m_check_active = false;
+    schedule_check(watch_check_interval);
+}
+
+auto follower::check_soon() -> void {
+    if (m_call) {
+        m_loop.after(watch_check_grace, [self = shared_from_this(), generation = m_generation] {
+            if (!self->m_stopped && self->m_generation == generation && !self->m_check_active) {
+                self->check_watch();
+            }
+        });
+    }
+}
+
+auto follower::schedule_check(const duration delay) -> void {
+    m_loop.after(delay, [self = shared_from_this(), generation = m_generation] {
+        if (self->m_stopped || self->m_generation != generation) {
+            return;
+        }
+        self->schedule_check(watch_check_interval);
+        if (!self->m_check_active) {
+            self->check_watch();
+        }
+    });
+}
+
+auto follower::check_watch() -> void {
+    if (m_handlers.m_may_have_missed && !m_handlers.m_may_have_missed()) {
+        return;
+    }
+    m_check_active = true;
+    m_store.watch(
+        m_prefix, m_version.m_revision, revision_watch_timeout,
+        [self = shared_from_this(), generation = m_generation, requested_at = steady_now()](adapter::page page) {
+            if (!self->m_stopped && self->m_generation == generation) {
+                self->on_check(std::move(page), requested_at);
+            }
+        });
+}
+
+auto follower::on_check(adapter::page page, const time_point requested_at) -> void {
+    m_check_active = false;
+    if (page.m_reply == adapter::reply::compacted) {
+        relist();
+        return;
+    }
+    if (page.m_reply != adapter::reply::ok) {
+        return;
+    }
+    if (page.m_items.empty()) {
+        m_known_until = std::max(m_known_until, requested_at);
+        m_version = std::max(m_version, page.m_version);
+        m_handlers.m_on_answer(page);
+        return;
+    }
+    m_loop.after(watch_check_grace,
+                 [self = shared_from_this(), generation = m_generation, page = std::move(page)]() mutable {
+                     if (!self->m_stopped && self->m_generation == generation) {
+                         self->take_missed_changes(std::move(page));
+                     }
+                 });
+}
+
+auto follower::take_missed_changes(adapter::page page) -> void {
+    ++m_generation;
+    if (auto call = std::exchange(m_call, nullptr)) {
+        call->cancel();
+    }
+    m_handlers.m_on_watch_replaced(steady_now() - m_watch_requested_at);
+    m_replacement_wait.reset();
+    const auto arrival = m_handlers.m_arrival();
+    m_write_time = {std::min(m_known_until, arrival.m_earliest), false};
+    m_known_until = arrival.m_earliest;
+    deliver(std::move(page));
 }
 
 auto follower::on_changes(adapter::page page) -> void {
@@ -230,6 +308,11 @@
     m_failures = 0U;
     m_write_time = was_waiting ? arrival : fleet::arrival_time{std::min(m_known_until, arrival.m_earliest), false};
     m_known_until = arrival.m_earliest;
+    deliver(std::move(page));
+}
+
+auto follower::deliver(adapter::page page) -> void {
+    m_handlers.m_on_answer(page);
     m_version = std::max(m_version, page.m_version);
     for (auto& each : page.m_items) {
         m_handlers.m_on_change(std::move(each));
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -23,6 +23,13 @@
 /*! @brief Wait of a watch that only asks for the store's revision. */
 inline constexpr duration revision_watch_timeout = std::chrono::milliseconds{50};
 
+/*! @brief Time after which a watch that still waits is checked, and again after each check: its response may be lost, and
+ * nothing else need show it. With the grace, less than the 2 s in which a change has to be in force. The watch of the
+ * backend servers seldom waits that long, and tells whether the other one needs the check. */
+inline constexpr duration watch_check_interval = std::chrono::milliseconds{1'500};
+/*! @brief Time that a working watch may take longer than another call to show a change. */
+inline constexpr duration watch_check_grace = std::chrono::milliseconds{100};
+
 /*! @brief Callbacks of a follower; all run on the loop's thread. */
 struct follower_handlers {
     /*! @brief Called after a listing with all keys and a version; the listing is at least as new as that version. */
@@ -33,6 +40,10 @@
     std::function<void(bool)> m_on_reachability{};
     /*! @brief Called with the age of a watch that is replaced; may be empty. */
     std::function<void(duration)> m_on_watch_replaced{};
+    /*! @brief Called with each response to a watch, before its changes are delivered; may be empty. */
+    std::function<void(const adapter::page&)> m_on_answer{};
+    /*! @brief Tells whether a watch that still waits may have missed a change; may be empty, if that is not known. */
+    std::function<bool()> m_may_have_missed{};
     /*! @brief Returns when a response that is handled now reached this machine; empty if that is always now. */
     std::function<fleet::arrival_time()> m_arrival{};
 };
@@ -43,6 +54,9 @@
  * While the store does not answer, calls are retried with exponential backoff and jitter, and the known revision is
  * kept. Keys are listed again only after `resume` and `relist`, or if the store has compacted the history that is
  * needed.
+ *
+ * A watch that waits is not believed without end, as its response may be lost: as long as it does, another call asks from
+ * time to time whether there are changes that it should have delivered, unless it is known that there are none.
  */
 class follower : public std::enable_shared_from_this<follower> {
 public:
@@ -71,6 +85,9 @@
      * @param wait Longest wait of the new one; its response tells the store's revision also if nothing has changed. */
     auto replace_watch(time_point began_until, duration wait) -> void;
 
+    /*! @brief Checks a watch that waits after `watch_check_grace`, if it may have missed a change then. */
+    auto check_soon() -> void;
+
     /*! @brief Drops the call in progress and lists anew after a random delay. The known revision may fall. */
     auto relist() -> void;
 
@@ -98,6 +115,15 @@
     auto on_page(adapter::page page) -> void;
     auto watch() -> void;
     auto on_changes(adapter::page page) -> void;
+    /*! @brief Checks the present watch after a delay, and repeats that as long as it waits. */
+    auto schedule_check(duration delay) -> void;
+    /*! @brief Checks the present watch, unless it is known to have missed nothing. */
+    auto check_watch() -> void;
+    auto on_check(adapter::page page, time_point requested_at) -> void;
+    /*! @brief Takes changes that the watch has not delivered, and begins another one. */
+    auto take_missed_changes(adapter::page page) -> void;
+    /*! @brief Delivers changes and continues to watch. */
+    auto deliver(adapter::page page) -> void;
     auto schedule_retry(bool relist) -> void;
     auto schedule_listing() -> void;
     auto update_contact(bool reachable) -> void;
@@ -127,6 +153,8 @@
     duration m_first_watch_delay{};
     /*! @brief Whether the listing has ended and the first watch is delayed. */
     bool m_first_watch_pending{false};
+    /*! @brief Whether a check of the present watch is in progress. */
+    bool m_check_active{false};
     bool m_contact_known{false};
     bool m_reachable{false};
     bool m_paused{false};
