--- a/app/standin-site/crash.cpp
+++ b/app/standin-site/crash.cpp
@@ -62,6 +62,15 @@
     return true;
 }
 
+auto server::crash_after_events(const std::string& body, const unsigned events) -> bool {
+    const auto& faults = m_observations.m_crash_faults;
+    if (faults.m_crash_body.empty() || body != faults.m_crash_body || events != faults.m_crash_after_events) {
+        return false;
+    }
+    crash(body);
+    return true;
+}
+
 auto server::crash(const std::string& part) -> void {
     if (m_server == nullptr) {
         return;
--- a/app/standin-site/crash.hpp
+++ b/app/standin-site/crash.hpp
@@ -16,6 +16,8 @@
     std::set<std::string> m_crash_parts{};
     /*! @brief Body of requests that crash each server that begins to run them; empty for none. */
     std::string m_crash_body{};
+    /*! @brief Events that a runner sends of its answer to such a request before it crashes. */
+    unsigned m_crash_after_events{};
     /*! @brief Time after which a crashed runner is back at its address, with a new id and without weights. */
     duration m_down_time{std::chrono::milliseconds{1'500}};
     /*! @brief Time after which the entry of a crashed runner leaves the store. */
--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -56,6 +56,7 @@
     responder_ptr m_responder{};
     std::string m_request_body{};
     unsigned m_next_event{1};
+    unsigned m_sent_events{};
     /*! @brief Event in the middle of which the connection is closed; beyond the last event for an intact stream. */
     unsigned m_cut_event{};
     prompt_event m_prompt{};
@@ -356,7 +357,8 @@
     check_request(request, arrived_at);
     ++m_observations.m_executions[internal::header_value(request, adapter::field::attempt)];
     const auto& crash_body = m_observations.m_crash_faults.m_crash_body;
-    if (!crash_body.empty() && request.m_body == crash_body) {
+    const auto crashes_at_once = m_observations.m_crash_faults.m_crash_after_events == 0U;
+    if (crashes_at_once && !crash_body.empty() && request.m_body == crash_body) {
         m_unanswered.push_back(responder);
         run_after(duration::zero(), [this, alive = m_alive, crash_body] {
             if (*alive) {
@@ -504,6 +506,9 @@
 }
 
 auto server::finish_event(const std::shared_ptr<stream>& output) -> void {
+    if (crash_after_events(output->m_request_body, ++output->m_sent_events)) {
+        return;
+    }
     if (output->m_next_event++ == events_per_stream) {
         output->m_responder->finish();
         --m_running_requests;
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -198,6 +198,8 @@
     auto set_limit(double per_s) -> void;
     auto check_request(const net::http_request& request, time_point arrived_at) -> void;
     auto publish_entry() -> void;
+    /*! @brief Crashes the server if a request crashes it after as many events. @return Whether it has crashed. */
+    auto crash_after_events(const std::string& body, unsigned events) -> bool;
     /*! @brief Records that an answer begins. @return False if the request crashes the server instead. */
     [[nodiscard]] auto begin_answer(prompt_event request) -> bool;
     /*! @brief Records the version on which an answer begins, unless the gateway has left. */
--- a/include/rhubarbwharf/routing/quarantine.hpp
+++ b/include/rhubarbwharf/routing/quarantine.hpp
@@ -49,7 +49,25 @@
 auto merge_remote_crashes(quarantine& table, std::uint64_t digest, std::uint64_t source, std::uint32_t crashes,
                           time_point expires) -> bool;
 
-/*! @brief Crashes that one process has observed. */
+/**
+ * @brief Records that a request was running when a backend server crashed. Several processes, or several attempts of
+ * the request, may tell of the same crash; it counts once.
+ * @param digest Digest of the request.
+ * @param server Digest of the server's incarnation; takes the place of a process as the source of a count.
+ * @param expires When the record expires; an earlier time does not shorten it.
+ * @return Whether this crash was not recorded before.
+ */
+auto record_server_crash(quarantine& table, std::uint64_t digest, std::uint64_t server, time_point expires) -> bool;
+
+/*! @brief Removes what rests on the crash of a backend server that has turned out to live.
+ * @param server Digest of the server's incarnation. */
+auto withdraw_server_crash(quarantine& table, std::uint64_t server) -> void;
+
+/*! @brief Removes the record of a request, also if it is quarantined: it was answered completely, so that it crashes no
+ * server. @return Whether there was one. */
+auto remove_crashes(quarantine& table, std::uint64_t digest) -> bool;
+
+/*! @brief Crashes that one process has observed, or that an incarnation of a backend server had. */
 struct crash_count {
     std::uint64_t m_source{};
     std::uint32_t m_crashes{};
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -189,7 +189,7 @@
     } else if (frame.has_parts()) {
         on_part_news(self, peer, frame.parts());
     } else if (frame.has_blame()) {
-        on_crash_report(self, peer, frame.incarnation(), frame.blame());
+        on_crash_report(self, frame.blame());
     } else if (frame.has_retry_use()) {
         on_retry_use(self, peer, frame.incarnation(), frame.retry_use());
     }
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -356,24 +356,4 @@
     }
 }
 
-auto attribute_crash(daemon& self, const std::shared_ptr<exchange>& item,
-                     const std::shared_ptr<dispatch::server_load>& backend) -> void {
-    constexpr duration confirmation_time = std::chrono::seconds{1};
-    const auto broke_at = steady_now();
-    self.m_core.m_loop.after(confirmation_time, [&self, item, backend, broke_at] {
-        if (item->m_has_begun || dispatch::has_lived_since(*backend, broke_at)) {
-            self.m_core.m_events.write("request.not_blamed", {{"id", item->m_attempt_id}, {"server", backend->m_id}});
-            return;
-        }
-        const auto crashes = routing::record_crash(self.m_quarantine, item->m_content_digest,
-                                                   steady_now() + crash_attribution_retention);
-        self.m_core.m_events.write("request.blamed",
-                                   {{"id", item->m_attempt_id}, {"crashes", static_cast<std::int64_t>(crashes)}});
-        wire::fleet::Frame frame{};
-        frame.mutable_blame()->set_content(item->m_content_digest);
-        frame.mutable_blame()->set_crashes(crashes);
-        node::send_to_gateways(self.m_core, frame);
-    });
-}
-
 } // namespace rhubarbwharf::gateway
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -84,8 +84,11 @@
     std::vector<routing::part_id> m_parts{};
     /*! @brief Suspect parts for which this request is the trial; empty if it is none. */
     std::vector<routing::part_id> m_trial_parts{};
-    /*! @brief Whether a backend server has begun the answer, which shows that the request ends none. */
+    /*! @brief Whether a backend server has begun the answer, which speaks for the parts; the request itself may still end
+     * servers later in its answer. */
     bool m_has_begun{false};
+    /*! @brief Whether the connection of an attempt broke, so that no server has answered the request from its begin. */
+    bool m_has_lost_connection{false};
 
     /*! @brief Ids of the backend servers tried so far, in order. */
     std::vector<std::string> m_tried_servers{};
@@ -328,11 +331,6 @@
  * @param peer Name of the sender. */
 auto on_frame(daemon& self, std::string_view peer, const wire::fleet::Frame& frame) -> void;
 
-/*! @brief Attributes a crash to a request whose connection to a backend server has broken, and reports it to the other
- * gateways, unless the server is seen to live or the request begins its answer elsewhere within a second. */
-auto attribute_crash(daemon& self, const std::shared_ptr<exchange>& item,
-                     const std::shared_ptr<dispatch::server_load>& backend) -> void;
-
 /*! @brief Returns the mean failure rate of a service's backend servers, without the given one; 1 if it is the only one,
  * 0 if the service is unknown. */
 [[nodiscard]] auto service_failure_rate(const daemon& self, const dispatch::server_load& backend) -> double;
--- a/src/gateway/parts.cpp
+++ b/src/gateway/parts.cpp
@@ -67,10 +67,6 @@
     return out;
 }
 
-[[nodiscard]] auto incarnation_of(const dispatch::server_load& backend) -> routing::incarnation_id {
-    return routing::incarnation_id{short_digest(backend.m_id + '\n' + std::to_string(backend.m_started_ms))};
-}
-
 [[nodiscard]] auto to_ms(const duration time) noexcept -> std::int64_t {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
@@ -158,6 +154,10 @@
 
 } // namespace internal
 
+auto incarnation_of(const dispatch::server_load& backend) -> routing::incarnation_id {
+    return routing::incarnation_id{short_digest(backend.m_id + '\n' + std::to_string(backend.m_started_ms))};
+}
+
 auto shared_parts(const std::string_view model, const std::string_view header) -> std::vector<routing::part_id> {
     std::vector<routing::part_id> out{};
     const auto ids = adapter::decode_prompt_parts(header);
@@ -197,7 +197,7 @@
 
 auto on_server_crash(daemon& self, exchange& item, const attempt& ended) -> void {
     const auto& backend = *ended.m_backend;
-    const auto server = internal::incarnation_of(backend);
+    const auto server = incarnation_of(backend);
     const auto found = internal::find_requests(self, backend);
     const auto recorded = routing::add_crash(self.m_parts, server, found.m_parts, steady_now());
     self.m_core.m_events.write("server.crashed", {{"server", backend.m_id},
@@ -223,10 +223,11 @@
     if (self.m_parts.m_crashes.empty()) {
         return;
     }
-    const auto server = internal::incarnation_of(backend);
+    const auto server = incarnation_of(backend);
     if (!routing::remove_crash(self.m_parts, server, steady_now())) {
         return;
     }
+    routing::withdraw_server_crash(self.m_quarantine, server.value());
     auto frame = internal::part_frame();
     frame.mutable_parts()->add_alive(server.value());
     node::send_to_gateways(self.m_core, frame);
@@ -275,6 +276,7 @@
     }
     for (const auto each : news.alive()) {
         static_cast<void>(routing::remove_crash(self.m_parts, routing::incarnation_id{each}, time_point::max()));
+        routing::withdraw_server_crash(self.m_quarantine, each);
     }
     routing::begin_trial(self.m_parts, internal::from_wire(news.trials()), now);
     routing::end_trial(self.m_parts, internal::from_wire(news.ended_trials()));
--- a/src/gateway/parts.hpp
+++ b/src/gateway/parts.hpp
@@ -22,12 +22,15 @@
  * @param header Value of the header with the parts. */
 [[nodiscard]] auto shared_parts(std::string_view model, std::string_view header) -> std::vector<routing::part_id>;
 
+/*! @brief Returns the digest of a backend server's id and start. */
+[[nodiscard]] auto incarnation_of(const dispatch::server_load& backend) -> routing::incarnation_id;
+
 /*! @brief Decides whether a request may be sent now as far as its parts are concerned. Refuses it if one of them is
  * held back, or on trial with another request.
  * @return False if the request has ended. */
 [[nodiscard]] auto admit_parts(daemon& self, const std::shared_ptr<exchange>& item) -> bool;
 
-/*! @brief Checks whether a backend server has ended under one of a request's parts, so that it must not run on two. */
+/*! @brief Checks whether a backend server has ended under one of a request's parts. */
 [[nodiscard]] auto has_crashed_part(const daemon& self, const exchange& item) -> bool;
 
 /*! @brief Records that the connection of an attempt broke after the request had been sent: its backend server may have
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -2,6 +2,7 @@
 #include <charconv>
 #include <utility>
 
+#include <gateway/crash_records.hpp>
 #include <gateway/limits.hpp>
 #include <gateway/parts.hpp>
 #include <gateway/retries.hpp>
@@ -175,7 +176,7 @@
     }
     dispatch::record_success(item->m_attempt->m_backend->m_health);
     on_delivery(self, *item, *item->m_attempt, true);
-    routing::clear_crashes(self.m_quarantine, item->m_content_digest);
+    exculpate(self, *item);
     const auto status = item->m_attempt->m_head->m_status;
     item->m_responder->finish();
     close_exchange(self, item, status, "answered");
@@ -238,7 +239,7 @@
     } else {
         dispatch::record_success(health);
         on_delivery(self, *item, current, true);
-        routing::clear_crashes(self.m_quarantine, item->m_content_digest);
+        exculpate(self, *item);
         record_first_byte(self, *item, current);
     }
     keep_attempt(self, item, ended);
@@ -278,8 +279,9 @@
         self.m_core.m_counters.add("responses_malformed_total", 1.0, item->m_service->m_name);
     }
     if (sent && is_connection_lost(end)) {
+        item->m_has_lost_connection = true;
         on_server_crash(self, *item, *ended);
-        attribute_crash(self, item, ended->m_backend);
+        attribute_crash(self, *item, ended->m_backend);
     }
     retry_or_end(self, item, ended, {!sent, sent, failure_reason(end)});
 }
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -20,9 +20,6 @@
 constexpr double min_first_attempt_ratio = 0.83;
 /*! @brief `Retry-After` while no configuration has been received. */
 constexpr duration unconfigured_retry_after = std::chrono::milliseconds{300};
-/*! @brief Crashes attributed to a request, over all gateways, from which it is quarantined. A harmless request that
- * runs beside a crashing one twice stays one crash below it. */
-constexpr std::uint32_t crash_quarantine_threshold = 3U;
 constexpr std::string_view bearer_prefix = "Bearer ";
 
 namespace {
@@ -238,13 +235,6 @@
     if (item->m_route->m_idempotency == fleet::idempotency::idempotent) {
         dispatch::record_request(state.m_hedge_allowance);
     }
-    if (routing::count_crashes(self.m_quarantine, item->m_content_digest, item->m_arrived_at) >=
-        internal::crash_quarantine_threshold) {
-        end_with_response(self, item,
-                          refusal_response(503U, "the request has crashed backend servers", std::chrono::seconds{2}),
-                          "quarantined");
-        return;
-    }
     schedule(self, item);
 }
 
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <gateway/crash_records.hpp>
 #include <gateway/parts.hpp>
 #include <gateway/placing.hpp>
 #include <gateway/retries.hpp>
@@ -196,7 +197,7 @@
 /*! @brief Sends a request to a second backend server if possible. */
 [[nodiscard]] auto send_hedge(daemon& self, service_state& state, const std::shared_ptr<exchange>& item,
                               const time_point now) -> dispatch::send_result {
-    if (has_crashed_part(self, *item)) {
+    if (has_crashed(self, *item, now)) {
         return dispatch::send_result::no_server;
     }
     const auto chosen = choose_backend(self, *item, now);
@@ -339,7 +340,7 @@
     auto& state = self.m_services[item->m_service->m_name];
     const auto now = steady_now();
     if (item->m_hedge_waits || state.m_hedge_allowance.m_credit < 1.0 || !state.m_queue.m_waiting.empty() ||
-        has_crashed_part(self, *item)) {
+        has_crashed(self, *item, now)) {
         return;
     }
     auto options = internal::placement_options_for(self, *item, now);
@@ -372,7 +373,7 @@
 
 auto schedule(daemon& self, const std::shared_ptr<exchange>& item) -> void {
     withdraw_hedge(self, *item);
-    if (!admit_parts(self, item)) {
+    if (!admit_content(self, item) || !admit_parts(self, item)) {
         return;
     }
     const auto now = steady_now();
@@ -436,7 +437,10 @@
             continue;
         }
         const auto queued = item->second;
-        if (!dispatch::is_tried(scan, each.m_group) || (!queued->m_hedge_waits && !admit_parts(self, queued))) {
+        if (!dispatch::is_tried(scan, each.m_group)) {
+            continue;
+        }
+        if (!queued->m_hedge_waits && (!admit_content(self, queued) || !admit_parts(self, queued))) {
             continue;
         }
         const auto result = internal::send_queued(self, state, queued, now);
--- a/src/routing/quarantine.cpp
+++ b/src/routing/quarantine.cpp
@@ -41,6 +41,22 @@
     return has_increased;
 }
 
+auto record_server_crash(quarantine& table, const std::uint64_t digest, const std::uint64_t server,
+                         const time_point expires) -> bool {
+    return merge_remote_crashes(table, digest, server, 1U, expires);
+}
+
+auto withdraw_server_crash(quarantine& table, const std::uint64_t server) -> void {
+    for (auto& entry : table.m_rows) {
+        entry.second.m_remote_crashes.erase(server);
+    }
+    std::erase_if(table.m_rows, [](const auto& entry) { return internal::total_crashes(entry.second) == 0U; });
+}
+
+auto remove_crashes(quarantine& table, const std::uint64_t digest) -> bool {
+    return table.m_rows.erase(digest) > 0U;
+}
+
 auto list_crashes(const quarantine& table, const std::uint64_t own_source, const time_point now,
                   const std::size_t max_reports) -> std::vector<crash_report> {
     std::vector<crash_report> out{};
--- a/test/routing/quarantine.cpp
+++ b/test/routing/quarantine.cpp
@@ -56,6 +56,34 @@
     CHECK(list_crashes(table, first, now + retention * 2, max_reports).front().m_remaining == duration::zero());
 }
 
+TEST_CASE("one crash of one server counts once, whoever tells of it and however often the request ran there") {
+    quarantine table{};
+    CHECK(record_server_crash(table, request, first, now + retention));
+    CHECK_FALSE(record_server_crash(table, request, first, now + retention));
+    CHECK(count_crashes(table, request, now) == 1U);
+    CHECK(record_server_crash(table, request, second, now + retention));
+    CHECK(count_crashes(table, request, now) == 2U);
+    quarantine started{};
+    CHECK(merge_report(started, list_crashes(table, 0U, now, max_reports).front(), 0U, now));
+    CHECK_FALSE(record_server_crash(started, request, second, now + retention));
+    CHECK(count_crashes(started, request, now) == 2U);
+}
+
+TEST_CASE("crashes are withdrawn if the request is answered, and one crash if its server lives") {
+    constexpr std::uint64_t other = 8U;
+    quarantine table{};
+    for (const auto server : {first, second, restarted}) {
+        record_server_crash(table, request, server, now + retention);
+    }
+    record_server_crash(table, other, first, now + retention);
+    withdraw_server_crash(table, first);
+    CHECK(count_crashes(table, request, now) == 2U);
+    CHECK_FALSE(table.m_rows.contains(other));
+    CHECK(remove_crashes(table, request));
+    CHECK_FALSE(remove_crashes(table, request));
+    CHECK(count_crashes(table, request, now) == 0U);
+}
+
 TEST_CASE("the records that expire last are told if there are too many") {
     quarantine table{};
     for (std::uint64_t digest = 1U; digest <= 5U; ++digest) {
