--- a/include/rhubarbwharf/fleet/change_account.hpp
+++ b/include/rhubarbwharf/fleet/change_account.hpp
@@ -11,8 +11,9 @@
  * @brief Finds out without a call of its own whether a watch of the store may have lost a response.
  *
  * A watch that waits is silent, and so is one whose response was lost. The store counts each change of any key with the
- * same revision counter, and the backend servers write all the time. So the responses to the watch of their entries tell
- * whether the revisions since the last one are all changes of such entries; if not, another watch had one to deliver.
+ * same revision counter, and the backend servers write all the time. So the responses to the watch of their entries
+ * tell whether the revisions since the last one are all changes of such entries; if not, another watch had one to
+ * deliver.
  */
 namespace rhubarbwharf::fleet {
 
--- a/src/gateway/crash_records.cpp
+++ b/src/gateway/crash_records.cpp
@@ -98,8 +98,7 @@
         }
         const auto crashes = routing::count_crashes(self.m_quarantine, content, now);
         self.m_core.m_events.write(
-            "request.blamed",
-            {{"id", id}, {"server", backend->m_id}, {"crashes", static_cast<std::int64_t>(crashes)}});
+            "request.blamed", {{"id", id}, {"server", backend->m_id}, {"crashes", static_cast<std::int64_t>(crashes)}});
         wire::fleet::Frame frame{};
         frame.mutable_blame()->set_content(content);
         frame.mutable_blame()->set_server(server);
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -84,8 +84,8 @@
     std::vector<routing::part_id> m_parts{};
     /*! @brief Suspect parts for which this request is the trial; empty if it is none. */
     std::vector<routing::part_id> m_trial_parts{};
-    /*! @brief Whether a backend server has begun the answer, which speaks for the parts; the request itself may still end
-     * servers later in its answer. */
+    /*! @brief Whether a backend server has begun the answer, which speaks for the parts; the request itself may still
+     * end servers later in its answer. */
     bool m_has_begun{false};
     /*! @brief Whether the connection of an attempt broke, so that no server has answered the request from its begin. */
     bool m_has_lost_connection{false};
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -234,8 +234,7 @@
 auto concurrent_read_limit(const duration read_time, const std::size_t pieces) noexcept -> unsigned {
     const auto total = std::max(read_time, duration::zero()) * static_cast<duration::rep>(pieces);
     const auto limit = (total + verification_target_time - duration{1}) / verification_target_time;
-    return static_cast<unsigned>(
-        std::clamp<duration::rep>(limit, 1, static_cast<duration::rep>(max_concurrent_reads)));
+    return static_cast<unsigned>(std::clamp<duration::rep>(limit, 1, static_cast<duration::rep>(max_concurrent_reads)));
 }
 
 auto defers_load(const plan_input& in) -> bool {
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -135,8 +135,7 @@
     if (model.m_phase == load_phase::idle) {
         model.m_phase = load_phase::fetching;
     }
-    const auto order_timeout =
-        may_be_accepted(model.m_open_orders) ? unanswered_order_timeout : load_order_timeout;
+    const auto order_timeout = may_be_accepted(model.m_open_orders) ? unanswered_order_timeout : load_order_timeout;
     if (model.m_phase == load_phase::loading && !self.m_report.m_order_in_progress &&
         now - model.m_load_ordered_at > order_timeout) {
         model.m_phase = load_phase::fetching;
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -60,16 +60,16 @@
     }
 
     auto read(const std::size_t piece) -> void {
-        m_self.m_core.m_http.fetch(
-            m_self.m_runner, adapter::encode_stage_get(m_model, piece), staged_piece_limits(m_self),
-            [self = shared_from_this(), piece, began = steady_now()](const net::call_end& end,
-                                                                     const net::http_response& response) {
-                --self->m_active_reads;
-                if (end.m_code == code::ok) {
-                    note_read_time(self->m_self, steady_now() - began);
-                }
-                self->on_piece(piece, end, response);
-            });
+        m_self.m_core.m_http.fetch(m_self.m_runner, adapter::encode_stage_get(m_model, piece),
+                                   staged_piece_limits(m_self),
+                                   [self = shared_from_this(), piece, began = steady_now()](
+                                       const net::call_end& end, const net::http_response& response) {
+                                       --self->m_active_reads;
+                                       if (end.m_code == code::ok) {
+                                           note_read_time(self->m_self, steady_now() - began);
+                                       }
+                                       self->on_piece(piece, end, response);
+                                   });
     }
 
     auto on_piece(const std::size_t piece, const net::call_end& end, const net::http_response& response) -> void {
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -23,9 +23,9 @@
 /*! @brief Wait of a watch that only asks for the store's revision. */
 inline constexpr duration revision_watch_timeout = std::chrono::milliseconds{50};
 
-/*! @brief Time after which a watch that still waits is checked, and again after each check: its response may be lost, and
- * nothing else need show it. With the grace, less than the 2 s in which a change has to be in force. The watch of the
- * backend servers seldom waits that long, and tells whether the other one needs the check. */
+/*! @brief Time after which a watch that still waits is checked, and again after each check: its response may be lost,
+ * and nothing else need show it. With the grace, less than the 2 s in which a change has to be in force. The watch of
+ * the backend servers seldom waits that long, and tells whether the other one needs the check. */
 inline constexpr duration watch_check_interval = std::chrono::milliseconds{1'500};
 /*! @brief Time that a working watch may take longer than another call to show a change. */
 inline constexpr duration watch_check_grace = std::chrono::milliseconds{100};
@@ -55,8 +55,8 @@
  * kept. Keys are listed again only after `resume` and `relist`, or if the store has compacted the history that is
  * needed.
  *
- * A watch that waits is not believed without end, as its response may be lost: as long as it does, another call asks from
- * time to time whether there are changes that it should have delivered, unless it is known that there are none.
+ * A watch that waits is not believed without end, as its response may be lost: as long as it does, another call asks
+ * from time to time whether there are changes that it should have delivered, unless it is known that there are none.
  */
 class follower : public std::enable_shared_from_this<follower> {
 public:
--- a/test/fleet/change_account.cpp
+++ b/test/fleet/change_account.cpp
@@ -19,7 +19,8 @@
     return out;
 }
 
-[[nodiscard]] auto missed(const change_account& value, const std::uint64_t followed, const time_point at = now) -> bool {
+[[nodiscard]] auto missed(const change_account& value, const std::uint64_t followed, const time_point at = now)
+    -> bool {
     return may_have_missed(value, {era, followed}, at, max_age);
 }
 
@@ -36,7 +37,9 @@
     auto value = account_at_10();
     CHECK(account(value, {era, 13U}, std::array<std::uint64_t, 2U>{11U, 13U}, now));
     CHECK(missed(value, 12U));
-    SUBCASE("until the other one knows all changes up to it") { CHECK_FALSE(missed(value, 13U)); }
+    SUBCASE("until the other one knows all changes up to it") {
+        CHECK_FALSE(missed(value, 13U));
+    }
     SUBCASE("also if all later revisions are accounted for") {
         CHECK_FALSE(account(value, {era, 14U}, std::array<std::uint64_t, 1U>{14U}, now));
         CHECK(missed(value, 12U));
--- a/test/loader/staging.cpp
+++ b/test/loader/staging.cpp
@@ -159,8 +159,8 @@
     fixture.m_read_time = std::chrono::milliseconds{1'050};
     fixture.m_is_serial = true;
     verify_and_order_load(fixture.m_loader, fixture.model());
-    REQUIRE(fixture.wait_until(
-        [&] { return fixture.m_orders > 0U || fixture.model().m_phase == load_phase::fetching; }));
+    REQUIRE(
+        fixture.wait_until([&] { return fixture.m_orders > 0U || fixture.model().m_phase == load_phase::fetching; }));
     CHECK(fixture.m_orders == 0U);
 }
 
--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -111,8 +111,8 @@
     CHECK(steady_now() - returned < apply_limit);
 }
 
-// The waiting watch was believed for 20 s: no other call was affected, so that nothing else showed that its response was
-// lost.
+// The waiting watch was believed for 20 s: no other call was affected, so that nothing else showed that its response
+// was lost.
 TEST_CASE("a configuration is applied in time although only the response to the watch for it was lost") {
     constexpr std::array<duration, 2U> write_intervals{std::chrono::milliseconds{300}, std::chrono::hours{1}};
     for (const auto interval : write_intervals) {
@@ -127,8 +127,8 @@
             standin_site::store_faults faults{};
             faults.m_lose_changes = version < 10U;
             fixture.m_platform_store.set_faults(faults);
-            const auto text = R"({"version":)" + std::to_string(version) +
-                              R"(,"routes":[],"services":[],"limits":{},"tenants":[]})";
+            const auto text =
+                R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[],"limits":{},"tenants":[]})";
             fixture.m_platform_store.put("op/config", text);
             fixture.m_platform_store.set_faults({});
             const auto acknowledged = steady_now();
@@ -156,7 +156,8 @@
 TEST_CASE("the watch for operators' keys costs no further call while servers write and nothing else changes") {
     watching_gateway fixture{};
     auto& self = fixture.m_self;
-    self.m_loop.every(std::chrono::milliseconds{300}, [&] { fixture.m_platform_store.put(server_key, entry("ready")); });
+    self.m_loop.every(std::chrono::milliseconds{300},
+                      [&] { fixture.m_platform_store.put(server_key, entry("ready")); });
     fixture.let_pass(std::chrono::milliseconds{2'000});
     const auto checks = self.m_counters.value("store_watch_checks_total");
     fixture.let_pass(std::chrono::milliseconds{4'000});
--- a/test/soak/crashing_request.cpp
+++ b/test/soak/crashing_request.cpp
@@ -103,8 +103,8 @@
     -> std::vector<std::future<process::call_result>> {
     std::vector<std::future<process::call_result>> out{};
     for (unsigned copy = 0U; copy < copies; ++copy) {
-        out.push_back(fixture.start_request(name + "-" + std::to_string(copy), standin_site::lookup_path, "b",
-                                            copy % gateways));
+        out.push_back(
+            fixture.start_request(name + "-" + std::to_string(copy), standin_site::lookup_path, "b", copy % gateways));
     }
     return out;
 }
