Confirm the time of a version only by narrow reports

Three ways to believe a late time, or to keep a request that may begin late, were found by reading, each with a test that failed before or could not have passed: - A report whose own age is uncertain by a second confirmed any time in that second. Now a known time is confirmed if it can be late by 0.2 s at most; else it becomes the bound and is asked for again. - A gateway that had stood still had heard no other region for a while, and took a gateway of its own region, which may have stood still too, as an independent witness. Now it listens for a heartbeat's time first. - A request that waits at a server which reports no version, as it loads one, was not withdrawn at the limit. Now it is, by the version that the server held when the request was sent.

Besides, a check of a watch across a suspension of the machine counts from before it, as all other known times do.

The test of uncertain reports asserted that a time half a second after the earliest possible one is confirmed. It now asserts that for 0.2 s, and that half a second is not.

--- a/include/rhubarbwharf/dispatch/hedge.hpp
+++ b/include/rhubarbwharf/dispatch/hedge.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 #include <rhubarbwharf/core/time.hpp>
 #include <rhubarbwharf/dispatch/fwd.hpp>
@@ -19,6 +20,16 @@
 /*! @brief Time left below which no further attempt is made. */
 inline constexpr duration min_attempt_time = std::chrono::milliseconds{20};
 
+/**
+ * @brief Checks whether a request that waits at a backend server may begin there on a version that is not allowed any
+ * more. A server that is not known to hold a version, as it loads one or has turned a request away, may still begin it on
+ * the one that it held.
+ * @param held Version that the server is known to hold; 0 for none.
+ * @param held_when_sent Version that it was known to hold when the request was sent; 0 for none.
+ */
+[[nodiscard]] auto may_begin_outdated(std::uint64_t held, std::uint64_t held_when_sent,
+                                      std::uint64_t min_version) noexcept -> bool;
+
 /*! @brief State of a request whose attempt is in progress. */
 struct pending_response {
     /*! @brief Whether the request may run more than once. */
--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -80,7 +80,12 @@
  * earlier of two before the later, as a report can only be late. */
 auto merge_report(weights_target& known, const weights_target& reported) noexcept -> void;
 
-/*! @brief Combines what is known of one write with an exact report whose own age is uncertain.
+/*! @brief Largest error of a time that counts as confirmed; less than the margins before a version's time limit. */
+inline constexpr duration max_confirmed_error = std::chrono::milliseconds{200};
+
+/*! @brief Combines what is known of one write with an exact report whose own age is uncertain. A known time between the
+ * two bounds may be late by the time since the first one; if that is too much, it becomes the bound, and is asked for
+ * again.
  * @param earliest Time of the write if the report was made when it was requested.
  * @param latest Time of the write if the report was made when it arrived.
  * @param is_independent Whether the report does not depend on the same links. */
--- a/src/dispatch/hedge.cpp
+++ b/src/dispatch/hedge.cpp
@@ -54,4 +54,10 @@
            is_known && state.m_silence >= tail.m_estimate && state.m_time_left > min_attempt_time;
 }
 
+auto may_begin_outdated(const std::uint64_t held, const std::uint64_t held_when_sent,
+                        const std::uint64_t min_version) noexcept -> bool {
+    const auto version = held != 0U ? held : held_when_sent;
+    return version != 0U && version < min_version;
+}
+
 } // namespace rhubarbwharf::dispatch
--- a/src/fleet/server.cpp
+++ b/src/fleet/server.cpp
@@ -168,7 +168,12 @@
         known.m_written_at = earliest;
         known.m_has_exact_write_time = false;
     } else if (known.m_has_exact_write_time) {
-        known.m_is_confirmed = known.m_is_confirmed || is_independent;
+        const auto is_certain = known.m_written_at <= earliest + max_confirmed_error;
+        known.m_is_confirmed = known.m_is_confirmed || (is_certain && is_independent);
+        if (!is_certain && !known.m_is_confirmed) {
+            known.m_written_at = earliest;
+            known.m_has_exact_write_time = false;
+        }
     } else {
         known.m_written_at = std::max(known.m_written_at, earliest);
     }
--- a/src/gateway/completion.cpp
+++ b/src/gateway/completion.cpp
@@ -72,7 +72,7 @@
     const auto min_version = node::min_allowed_version(self.m_core, item.m_model, now, node::version_withdrawal_margin);
     const auto held_version =
         fleet::complete_version(current.m_backend->m_models, item.m_model, service.m_engine->m_layer_count);
-    return held_version != 0U && held_version < min_version;
+    return dispatch::may_begin_outdated(held_version, current.m_held_version, min_version);
 }
 
 constexpr std::string_view version_expired = "the version may no longer begin a request";
--- a/src/gateway/daemon.hpp
+++ b/src/gateway/daemon.hpp
@@ -36,6 +36,8 @@
     std::shared_ptr<dispatch::server_load> m_backend{};
     std::shared_ptr<net::call> m_call{};
     time_point m_sent_at{};
+    /*! @brief Version of the weights that the server was known to hold when the request was sent; 0 for none. */
+    std::uint64_t m_held_version{};
     /*! @brief Prompt tokens added to the backend server's unread tokens; 0 once its response has begun. */
     double m_unread_tokens{};
     /*! @brief Status and headers of the response; empty until they have been received. */
--- a/src/gateway/scheduling.cpp
+++ b/src/gateway/scheduling.cpp
@@ -279,6 +279,7 @@
 
     const auto requirements = internal::requirements_of(self, *item, now);
     const auto held_version = fleet::complete_version(backend->m_models, requirements.m_model, requirements.m_layers);
+    current->m_held_version = held_version;
     const auto pinned = requirements.m_required_version != 0U || requirements.m_min_version != 0U;
     net::call_limits limits{};
     limits.m_total_time = item->m_deadline - now + std::chrono::milliseconds{500};
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -104,6 +104,7 @@
     m_known_until -= suspended;
     m_listing_requested_at -= suspended;
     m_watch_requested_at -= suspended;
+    m_check_requested_at -= suspended;
 }
 
 auto follower::update_contact(const bool reachable) -> void {
@@ -240,17 +241,19 @@
         return;
     }
     m_check_active = true;
-    m_store.watch(
-        m_prefix, m_version.m_revision, revision_watch_timeout,
-        [self = shared_from_this(), generation = m_generation, requested_at = steady_now()](adapter::page page) {
-            if (!self->m_stopped && self->m_generation == generation) {
-                self->on_check(std::move(page), requested_at);
-            }
-        });
+    m_check_requested_at = steady_now();
+    m_store.watch(m_prefix, m_version.m_revision, revision_watch_timeout,
+                  [self = shared_from_this(), generation = m_generation](adapter::page page) {
+                      if (!self->m_stopped && self->m_generation == generation) {
+                          self->on_check(std::move(page));
+                      }
+                  });
 }
 
-auto follower::on_check(adapter::page page, const time_point requested_at) -> void {
+auto follower::on_check(adapter::page page) -> void {
     m_check_active = false;
+    // A suspension is noted before the known times are used.
+    static_cast<void>(m_handlers.m_arrival());
     if (page.m_reply == adapter::reply::compacted) {
         relist();
         return;
@@ -259,7 +262,7 @@
         return;
     }
     if (page.m_items.empty()) {
-        m_known_until = std::max(m_known_until, requested_at);
+        m_known_until = std::max(m_known_until, m_check_requested_at);
         m_version = std::max(m_version, page.m_version);
         m_handlers.m_on_answer(page);
         return;
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -119,7 +119,7 @@
     auto schedule_check(duration delay) -> void;
     /*! @brief Checks the present watch, unless it is known to have missed nothing. */
     auto check_watch() -> void;
-    auto on_check(adapter::page page, time_point requested_at) -> void;
+    auto on_check(adapter::page page) -> void;
     /*! @brief Takes changes that the watch has not delivered, and begins another one. */
     auto take_missed_changes(adapter::page page) -> void;
     /*! @brief Delivers changes and continues to watch. */
@@ -149,6 +149,7 @@
     fleet::arrival_time m_write_time{};
     time_point m_listing_requested_at{};
     time_point m_watch_requested_at{};
+    time_point m_check_requested_at{};
     /*! @brief Delay of the first watch, until it begins. */
     duration m_first_watch_delay{};
     /*! @brief Whether the listing has ended and the first watch is delayed. */
--- a/src/node/targets.cpp
+++ b/src/node/targets.cpp
@@ -105,8 +105,13 @@
         return each.second.m_member.is_gateway() && each.second.m_member.m_region != self.m_self.m_region &&
                now - each.second.m_last_received <= fleet::heartbeat_timeout;
     };
-    return !self.m_follows_servers || region != self.m_self.m_region ||
-           std::ranges::none_of(self.m_members, is_other_region);
+    if (!self.m_follows_servers || region != self.m_self.m_region) {
+        return true;
+    }
+    // A process that stood still has heard nobody, which says nothing of the others; its peers may have stood still too.
+    const auto has_listened =
+        !fleet::has_just_stalled(self.m_stalls, now, fleet::min_stall, fleet::heartbeat_timeout);
+    return has_listened && std::ranges::none_of(self.m_members, is_other_region);
 }
 
 auto request_confirmation(core& self, const std::string_view region, const time_point now) -> bool {
--- a/test/dispatch/hedge.cpp
+++ b/test/dispatch/hedge.cpp
@@ -141,4 +141,14 @@
     CHECK_FALSE(is_slow(state, tail));
 }
 
+// A server that loads a version reports none, and requests that waited there were left to begin on the one before.
+TEST_CASE("a request may begin on an outdated version at a server that is not known to hold another one") {
+    CHECK(may_begin_outdated(3U, 3U, 4U));
+    CHECK(may_begin_outdated(0U, 3U, 4U));
+    CHECK_FALSE(may_begin_outdated(4U, 3U, 4U));
+    CHECK_FALSE(may_begin_outdated(3U, 3U, 0U));
+    CHECK_FALSE(may_begin_outdated(0U, 4U, 4U));
+    CHECK_FALSE(may_begin_outdated(0U, 0U, 4U));
+}
+
 } // namespace rhubarbwharf::dispatch
--- a/test/fleet/server.cpp
+++ b/test/fleet/server.cpp
@@ -153,11 +153,24 @@
     const time_point earliest{std::chrono::hours{1}};
     constexpr duration second = std::chrono::seconds{1};
     const auto latest = earliest + second;
-    weights_target exact{"m", 2U, earliest + second / 2, true};
+    weights_target exact{"m", 2U, earliest + max_confirmed_error, true};
     merge_delayed_report(exact, earliest, latest, true);
-    CHECK(exact.m_written_at == earliest + second / 2);
+    CHECK(exact.m_written_at == earliest + max_confirmed_error);
     CHECK(exact.m_has_exact_write_time);
     CHECK(exact.m_is_confirmed);
+    weights_target confirmed{"m", 2U, earliest + second / 2, true, {}, true};
+    merge_delayed_report(confirmed, earliest, latest, true);
+    CHECK(confirmed.m_written_at == earliest + second / 2);
+    CHECK(confirmed.m_has_exact_write_time);
+    // It may be late by half a second, which is more than the margin for requests that wait.
+    weights_target uncertain{"m", 2U, earliest + second / 2, true};
+    merge_delayed_report(uncertain, earliest, latest, true);
+    CHECK(uncertain.m_written_at == earliest);
+    CHECK_FALSE(uncertain.m_has_exact_write_time);
+    CHECK_FALSE(uncertain.m_is_confirmed);
+    merge_report(uncertain, {"m", 2U, earliest + second / 4, true, {}, true});
+    CHECK(uncertain.m_written_at == earliest + second / 4);
+    CHECK(uncertain.m_is_confirmed);
     weights_target early{"m", 2U, earliest - second, true};
     merge_delayed_report(early, earliest, latest, false);
     CHECK(early.m_written_at == earliest - second);
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -179,6 +179,25 @@
     CHECK(request_confirmation(loader, "here", now));
 }
 
+// After a freeze no gateway of another region had been heard for a while, so that one of the own region, which had been
+// frozen as well, confirmed a time that both had wrong.
+TEST_CASE("a gateway that has just stood still does not take its own region's word for the time of a write") {
+    auto settings = make_settings("gateway");
+    settings.m_region = "here";
+    core self{settings, true};
+    const auto now = steady_now();
+    accept_weights_target(self, make_target(2U, now), "store");
+    auto& other = self.m_members["other"];
+    other.m_member.m_instance = "other";
+    other.m_member.m_region = "there";
+    other.m_member.m_caller_address = {"127.0.0.1", 1U};
+    other.m_last_received = now - std::chrono::seconds{4};
+    self.m_stalls.m_periods.push_back({now - std::chrono::seconds{4}, now, now + std::chrono::seconds{4}});
+    CHECK_FALSE(request_confirmation(self, "here", now));
+    CHECK(request_confirmation(self, "there", now));
+    CHECK(request_confirmation(self, "here", now + fleet::heartbeat_timeout));
+}
+
 TEST_CASE("a slow answer to a request does not make an early time late, and corrects a late one") {
     core self{make_settings("gateway"), true};
     core peer{make_settings("gateway"), true};
