--- a/test/soak/crashing_request.cpp
+++ b/test/soak/crashing_request.cpp
@@ -102,6 +102,7 @@
 [[nodiscard]] auto start_popular_lookups(site_fixture& fixture, const std::string& name, const unsigned copies)
     -> std::vector<std::future<process::call_result>> {
     std::vector<std::future<process::call_result>> out{};
+    out.reserve(copies);
     for (unsigned copy = 0U; copy < copies; ++copy) {
         out.push_back(
             fixture.start_request(name + "-" + std::to_string(copy), standin_site::lookup_path, "b", copy % gateways));
