--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -224,15 +224,13 @@
 
 /*! @brief Time before a version's time limit from which requests start on that version or a newer one. Covers the wait
  * at a runner whose slots have just been filled. */
-inline constexpr duration version_margin = std::chrono::milliseconds{1'900};
+inline constexpr duration version_margin = std::chrono::milliseconds{1'500};
 /*! @brief Margin while no runner holds a newer version. Covers the transfer to a runner with a free slot and its next
  * step, before requests are withdrawn. */
-inline constexpr duration min_version_margin = std::chrono::milliseconds{900};
-/*! @brief Longest wait of a packet at a machine's link for which the platform still holds its time limits. */
-inline constexpr duration max_link_wait = std::chrono::milliseconds{500};
+inline constexpr duration min_version_margin = std::chrono::milliseconds{600};
 /*! @brief Time before a version's time limit at which a request that has not started on an older version is withdrawn.
- * The notice may wait at the own link, and travels for the one-way delay of the longest link. */
-inline constexpr duration version_withdrawal_margin = max_link_wait + std::chrono::milliseconds{100};
+ * The notice reaches the runner within the one-way delay of the longest link. */
+inline constexpr duration version_withdrawal_margin = std::chrono::milliseconds{300};
 
 /**
  * @brief Returns the oldest version on which a request may still start.
