Use a loaded version only once its pieces are proven

Callers got whole answers that were made with a layer of which a piece had been corrupt for more than 3 s when the runner took it. A runner that returns staged pieces slowly and one at a time never got a version.

Cause: a load was ordered if its pieces had been read back within 2 s, but the runner takes what is staged when it accepts the order, which may be seconds later. The same bound kept slow runners from being loaded at all.

Change: a piece counts if it was read intact after the acceptance and was not written since, or at most 2.5 s before the latest possible time of the acceptance. Until all pieces count, the loader reports the version as unproven and gateways send nothing for it. A load that can't be proven is given up, by an order that leaves the runner without a complete version, and ordered again. Nothing is staged while an order is open or a load is not proven, so that a loader that starts can prove what its runner holds. Gateways take from the store's list only versions that a loader has reported as proven for that incarnation. Fewer pieces are read at once after reads that timed out.

--- a/include/rhubarbwharf/dispatch/placement.hpp
+++ b/include/rhubarbwharf/dispatch/placement.hpp
@@ -63,7 +63,10 @@
     /*! @brief Until when it counts as ended, as the loader at its address has reported another incarnation; the
      * platform lists an ended one until its entry lapses. */
     time_point m_replaced_until{};
+    /*! @brief Models that it holds and may be used for. */
     std::vector<fleet::held_model> m_models{};
+    /*! @brief Versions that its loader has reported as loaded from intact pieces; see `fleet::select_proven`. */
+    std::vector<fleet::held_model> m_proven_models{};
     /*! @brief Requests that this gateway may have in progress there when slots are scarce. */
     double m_quota{};
     /*! @brief Requests of this gateway in progress there. */
--- a/include/rhubarbwharf/fleet/server.hpp
+++ b/include/rhubarbwharf/fleet/server.hpp
@@ -182,6 +182,17 @@
 /*! @brief Computes the digest without eras, for processes that do not know of them. */
 [[nodiscard]] auto fingerprint_of_revisions(const server_table& table) noexcept -> std::uint64_t;
 
+/**
+ * @brief Adds versions that a runner is known to have loaded from intact pieces. This stays true for its incarnation: a
+ * loader that has a version loaded again has never reported it as proven.
+ */
+auto add_proven(std::vector<held_model>& proven, std::span<const held_model> reported) -> void;
+
+/*! @brief Selects the models whose version is known to have been loaded from intact pieces.
+ * @param held What a runner holds, by a source that does not know how it was loaded. */
+[[nodiscard]] auto select_proven(std::span<const held_model> held, std::span<const held_model> proven)
+    -> std::vector<held_model>;
+
 /**
  * @brief Returns the version of a model of which all layers are held.
  * @param layers Layers of the model.
--- a/include/rhubarbwharf/loader/plan.hpp
+++ b/include/rhubarbwharf/loader/plan.hpp
@@ -144,32 +144,35 @@
 /*! @brief Share of a version's time limit after which the version is loaded regardless of the other loaders. */
 inline constexpr double max_load_delay_share = 0.625;
 
-/*! @brief Greatest age of a read-back at which the load may still be ordered: staged data may become corrupt, and the
- * load takes it as it is then. The rule allows 3 s, which leaves a second for the runner to accept the order. */
+/*! @brief Age of the read-backs up to which a load is ordered at once. It is below `max_unnoticed_corruption`, so that
+ * a runner that accepts the order soon needs no further reads before it serves. */
 inline constexpr duration max_verification_age = std::chrono::seconds{2};
 /*! @brief Time that reading all pieces back is to take; well below `max_verification_age`, as read times vary. */
 inline constexpr duration verification_target_time = std::chrono::seconds{1};
 /*! @brief Concurrent reads of staged pieces, so that a runner that serves meanwhile is not flooded. */
 inline constexpr unsigned max_concurrent_reads = 8U;
-/*! @brief Times that pieces are read back without a pause. */
-inline constexpr unsigned max_verifications = 4U;
-/*! @brief Pause after that, so that reads do not take a slow runner's time without end. */
-inline constexpr duration verification_pause = std::chrono::seconds{2};
+/*! @brief Times that pieces are read back before a load, at most. */
+inline constexpr unsigned max_verifications = 2U;
 
 /*! @brief What follows after all staged pieces were found intact. */
 enum class load_decision : std::uint8_t {
     order,
-    /*! @brief Too much time has passed since the first read; read them again now. */
+    /*! @brief Too much time has passed since the first read; read them again. */
     verify_again,
-    /*! @brief The same, after `verification_pause`. */
-    pause,
 };
 
-/*! @brief Decides whether a load may be ordered. A load with pieces that were read too long ago is never ordered, as
- * the runner would answer with what has become corrupt since; a runner that stays too slow keeps its version.
+/*! @brief Decides whether a load is ordered or its pieces are read again first. What is loaded is used only once it is
+ * proven, so that the age of the reads bounds how long the runner takes no requests, not what it may answer with. A
+ * runner that always reads slowly gains nothing by another round, and would never get the version.
  * @param age Elapsed time, suspensions included, since the first piece was requested.
+ * @param round_time Time that another round is expected to take.
  * @param verifications Times that the pieces were read back, this one included. */
-[[nodiscard]] auto decide_load(duration age, unsigned verifications) noexcept -> load_decision;
+[[nodiscard]] auto decide_load(duration age, duration round_time, unsigned verifications) noexcept -> load_decision;
+
+/*! @brief Estimates the time of reading all pieces back.
+ * @param read_time Time that the runner takes for one piece; zero if unknown.
+ * @param pieces Number of pieces. */
+[[nodiscard]] auto estimate_round_time(duration read_time, std::size_t pieces) noexcept -> duration;
 
 /**
  * @brief Returns the number of staged pieces that are read at once, so that all are read in `verification_target_time`.
@@ -179,6 +182,17 @@
  */
 [[nodiscard]] auto concurrent_read_limit(duration read_time, std::size_t pieces) noexcept -> unsigned;
 
+/*! @brief Time of a read up to which more reads are started at once; half of the time limit of a call to the runner. */
+inline constexpr duration max_growth_read_time = std::chrono::milliseconds{750};
+
+/*! @brief Adjusts the largest number of concurrent reads after a round: a runner that reads one piece at a time answers
+ * none of many in time.
+ * @param limit The present limit.
+ * @param answered Whether all reads of the round were answered in time.
+ * @param read_time Time that the runner takes for one of them.
+ * @return The limit of the next round, from 1 to `max_concurrent_reads`. */
+[[nodiscard]] auto adjust_read_limit(unsigned limit, bool answered, duration read_time) noexcept -> unsigned;
+
 /**
  * @brief Checks whether a loader lets others of its region load a version first. A runner that has been ordered to load
  * accepts no requests until its running ones have ended; if all runners were ordered at once, none would accept any.
--- a/src/fleet/server.cpp
+++ b/src/fleet/server.cpp
@@ -146,6 +146,32 @@
     return digest(table, [](const store_version version) { return version.m_revision; });
 }
 
+namespace {
+
+[[nodiscard]] auto contains_version(const std::span<const held_model> models, const held_model& sought) -> bool {
+    return std::ranges::any_of(models, [&sought](const held_model& each) {
+        return each.m_name == sought.m_name && each.m_version == sought.m_version;
+    });
+}
+
+} // namespace
+
+auto add_proven(std::vector<held_model>& proven, const std::span<const held_model> reported) -> void {
+    for (const auto& each : reported) {
+        if (!contains_version(proven, each)) {
+            proven.push_back(each);
+        }
+    }
+}
+
+auto select_proven(const std::span<const held_model> held, const std::span<const held_model> proven)
+    -> std::vector<held_model> {
+    std::vector<held_model> out{};
+    std::ranges::copy_if(held, std::back_inserter(out),
+                         [proven](const held_model& each) { return contains_version(proven, each); });
+    return out;
+}
+
 auto complete_version(const std::vector<held_model>& models, const std::string_view model, const unsigned layers)
     -> std::uint64_t {
     const auto found = std::ranges::find(models, model, &held_model::m_name);
--- a/src/gateway/backends.cpp
+++ b/src/gateway/backends.cpp
@@ -79,7 +79,7 @@
     const auto terms = warm_up_terms_of(self, backend.m_service);
     dispatch::note_stated_warm_up(backend.m_warm_up, terms, entry.m_warm_up_time, steady_now());
     if (steady_now() - backend.m_last_reported > dispatch::stale_report_age) {
-        backend.m_models = entry.m_models;
+        backend.m_models = fleet::select_proven(entry.m_models, backend.m_proven_models);
     }
     update_turns(self, backend);
     dispatch_queued(self, backend.m_service);
--- a/src/gateway/loads.cpp
+++ b/src/gateway/loads.cpp
@@ -34,6 +34,7 @@
     backend.m_other_waiting_requests =
         std::max(0.0, std::min(backend.m_other_requests, static_cast<double>(report.m_waiting)));
     backend.m_models = node::from_wire(models);
+    fleet::add_proven(backend.m_proven_models, backend.m_models);
     backend.m_loading = report.m_blocked;
     backend.m_slowdown = report.m_slowdown;
     backend.m_reported_running = report.m_running;
@@ -101,6 +102,8 @@
     apply_load(self, backend,
                {update.running(), update.waiting(), update.busy() || !update.alive(), update.pace(), now},
                update.models());
+    std::ranges::move(fleet::select_proven(node::from_wire(update.unproven_models()), backend.m_proven_models),
+                      std::back_inserter(backend.m_models));
     backend.m_last_heard = now;
     backend.m_last_sign = update.alive() ? now : backend.m_last_sign;
     backend.m_loader = peer;
--- a/src/loader/daemon.hpp
+++ b/src/loader/daemon.hpp
@@ -10,6 +10,7 @@
 #include <rhubarbwharf/loader/fwd.hpp>
 #include <rhubarbwharf/loader/order.hpp>
 #include <rhubarbwharf/loader/plan.hpp>
+#include <rhubarbwharf/loader/proof.hpp>
 #include <rhubarbwharf/net/http.hpp>
 
 #include <node/core.hpp>
@@ -32,6 +33,11 @@
     verifying,
     /*! @brief The runner has been ordered to load the staged pieces. */
     loading,
+    /*! @brief The runner holds the wanted version, but may have loaded it from corrupt pieces: those without proof are
+     * read back. No piece is staged meanwhile, as a replaced piece would seem to have been intact. */
+    proving,
+    /*! @brief The runner has been ordered to give up layers that may be corrupt. */
+    discarding,
 };
 
 /*! @brief Piece received before the manifest that holds its digest. */
@@ -70,6 +76,19 @@
     std::string m_previous_manifest_text{};
     manifest_request m_previous_manifest_request{};
     std::vector<piece_state> m_pieces{};
+    /*! @brief What this process has seen of each staged piece, by index; see `evidence_of`. */
+    std::vector<piece_evidence> m_evidence{};
+    /*! @brief Whether pieces are being read to prove a load. */
+    bool m_proof_requested{false};
+    /*! @brief Time from which a read that was not answered, or an order to give up layers, is repeated. */
+    time_point m_prove_after{};
+    /*! @brief Orders that the runner had accepted when the load was ordered; none if this process has not ordered it.
+     */
+    std::optional<std::uint64_t> m_orders_before_load{};
+    /*! @brief When the runner accepted the load; none if it is not known to have done so. */
+    std::optional<acceptance_window> m_load_accepted{};
+    /*! @brief Whether the load can't be proven, and no order makes the runner give its layers up. */
+    bool m_unprovable{false};
     /*! @brief Digests of the pieces that were found staged, by index; none for a piece that was not staged. */
     std::vector<std::optional<digest>> m_staged_digests{};
     /*! @brief What was last found out of inherited orders; none before. */
@@ -93,14 +112,19 @@
     /*! @brief Whether the event that all pieces are staged has been logged. */
     bool m_complete_logged{false};
     time_point m_load_ordered_at{};
-    /*! @brief Times that the staged pieces were read back since the last order or pause. */
+    /*! @brief Times that the staged pieces were read back since the last order. */
     unsigned m_verifications{};
-    /*! @brief Time from which they may be read back again, after the runner was too slow. */
-    time_point m_verify_after{};
     /*! @brief Orders that the runner may still accept; no newer version begins before they are answered. */
     open_orders m_open_orders{};
 };
 
+/*! @brief Version of a model that one incarnation of the runner has loaded from intact pieces. */
+struct proven_version {
+    /*! @brief Start of the incarnation, Unix ms. */
+    std::uint64_t m_started_ms{};
+    std::uint64_t m_version{};
+};
+
 /*! @brief State of a loader; accessed only on the loop's thread. */
 struct daemon {
     daemon(const config::node_settings& settings, std::string file);
@@ -117,7 +141,13 @@
     time_point m_last_piece_received{};
     /*! @brief Smoothed time that the runner takes to return a staged piece; zero until it has returned one. */
     duration m_staged_read_time{};
+    /*! @brief Staged pieces that are read at once, at most; see `adjust_read_limit`. */
+    unsigned m_max_concurrent_reads{max_concurrent_reads};
     fleet::load_report m_report{};
+    /*! @brief Orders that the runner has accepted, and when. */
+    acceptance_record m_acceptance{};
+    /*! @brief Last version of each model that the runner is known to have loaded from intact pieces. */
+    std::map<std::string, proven_version, std::less<>> m_proven{};
     bool m_report_received{false};
     bool m_report_requested{false};
     bool m_runner_alive{false};
@@ -160,6 +190,20 @@
  * all stop at once. */
 [[nodiscard]] auto must_defer_load(daemon& self, const model_state& model) -> bool;
 
+/*! @brief Returns what is known of a staged piece; adds a row without knowledge if there is none. */
+[[nodiscard]] auto evidence_of(model_state& model, std::size_t piece) -> piece_evidence&;
+
+/*! @brief Checks whether the runner's present incarnation has loaded a version from intact pieces, or held it before
+ * any order. */
+[[nodiscard]] auto is_proven(const daemon& self, std::string_view model, std::uint64_t version) -> bool;
+
+/*! @brief Checks whether the runner has accepted the load of the wanted version, which is not proven yet but can be. */
+[[nodiscard]] auto awaits_proof(const daemon& self, const model_state& model) -> bool;
+
+/*! @brief Takes the next step of the proof of a load that the runner has accepted: reads pieces, reports the version as
+ * held, or orders the runner to give up doubtful layers. Does nothing if no load awaits its proof. */
+auto prove_load(daemon& self, model_state& model) -> void;
+
 /*! @brief Reads all staged pieces back, then orders the load if all are intact. */
 auto verify_and_order_load(daemon& self, model_state& model) -> void;
 
--- a/src/loader/pieces.cpp
+++ b/src/loader/pieces.cpp
@@ -3,6 +3,7 @@
 
 #include <loader/daemon.hpp>
 #include <loader/transfer.hpp>
+#include <node/boot_clock.hpp>
 #include <platform/encode.hpp>
 #include <rhubarbwharf/core/digest.hpp>
 #include <rhubarbwharf/fleet/relay.hpp>
@@ -127,15 +128,20 @@
 }
 
 /*! @brief Stages a verified piece at the runner. */
-auto stage_piece(daemon& self, const model_state& model, const std::size_t piece, std::string bytes) -> void {
+auto stage_piece(daemon& self, model_state& model, const std::size_t piece, std::string bytes) -> void {
+    const auto written_before = evidence_of(model, piece).m_written_until;
+    record_write(evidence_of(model, piece), time_point::max());
     self.m_core.m_http.fetch(
         self.m_runner, adapter::encode_stage_put(model.m_name, piece, std::move(bytes)), runner_call_limits(),
-        [&self, name = model.m_name, version = model.m_version, piece](const net::call_end&,
-                                                                       const net::http_response& response) {
+        [&self, name = model.m_name, version = model.m_version, piece,
+         written_before](const net::call_end& end, const net::http_response& response) {
             auto* const current = find_model(self, name, version);
             if (current == nullptr || piece >= current->m_pieces.size()) {
                 return;
             }
+            const auto is_unanswered = response.m_status == 0U && end.m_sent == net::sent::some;
+            const auto written_until = node::boot_now() + (is_unanswered ? unanswered_write_time : duration::zero());
+            record_write(evidence_of(*current, piece), std::max(written_before, written_until));
             const auto staged = response.m_status >= status_ok && response.m_status < status_success_end;
             current->m_pieces[piece] = staged ? piece_state::held : piece_state::missing;
             if (!staged) {
@@ -315,7 +321,8 @@
     }
     internal::refresh_sources(self, model, now);
     request_manifest(self, model, model.m_version, model.m_manifest_request);
-    if (!model.m_staged_scanned || model.m_open_orders.m_is_inherited) {
+    // While the runner may accept an order, a piece that is replaced would seem to have been intact when it was loaded.
+    if (!model.m_staged_scanned || may_be_accepted(model.m_open_orders)) {
         return;
     }
     internal::query_peers(self, model, now);
--- a/src/loader/plan.cpp
+++ b/src/loader/plan.cpp
@@ -224,11 +224,15 @@
     });
 }
 
-auto decide_load(const duration age, const unsigned verifications) noexcept -> load_decision {
-    if (age <= max_verification_age) {
-        return load_decision::order;
-    }
-    return verifications < max_verifications ? load_decision::verify_again : load_decision::pause;
+auto decide_load(const duration age, const duration round_time, const unsigned verifications) noexcept
+    -> load_decision {
+    const auto may_be_faster = round_time <= max_verification_age && verifications < max_verifications;
+    return age > max_verification_age && may_be_faster ? load_decision::verify_again : load_decision::order;
+}
+
+auto estimate_round_time(const duration read_time, const std::size_t pieces) noexcept -> duration {
+    const auto total = std::max(read_time, duration::zero()) * static_cast<duration::rep>(pieces);
+    return total / static_cast<duration::rep>(concurrent_read_limit(read_time, pieces));
 }
 
 auto concurrent_read_limit(const duration read_time, const std::size_t pieces) noexcept -> unsigned {
@@ -237,6 +241,13 @@
     return static_cast<unsigned>(std::clamp<duration::rep>(limit, 1, static_cast<duration::rep>(max_concurrent_reads)));
 }
 
+auto adjust_read_limit(const unsigned limit, const bool answered, const duration read_time) noexcept -> unsigned {
+    if (!answered) {
+        return std::max(limit / 2U, 1U);
+    }
+    return read_time <= max_growth_read_time ? std::min(limit + 1U, max_concurrent_reads) : limit;
+}
+
 auto defers_load(const plan_input& in) -> bool {
     if (in.m_held_version == 0U || in.m_version_age >= in.m_max_load_delay) {
         return false;
--- a/src/loader/run.cpp
+++ b/src/loader/run.cpp
@@ -3,6 +3,7 @@
 
 #include <fleet.pb.h>
 #include <loader/daemon.hpp>
+#include <node/boot_clock.hpp>
 #include <node/wire.hpp>
 #include <platform/encode.hpp>
 #include <platform/names.hpp>
@@ -64,7 +65,9 @@
     return true;
 }
 
-auto on_report(daemon& self, const net::http_response& response) -> void {
+/*! @brief Handles the answer to a request for a report. @param requested_at When it was sent; of the boot-time clock.
+ */
+auto on_report(daemon& self, const time_point requested_at, const net::http_response& response) -> void {
     constexpr std::uint16_t ok = 200U;
     self.m_report_requested = false;
     if (apply_pause(self, response)) {
@@ -81,12 +84,21 @@
         return;
     }
     settle_orders(self, *report);
+    record_report(self.m_acceptance, report->m_started_ms, report->m_accepted_orders, requested_at, node::boot_now());
+    if (report->m_accepted_orders == 0U) {
+        // What a runner holds before any order came with it.
+        for (const auto& each : report->m_models) {
+            self.m_proven.insert_or_assign(each.m_name, proven_version{report->m_started_ms, each.m_version});
+        }
+    }
     if (self.m_report_received && report->m_started_ms != self.m_report.m_started_ms) {
         // After a restart the runner holds no layers, and a power loss may have removed staged data.
         for (auto& [name, model] : self.m_models) {
             model.m_staged_scanned = false;
             model.m_staged_scan_requested = false;
             model.m_staged_adopted = true;
+            model.m_evidence.clear();
+            model.m_prove_after = {};
             std::ranges::fill(model.m_pieces, piece_state::missing);
             model.m_phase = load_phase::fetching;
         }
@@ -117,6 +129,13 @@
     const auto held_version = fleet::complete_version(self.m_report.m_models, model.m_name, layer_count(self));
     model.m_held_version = held_version;
     if (held_version == model.m_version) {
+        if (!is_proven(self, model.m_name, held_version)) {
+            const auto is_repeated = model.m_phase == load_phase::discarding && now >= model.m_prove_after;
+            if (model.m_phase != load_phase::discarding || is_repeated) {
+                model.m_phase = load_phase::proving;
+            }
+            return;
+        }
         if (model.m_phase != load_phase::idle) {
             self.m_core.m_events.write(
                 "load.done",
@@ -132,7 +151,8 @@
         }
         return;
     }
-    if (model.m_phase == load_phase::idle) {
+    const auto had_version = model.m_phase == load_phase::proving || model.m_phase == load_phase::discarding;
+    if (model.m_phase == load_phase::idle || (had_version && !self.m_report.m_order_in_progress)) {
         model.m_phase = load_phase::fetching;
     }
     const auto order_timeout = may_be_accepted(model.m_open_orders) ? unanswered_order_timeout : load_order_timeout;
@@ -142,6 +162,21 @@
     }
 }
 
+/*! @brief Models that the runner holds. */
+struct reported_models {
+    std::vector<fleet::held_model> m_proven{};
+    /*! @brief Those that it may have loaded from corrupt pieces. */
+    std::vector<fleet::held_model> m_unproven{};
+};
+
+[[nodiscard]] auto split_by_proof(const daemon& self) -> reported_models {
+    reported_models out{};
+    for (const auto& each : self.m_report.m_models) {
+        (is_proven(self, each.m_name, each.m_version) ? out.m_proven : out.m_unproven).push_back(each);
+    }
+    return out;
+}
+
 /*! @brief Opens a listener. @return True also if the address is empty, which disables the listener. */
 [[nodiscard]] auto listen(net::http_server& server, const std::string& address) -> bool {
     const auto parsed = net::parse_endpoint(address);
@@ -257,7 +292,9 @@
     }
     self.m_core.m_http.fetch(
         self.m_runner, adapter::encode_report_request(), runner_call_limits(),
-        [&self](const net::call_end&, const net::http_response& response) { internal::on_report(self, response); });
+        [&self, requested_at = node::boot_now()](const net::call_end&, const net::http_response& response) {
+            internal::on_report(self, requested_at, response);
+        });
 }
 
 auto report_to_gateways(daemon& self, const bool force) -> void {
@@ -271,7 +308,9 @@
     load.set_waiting(self.m_report.m_waiting_requests);
     load.set_running(self.m_report.m_running_requests);
     load.set_busy(self.m_report.m_order_in_progress);
-    node::to_wire(self.m_report.m_models, *load.mutable_models());
+    const auto models = internal::split_by_proof(self);
+    node::to_wire(models.m_proven, *load.mutable_models());
+    node::to_wire(models.m_unproven, *load.mutable_unproven_models());
     load.set_pace(self.m_report.m_slowdown);
     load.set_alive(self.m_runner_alive);
     load.set_leaving(is_runner_leaving(self));
@@ -347,7 +386,10 @@
     for (auto& [name, model] : self.m_models) {
         internal::update_phase(self, model, now);
         check_inherited_orders(self, model);
-        const auto may_begin_next = model.m_next_version != 0U && !may_be_accepted(model.m_open_orders);
+        prove_load(self, model);
+        // Pieces of another version would end the proof of this one, which the runner could not use then.
+        const auto may_begin_next =
+            model.m_next_version != 0U && !may_be_accepted(model.m_open_orders) && !awaits_proof(self, model);
         if (may_begin_next && model.m_phase == load_phase::idle) {
             begin_version(self, model, model.m_next_version);
             internal::update_phase(self, model, now);
@@ -372,7 +414,7 @@
                  {"took_ms",
                   std::chrono::duration_cast<std::chrono::milliseconds>(now - model.m_wanted_since).count()}});
         }
-        const auto may_order = !self.m_report.m_order_in_progress && now >= model.m_verify_after;
+        const auto may_order = !self.m_report.m_order_in_progress;
         if (model.m_manifest && model.m_staged_scanned && is_complete(model.m_pieces) && may_order &&
             !must_defer_load(self, model)) {
             verify_and_order_load(self, model);
--- a/src/loader/staging.cpp
+++ b/src/loader/staging.cpp
@@ -3,6 +3,7 @@
 #include <numeric>
 
 #include <loader/daemon.hpp>
+#include <loader/read_back.hpp>
 #include <loader/transfer.hpp>
 #include <node/boot_clock.hpp>
 #include <platform/encode.hpp>
@@ -14,100 +15,13 @@
 
 namespace {
 
-/*! @brief Result of reading staged pieces back. */
-struct staged_pieces {
-    std::vector<std::size_t> m_valid{};
-    std::vector<std::size_t> m_corrupt{};
-    /*! @brief Digests of the pieces that were read, by index. */
-    std::vector<std::optional<digest>> m_digests{};
-    /*! @brief Whether a read was not answered; no further reads were started then. */
-    bool m_interrupted{false};
-};
-
-/*! @brief Updates the smoothed time that the runner takes to return a staged piece. */
-auto note_read_time(daemon& self, const duration took) -> void {
-    constexpr auto weight = 4;
-    auto& smoothed = self.m_staged_read_time;
-    smoothed = smoothed == duration::zero() ? took : smoothed + (took - smoothed) / weight;
-}
-
-/*! @brief Reads staged pieces back, several at once if the runner is slow, and checks their digests. */
-struct staged_reader : std::enable_shared_from_this<staged_reader> {
-    daemon& m_self;
-    std::string m_model{};
-    std::uint64_t m_version{};
-    std::vector<std::size_t> m_remaining{};
-    std::size_t m_piece_count{};
-    unsigned m_active_reads{};
-    /*! @brief Not called if the version is no longer wanted. */
-    std::function<void(const staged_pieces&)> m_on_done{};
-    staged_pieces m_result{};
-
-    explicit staged_reader(daemon& self) : m_self{self} {}
-
-    /*! @brief Starts reads up to the limit, or ends if none is left. */
-    auto read_more() -> void {
-        const auto limit = concurrent_read_limit(m_self.m_staged_read_time, m_piece_count);
-        while (!m_result.m_interrupted && !m_remaining.empty() && m_active_reads < limit) {
-            const auto piece = m_remaining.back();
-            m_remaining.pop_back();
-            ++m_active_reads;
-            read(piece);
-        }
-        if (m_active_reads == 0U) {
-            m_on_done(m_result);
-        }
-    }
-
-    auto read(const std::size_t piece) -> void {
-        m_self.m_core.m_http.fetch(m_self.m_runner, adapter::encode_stage_get(m_model, piece),
-                                   staged_piece_limits(m_self),
-                                   [self = shared_from_this(), piece, began = steady_now()](
-                                       const net::call_end& end, const net::http_response& response) {
-                                       --self->m_active_reads;
-                                       if (end.m_code == code::ok) {
-                                           note_read_time(self->m_self, steady_now() - began);
-                                       }
-                                       self->on_piece(piece, end, response);
-                                   });
-    }
-
-    auto on_piece(const std::size_t piece, const net::call_end& end, const net::http_response& response) -> void {
-        const auto* const model = find_model(m_self, m_model, m_version);
-        if (model == nullptr || !model->m_manifest) {
-            return;
-        }
-        const auto& digests = model->m_manifest->m_digests;
-        const auto result = judge_read(end, response, piece < digests.size() ? &digests[piece] : nullptr);
-        if (result != read_result::unanswered && response.m_status == status_ok && piece < m_result.m_digests.size()) {
-            m_result.m_digests[piece] = sha256(response.m_body);
-        }
-        if (result == read_result::unanswered) {
-            m_result.m_interrupted = true;
-        } else {
-            (result == read_result::intact ? m_result.m_valid : m_result.m_corrupt).push_back(piece);
-        }
-        read_more();
-    }
-};
-
-/*! @param digest_count Number of pieces whose digests are returned; 0 if only the comparison is of use. */
-auto read_back_pieces(daemon& self, const model_state& model, std::vector<std::size_t> pieces,
-                      const std::size_t digest_count, std::function<void(const staged_pieces&)> on_done) -> void {
-    auto reader = std::make_shared<staged_reader>(self);
-    reader->m_result.m_digests.resize(digest_count);
-    reader->m_model = model.m_name;
-    reader->m_version = model.m_version;
-    reader->m_piece_count = pieces.size();
-    reader->m_remaining = std::move(pieces);
-    reader->m_on_done = std::move(on_done);
-    reader->read_more();
-}
-
 auto order_load(daemon& self, model_state& model) -> void {
     model.m_phase = load_phase::loading;
     model.m_verifications = 0U;
     model.m_load_ordered_at = steady_now();
+    model.m_orders_before_load = self.m_report.m_accepted_orders;
+    model.m_load_accepted.reset();
+    model.m_unprovable = false;
     self.m_report.m_order_in_progress = true;
     report_to_gateways(self, true);
     self.m_core.m_events.write("load.ordered",
@@ -118,8 +32,9 @@
     record_order(model.m_open_orders, self.m_report.m_started_ms, self.m_report.m_accepted_orders);
     self.m_core.m_http.fetch(
         self.m_runner, adapter::encode_load_order(order), runner_call_limits(),
-        [&self, name = model.m_name, version = model.m_version,
-         started_ms = self.m_report.m_started_ms](const net::call_end& end, const net::http_response& response) {
+        [&self, name = model.m_name, version = model.m_version, started_ms = self.m_report.m_started_ms,
+         expected_orders = self.m_report.m_accepted_orders,
+         sent_at = node::boot_now()](const net::call_end& end, const net::http_response& response) {
             self.m_core.m_events.write("load.answered", {{"model", name},
                                                          {"version", static_cast<std::int64_t>(version)},
                                                          {"status", static_cast<std::int64_t>(response.m_status)}});
@@ -129,12 +44,16 @@
                 return;
             }
             const auto is_accepted = response.m_status == accepted || response.m_status == status_ok;
+            if (response.m_status == accepted) {
+                record_acceptance(self.m_acceptance, started_ms, expected_orders + 1U, {sent_at, node::boot_now()});
+            }
             const auto is_unanswered = response.m_status == 0U && end.m_sent == net::sent::some;
             const auto rejected = is_unanswered ? order_end::unanswered : order_end::refused;
             record_order_end(current->m_open_orders, started_ms, is_accepted ? order_end::accepted : rejected);
             if (response.m_status != 0U && !is_accepted) {
                 current->m_phase = load_phase::fetching;
             }
+            prove_load(self, *current);
         });
 }
 
@@ -201,11 +120,11 @@
 
 namespace {
 
-/*! @brief Orders the load if the read-backs of all pieces, which were intact, are recent enough.
+/*! @brief Orders the load, or reads all pieces back once more, after all were found intact.
  * @param age Time since the first read began. */
 auto decide_verified_load(daemon& self, model_state& model, const duration age) -> void {
-    const auto decision = decide_load(age, model.m_verifications);
-    if (decision == load_decision::order) {
+    const auto round_time = estimate_round_time(self.m_staged_read_time, model.m_pieces.size());
+    if (decide_load(age, round_time, model.m_verifications) == load_decision::order) {
         order_load(self, model);
         return;
     }
@@ -213,16 +132,9 @@
                                {{"model", model.m_name},
                                 {"version", static_cast<std::int64_t>(model.m_version)},
                                 {"reason", "the staged pieces were read back too slowly"},
-                                {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
-                                {"verifications", static_cast<std::int64_t>(model.m_verifications)}});
+                                {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
     self.m_core.m_counters.add("loads_deferred_total");
-    if (decision == load_decision::verify_again) {
-        verify_and_order_load(self, model);
-        return;
-    }
-    model.m_phase = load_phase::fetching;
-    model.m_verifications = 0U;
-    model.m_verify_after = steady_now() + verification_pause;
+    verify_and_order_load(self, model);
 }
 
 } // namespace
@@ -258,6 +170,20 @@
                                });
 }
 
+namespace internal {
+
+namespace {
+
+/*! @brief Checks whether the runner takes no requests, as its load has been ordered or is not proven yet. */
+[[nodiscard]] auto is_loading(const model_state& model) noexcept -> bool {
+    return model.m_phase == load_phase::loading || model.m_phase == load_phase::proving ||
+           model.m_phase == load_phase::discarding;
+}
+
+} // namespace
+
+} // namespace internal
+
 auto on_bulk_request(daemon& self, const net::http_request& incoming, const std::shared_ptr<net::responder>& responder)
     -> void {
     const auto name = adapter::query_value(incoming.m_target, "model");
@@ -280,7 +206,7 @@
         {std::string{internal::pieces_held_header}, internal::format_piece_states(model.m_pieces)},
         {std::string{internal::version_held_header}, std::to_string(model.m_held_version)},
         {std::string{internal::version_loading_header},
-         std::string{model.m_phase == load_phase::loading ? internal::loading_yes : "no"}}};
+         std::string{internal::is_loading(model) ? internal::loading_yes : "no"}}};
     if (incoming.m_target.starts_with("/have")) {
         responder->respond({internal::status_ok, headers, {}});
         return;
@@ -316,6 +242,7 @@
             }
             if (current != nullptr && is_read && current->m_manifest) {
                 current->m_pieces[piece] = piece_state::missing;
+                evidence_of(*current, piece).m_corrupt = true;
                 internal::record_corrupt_piece(self, *current, piece, "staged");
             }
             responder->respond(net::problem(code::chunk_unavailable, outcome::not_run, {}, duration::zero()));
--- a/test/gateway/loads.cpp
+++ b/test/gateway/loads.cpp
@@ -60,6 +60,7 @@
 TEST_CASE("an incarnation whose machine reports a later one gets no request though the platform still lists it") {
     daemon self{settings(), {}};
     auto& ended = add_server(self, "i-1", 1'000U, 5U);
+    internal::on_load(self, "loader-1", load_of(1'000U, 0U));
     CHECK(is_eligible(ended));
     internal::on_load(self, "loader-1", load_of(2'000U, 0U));
     CHECK_FALSE(is_eligible(ended));
@@ -115,4 +116,30 @@
     CHECK(row.m_other_requests == doctest::Approx(2.0));
 }
 
+// The store's list of servers, which says nothing of how a version was loaded, took the place of an outdated report.
+TEST_CASE("a runner gets requests for a version only once its loader has reported the load as proven") {
+    daemon self{settings(), {}};
+    auto& runner = add_server(self, "i-1", 1'000U, 5U);
+    CHECK_FALSE(is_eligible(runner));
+    auto unproven = load_of(1'000U, 0U);
+    unproven.mutable_unproven_models()->Swap(unproven.mutable_models());
+    internal::on_load(self, "loader-1", unproven);
+    CHECK_FALSE(is_eligible(runner));
+    internal::on_load(self, "loader-1", load_of(1'000U, 0U));
+    CHECK(is_eligible(runner));
+    SUBCASE("a loader that was restarted does not know it any more") {
+        internal::on_load(self, "loader-1", unproven);
+        CHECK(is_eligible(runner));
+    }
+    SUBCASE("the list of servers takes the place of an outdated report") {
+        runner.m_last_reported -= 2 * dispatch::stale_report_age;
+        refresh_backend(self, "i-1");
+        CHECK(is_eligible(runner));
+    }
+    SUBCASE("the next incarnation has loaded it anew") {
+        auto& next = add_server(self, "i-1", 2'000U, 6U);
+        CHECK_FALSE(is_eligible(next));
+    }
+}
+
 } // namespace rhubarbwharf::gateway
