Bound the age of what shows that watches lose nothing

Callers got a revoked key accepted and a new route answered with 404 for up to 4.5 s after the acknowledgement.

Cause: the probe that reveals a lost response of a watch is a serializable read, which the platform may answer with a state that is seconds old, without a bound. The account of changes also counted as settled when the checks of the watches were sent, so that a check without a response hid the change.

Change: one gateway reads the store's version each second with a linearizable read. The other watchers ask it and bound the age of the answer by the time of their request; without an answer, or if the version would get older than 2.1 s, they read it themselves. A check settles the account once both watches have answered. A watcher that has not known for 4 s that it has all changes counts as out of contact with the store.

--- a/app/standin-site/store.cpp
+++ b/app/standin-site/store.cpp
@@ -307,9 +307,16 @@
     constexpr std::size_t page_size = 50U;
     const auto prefix = internal::query_parameter(request, "prefix");
     const auto after = internal::query_parameter(request, "after");
+    const auto is_serializable = internal::query_parameter(request, "serializable") == "1";
+    const auto is_old = is_serializable && m_faults.m_serializable_age > duration::zero() && !m_copies.empty();
+    const auto until = steady_now() - m_faults.m_serializable_age;
+    const auto found = std::ranges::find_if(m_copies.rbegin(), m_copies.rend(),
+                                            [&](const copy& each) { return each.m_taken_at <= until; });
+    const auto* const old = is_old ? &(found == m_copies.rend() ? m_copies.front() : *found) : nullptr;
+    const auto revision = old == nullptr ? m_revision : old->m_revision;
     boost::json::array items{};
     auto has_more = false;
-    for (const auto& [key, each] : m_entries) {
+    for (const auto& [key, each] : old == nullptr ? m_entries : old->m_entries) {
         if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
             continue;
         }
@@ -320,7 +327,7 @@
         items.push_back(encode_entry(key, each));
     }
     responder->respond(
-        make_answer(internal::ok, {{"items", items}, {"has-more", has_more}, {"store-revision", m_revision}}));
+        make_answer(internal::ok, {{"items", items}, {"has-more", has_more}, {"store-revision", revision}}));
 }
 
 auto store::on_watch(const net::http_request& request, const responder_ptr& responder) -> void {
--- a/app/standin-site/store.hpp
+++ b/app/standin-site/store.hpp
@@ -35,6 +35,8 @@
     bool m_omit_era{false};
     /*! @brief Loses the changes for pending watches: their connections stay open and silent for good. */
     bool m_lose_changes{false};
+    /*! @brief Age of the contents that serializable reads return; limited by the oldest copy that is kept. */
+    duration m_serializable_age{};
 };
 
 /*! @brief In-memory key-value store with leases and watches; linearizable, as it runs on one thread. */
--- a/include/rhubarbwharf/fleet/region.hpp
+++ b/include/rhubarbwharf/fleet/region.hpp
@@ -52,6 +52,11 @@
 [[nodiscard]] auto representatives(const member_table& table, std::string_view region, time_point now)
     -> std::vector<const member*>;
 
+/*! @brief Finds the gateway that reads the version of the platform's store for all regions: the first one, by region
+ * and name, that says it reaches the store. Gateways with different tables may find different ones.
+ * @return Null if none is known. */
+[[nodiscard]] auto store_version_reader(const member_table& table, time_point now) -> const member*;
+
 /*! @brief Tells whether a gateway represents its region. @return True also if `table` lacks the gateway. */
 [[nodiscard]] auto is_representative(const member_table& table, const member& self, time_point now) -> bool;
 
--- a/src/fleet/region.cpp
+++ b/src/fleet/region.cpp
@@ -54,6 +54,17 @@
     return out;
 }
 
+auto store_version_reader(const member_table& table, const time_point now) -> const member* {
+    const member* out{nullptr};
+    for (const auto& [name, row] : table) {
+        const auto precedes = out == nullptr || row.m_member.m_region < out->m_region;
+        if (precedes && row.m_reaches_store && is_live_gateway(row, now)) {
+            out = &row.m_member;
+        }
+    }
+    return out;
+}
+
 auto is_representative(const member_table& table, const member& self, const time_point now) -> bool {
     if (!table.contains(self.m_instance)) {
         return true;
--- a/src/node/contact.cpp
+++ b/src/node/contact.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <node/boot_clock.hpp>
 #include <node/contact.hpp>
+#include <node/store_version.hpp>
 
 namespace rhubarbwharf::node {
 
@@ -19,24 +21,9 @@
     send_pulse(self);
 }
 
-/*! @brief Has both watches checked if the store has changes that neither delivers in time. */
-auto note_store_version(core& self, const fleet::store_version told) -> void {
-    for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
-        each->continue_check();
-    }
-    if (!self.m_watches_store || fleet::accounts_for(self.m_change_account, told)) {
-        return;
-    }
-    self.m_loop.after(max_delivery_time, [&self, told] {
-        if (!self.m_watches_store || fleet::accounts_for(self.m_change_account, told)) {
-            return;
-        }
-        fleet::settle(self.m_change_account, told);
-        self.m_counters.add("store_watch_checks_total");
-        for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
-            each->check();
-        }
-    });
+/*! @brief Checks whether it has been unknown for too long whether the watches deliver all changes. */
+[[nodiscard]] auto is_knowledge_outdated(const core& self, const time_point now) -> bool {
+    return self.m_store_known_until && now - *self.m_store_known_until > max_store_knowledge_age;
 }
 
 } // namespace
@@ -77,21 +64,33 @@
     }
 }
 
-auto probe_store(core& self) -> void {
+auto probe_store(core& self, const time_point now) -> void {
     if (!self.m_registration || !self.m_registered) {
         return;
     }
     const auto probe = ++self.m_store_probes;
-    self.m_store.read_version([&self, probe](const adapter::page& page) {
+    const auto is_reader = is_version_reader(self);
+    const auto as_of = is_reader ? std::optional{now} : std::nullopt;
+    if (self.m_store_known_until) {
+        self.m_counters.set("store_knowledge_age_seconds",
+                            std::chrono::duration<double>{now - *self.m_store_known_until}.count());
+    }
+    const auto consistency =
+        is_reader ? adapter::read_consistency::linearizable : adapter::read_consistency::serializable;
+    self.m_store.read_version(consistency, [&self, probe, as_of](const adapter::page& page) {
         const auto responds = page.m_reply == adapter::reply::ok;
         if (responds) {
             self.m_answered_store_probe = std::max(self.m_answered_store_probe, probe);
         }
-        internal::note_doubt(self, self.m_answered_store_probe < probe);
         if (responds) {
-            internal::note_store_version(self, page.m_version);
+            note_store_version(self, page.m_version, as_of);
         }
+        const auto is_outdated = self.m_watches_store && internal::is_knowledge_outdated(self, boot_now());
+        internal::note_doubt(self, self.m_answered_store_probe < probe || is_outdated);
     });
+    if (!is_reader) {
+        request_store_version(self);
+    }
     self.m_loop.after(store_doubt_time, [&self, probe] {
         if (self.m_answered_store_probe < probe) {
             internal::note_doubt(self, true);
--- a/src/node/contact.hpp
+++ b/src/node/contact.hpp
@@ -15,22 +15,19 @@
  * row is. */
 auto note_contact(core& self, bool answers) -> void;
 
-/*! @brief Interval of the probes that a watcher sends to the store. With `store_doubt_time`, a heartbeat and a listing,
- * it stays below the time within which a drained backend server must get no request (2 s). An outage in which an entry
- * can lapse lasts 2.4 s or more, so that two probes fall into it. */
-inline constexpr duration store_probe_interval = std::chrono::milliseconds{1'000};
 /*! @brief Time without a response to a probe after which a watcher doubts that the store still tells it of changes.
  * Covers a TCP retransmission on the longest link. */
 inline constexpr duration store_doubt_time = std::chrono::milliseconds{400};
 
-/*! @brief Time within which a working watch delivers a change: servers' changes are read in batches 0.5 s apart. With
- * `store_probe_interval` it stays below the 2 s in which a change has to be in force. */
-inline constexpr duration max_delivery_time = std::chrono::milliseconds{600};
+/*! @brief Age of the last certain knowledge from which a watcher counts as out of contact with the store: longer than a
+ * version read, the delivery of the changes up to it and a check take together. */
+inline constexpr duration max_store_knowledge_age = std::chrono::milliseconds{4'000};
 
 /*! @brief Probes the store. If it does not respond in time, or refuses, this process doubts what it watches: its next
- * heartbeat, sent at once, makes other gateways of the region watch as well. A response withdraws the doubt. It states
- * the store's version: if the watches do not deliver all changes up to it, the response to one of them may be lost
- * although all other calls are answered, and both are checked. */
-auto probe_store(core& self) -> void;
+ * heartbeat, sent at once, makes other gateways of the region watch as well. So does a watcher that does not know for
+ * too long whether its watches deliver all changes. A response withdraws the doubt, and states the store's version.
+ * @param self The process.
+ * @param now Time of the boot-time clock. */
+auto probe_store(core& self, time_point now) -> void;
 
 } // namespace rhubarbwharf::node
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -2,9 +2,11 @@
 #include <array>
 #include <utility>
 
+#include <node/boot_clock.hpp>
 #include <node/contact.hpp>
 #include <node/core.hpp>
 #include <node/evacuations.hpp>
+#include <node/store_version.hpp>
 #include <platform/decode.hpp>
 #include <platform/encode.hpp>
 #include <platform/names.hpp>
@@ -180,10 +182,11 @@
             {{"prefix", prefix}, {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
         self.m_counters.add("store_watches_replaced_total", 1.0, prefix);
     };
-    handlers.m_on_delivery = [&self](const std::span<const adapter::key_value> changes) {
-        for (const auto& each : changes) {
+    handlers.m_on_delivery = [&self](const adapter::page& page) {
+        for (const auto& each : page.m_items) {
             fleet::add_delivered(self.m_change_account, std::array{each.m_version.m_revision});
         }
+        note_store_version(self, page.m_version, std::nullopt);
     };
     const auto watch_timeout = std::chrono::milliseconds{self.m_settings.m_store.m_watch_ms};
     return std::make_shared<follower>(self.m_loop, self.m_store, std::string{prefix}, watch_timeout, batch_delay,
@@ -361,7 +364,7 @@
     self.m_registration->start();
     self.m_loop.every(store_probe_interval, [&self] {
         if (self.m_watches_store || self.m_store_doubted) {
-            probe_store(self);
+            probe_store(self, node::boot_now());
         }
     });
 }
@@ -380,7 +383,7 @@
       m_store{m_http, internal::endpoint_or_empty(settings.m_store.m_address),
               std::chrono::milliseconds{settings.m_store.m_call_ms}},
       m_self{internal::make_own_member(settings, m_incarnation)}, m_first_seed{m_random()},
-      m_follows_servers{follows_servers}, m_state_pulls{m_random() >> 1U} {
+      m_follows_servers{follows_servers}, m_state_pulls{m_random() >> 1U}, m_version_requests{m_random() >> 1U} {
     m_handlers.m_on_configuration = [] {
     };
     m_handlers.m_on_weights = [] {
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -69,6 +69,12 @@
     fleet::arrival_time m_written{};
 };
 
+/*! @brief Version of the store, and a time at which the store had no later one; of the boot-time clock. */
+struct told_store_version {
+    fleet::store_version m_version{};
+    time_point m_as_of{};
+};
+
 /*! @brief Digests of the table of backend servers, computed when it has changed. */
 struct server_digests {
     std::uint64_t m_changes{UINT64_MAX};
@@ -181,6 +187,20 @@
     std::shared_ptr<follower> m_server_follower{};
     /*! @brief Changes of the store that the watches have delivered. */
     fleet::change_account m_change_account{};
+    /*! @brief Whether both watches are being checked. */
+    bool m_watch_check_active{false};
+    /*! @brief Whether the last check has failed, so that a change may still be missing. */
+    bool m_watch_check_failed{false};
+    /*! @brief Time up to which all changes of the store are known for certain; none before the first one. Of the
+     * boot-time clock. */
+    std::optional<time_point> m_store_known_until{};
+    /*! @brief Latest version of the store that was read, here or by another gateway, and when. */
+    std::optional<told_store_version> m_told_version{};
+    /*! @brief Number of the last request to another gateway for it; begins at random, as an answer to a former process
+     * may come. */
+    std::uint64_t m_version_requests{};
+    /*! @brief When that request was sent; of the boot-time clock. */
+    time_point m_version_requested_at{};
     /*! @brief Version of the list of backend servers that the own watch has not delivered. */
     fleet::missed_version m_missed_version{};
     /*! @brief Entry of a gateway in the store; null for a loader, which gateways know from its reports. */
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -33,7 +33,7 @@
         };
     }
     if (!m_handlers.m_on_delivery) {
-        m_handlers.m_on_delivery = [](std::span<const adapter::key_value>) {
+        m_handlers.m_on_delivery = [](const adapter::page&) {
         };
     }
 }
@@ -200,6 +200,7 @@
 
 auto follower::watch() -> void {
     const auto generation = ++m_generation;
+    m_batch_pending = false;
     m_watch_requested_at = steady_now();
     const auto wait = m_replacement_wait.value_or(m_watch_timeout);
     const auto timeout = m_failures == 0U ? wait : std::min(wait, internal::first_watch_timeout);
@@ -210,49 +211,39 @@
                                    self->on_changes(std::move(page));
                                }
                            });
-    m_check_active = false;
-    m_check_refused = false;
 }
 
-auto follower::check() -> void {
-    if (m_stopped || !m_call || m_check_active) {
+auto follower::check(check_handler done) -> void {
+    if (m_stopped || m_paused || !(m_call || m_batch_pending)) {
+        done(std::nullopt);
         return;
     }
-    m_check_active = true;
-    m_check_refused = false;
     m_check_requested_at = steady_now();
     m_store.watch(m_prefix, m_version.m_revision, revision_watch_timeout,
-                  [self = shared_from_this(), generation = m_generation](adapter::page page) {
-                      if (!self->m_stopped && self->m_generation == generation) {
-                          self->on_check(std::move(page));
-                      }
+                  [self = shared_from_this(), generation = m_generation, done = std::move(done)](adapter::page page) {
+                      const auto is_current = !self->m_stopped && self->m_generation == generation;
+                      done(is_current ? self->on_check(std::move(page)) : std::nullopt);
                   });
 }
 
-auto follower::continue_check() -> void {
-    if (m_check_refused) {
-        check();
-    }
-}
-
-auto follower::on_check(adapter::page page) -> void {
-    m_check_active = false;
+auto follower::on_check(adapter::page page) -> std::optional<fleet::store_version> {
     // A suspension is noted before the known times are used.
     static_cast<void>(m_handlers.m_arrival());
     if (page.m_reply == adapter::reply::compacted) {
         relist();
-        return;
+        return std::nullopt;
     }
-    m_check_refused = page.m_reply != adapter::reply::ok;
-    if (m_check_refused) {
-        return;
+    if (page.m_reply != adapter::reply::ok) {
+        return std::nullopt;
     }
+    const auto version = page.m_version;
     if (!page.m_items.empty()) {
         take_missed_changes(std::move(page));
-        return;
+        return version;
     }
     m_known_until = std::max(m_known_until, m_check_requested_at);
-    m_version = std::max(m_version, page.m_version);
+    m_version = std::max(m_version, version);
+    return version;
 }
 
 auto follower::take_missed_changes(adapter::page page) -> void {
@@ -295,7 +286,7 @@
 }
 
 auto follower::deliver(adapter::page page) -> void {
-    m_handlers.m_on_delivery(page.m_items);
+    m_handlers.m_on_delivery(page);
     m_version = std::max(m_version, page.m_version);
     for (auto& each : page.m_items) {
         m_handlers.m_on_change(std::move(each));
@@ -307,6 +298,7 @@
         watch();
         return;
     }
+    m_batch_pending = true;
     m_loop.after(m_batch_delay, [self = shared_from_this(), generation = m_generation] {
         if (!self->m_stopped && self->m_generation == generation) {
             self->watch();
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -34,8 +34,8 @@
     std::function<void(bool)> m_on_reachability{};
     /*! @brief Called with the age of a watch that is replaced; may be empty. */
     std::function<void(duration)> m_on_watch_replaced{};
-    /*! @brief Called with the changes that a watch has delivered, before they are applied; may be empty. */
-    std::function<void(std::span<const adapter::key_value>)> m_on_delivery{};
+    /*! @brief Called with the answer of a watch, before its changes are applied; may be empty. */
+    std::function<void(const adapter::page&)> m_on_delivery{};
     /*! @brief Returns when a response that is handled now reached this machine; empty if that is always now. */
     std::function<fleet::arrival_time()> m_arrival{};
 };
@@ -77,12 +77,12 @@
      * @param wait Longest wait of the new one; its response tells the store's revision also if nothing has changed. */
     auto replace_watch(time_point began_until, duration wait) -> void;
 
-    /*! @brief Asks for the changes that a watch which waits should have delivered, and takes them. Has no effect if no
-     * watch waits, as the next one delivers them. */
-    auto check() -> void;
+    /*! @brief Gets the version up to which all changes have been delivered; none if that is not known. */
+    using check_handler = std::function<void(std::optional<fleet::store_version>)>;
 
-    /*! @brief Repeats a check that the store has refused. */
-    auto continue_check() -> void;
+    /*! @brief Asks for the changes that the watch should have delivered, and takes them.
+     * @param done Called once; without a version if the store gave no answer, or if the watch ended meanwhile. */
+    auto check(check_handler done) -> void;
 
     /*! @brief Drops the call in progress and lists anew after a random delay. The known revision may fall. */
     auto relist() -> void;
@@ -111,7 +111,7 @@
     auto on_page(adapter::page page) -> void;
     auto watch() -> void;
     auto on_changes(adapter::page page) -> void;
-    auto on_check(adapter::page page) -> void;
+    [[nodiscard]] auto on_check(adapter::page page) -> std::optional<fleet::store_version>;
     /*! @brief Takes changes that the watch has not delivered, and begins another one. */
     auto take_missed_changes(adapter::page page) -> void;
     /*! @brief Delivers changes and continues to watch. */
@@ -146,10 +146,8 @@
     duration m_first_watch_delay{};
     /*! @brief Whether the listing has ended and the first watch is delayed. */
     bool m_first_watch_pending{false};
-    /*! @brief Whether a check of the present watch is in progress. */
-    bool m_check_active{false};
-    /*! @brief Whether the present watch has to be checked, as the last check was refused. */
-    bool m_check_refused{false};
+    /*! @brief Whether the next watch begins after the delay of a batch. */
+    bool m_batch_pending{false};
     bool m_contact_known{false};
     bool m_reachable{false};
     bool m_paused{false};
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -8,6 +8,7 @@
 #include <node/core.hpp>
 #include <node/evacuations.hpp>
 #include <node/pulse.hpp>
+#include <node/store_version.hpp>
 #include <node/targets.hpp>
 #include <node/wire.hpp>
 
@@ -249,11 +250,12 @@
         return;
     }
     self.m_watches_store = true;
+    self.m_store_known_until.reset();
     self.m_events.write("store.watch", {{"watches", true}});
     for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
         each->resume();
     }
-    probe_store(self);
+    probe_store(self, boot_now());
 }
 
 auto pause_store_watch(core& self) -> void {
@@ -377,6 +379,12 @@
     case wire::fleet::Frame::kState:
         internal::on_state(self, from, *frame.mutable_state());
         break;
+    case wire::fleet::Frame::kStoreVersionRequest:
+        internal::on_store_version_request(self, from, frame.store_version_request());
+        break;
+    case wire::fleet::Frame::kStoreVersion:
+        internal::on_store_version(self, frame.store_version());
+        break;
     default:
         self.m_handlers.m_on_frame(from, frame);
     }
--- a/test/fleet/region.cpp
+++ b/test/fleet/region.cpp
@@ -282,4 +282,21 @@
     CHECK(all == list_limit_gateways(views["b"], "unknown", false, start));
 }
 
+// With a reader in each region, the reads of the store's version grew with the regions.
+TEST_CASE(
+    "all regions find the same gateway that reads the store's version, and the next one if it does not reach it") {
+    member_table table{};
+    for (const auto* const name : {"a-1", "b-1", "b-2"}) {
+        table[name] = make_gateway(name, name[0] == 'a' ? "west" : "ost");
+        table[name].m_reaches_store = true;
+    }
+    REQUIRE(store_version_reader(table, start) != nullptr);
+    CHECK(store_version_reader(table, start)->m_instance == "b-1");
+    table["b-1"].m_reaches_store = false;
+    CHECK(store_version_reader(table, start)->m_instance == "b-2");
+    table["b-2"].m_leaving = true;
+    CHECK(store_version_reader(table, start)->m_instance == "a-1");
+    CHECK(store_version_reader(table, start + heartbeat_timeout + duration{1}) == nullptr);
+}
+
 } // namespace rhubarbwharf::fleet
--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -4,7 +4,10 @@
 
 #include <fleet.pb.h>
 #include <net/fixture.hpp>
+#include <node/boot_clock.hpp>
+#include <node/contact.hpp>
 #include <node/core.hpp>
+#include <node/store_version.hpp>
 #include <standin-site/store.hpp>
 
 namespace rhubarbwharf::node {
@@ -142,6 +145,140 @@
     }
 }
 
+// The probes that were to reveal a lost response are serializable reads, which the platform may answer with a state
+// that is seconds old.
+TEST_CASE("a lost response is found in time although serializable reads are old") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    standin_site::store_faults faults{};
+    faults.m_serializable_age = std::chrono::seconds{8};
+    for (std::uint64_t version = 7U; version <= 9U; ++version) {
+        CAPTURE(version);
+        faults.m_lose_changes = true;
+        fixture.m_platform_store.set_faults(faults);
+        const auto text =
+            R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[],"limits":{},"tenants":[]})";
+        fixture.m_platform_store.put("op/config", text);
+        faults.m_lose_changes = false;
+        fixture.m_platform_store.set_faults(faults);
+        const auto lost = steady_now();
+        CHECK(fixture.wait_until([&] {
+            return (self.m_configuration && self.m_configuration->m_version == version) ||
+                   steady_now() - lost > stable_window;
+        }));
+        CHECK(steady_now() - lost < stable_window);
+        fixture.let_pass(std::chrono::milliseconds{370 * version});
+    }
+}
+
+// The account of changes was settled when the checks were sent. With their responses lost, the change stayed unknown.
+TEST_CASE("a change is found in time although the first check of the watches is not answered either") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    standin_site::store_faults faults{};
+    faults.m_lose_changes = true;
+    fixture.m_platform_store.set_faults(faults);
+    const auto revision = fixture.m_platform_store.put(
+        "op/config", R"({"version":7,"routes":[],"services":[],"limits":{},"tenants":[]})");
+    faults = {};
+    faults.m_unavailable = true;
+    fixture.m_platform_store.set_faults(faults);
+    note_store_version(self, {self.m_store.era(), revision}, std::nullopt);
+    REQUIRE(fixture.wait_until([&] { return self.m_counters.value("store_watch_checks_failed_total") > 0.0; }));
+    CHECK(self.m_configuration == nullptr);
+    fixture.m_platform_store.set_faults({});
+    const auto returned = steady_now();
+    REQUIRE(fixture.wait_until([&] { return self.m_configuration != nullptr; }));
+    CHECK(steady_now() - returned < std::chrono::milliseconds{2'000});
+}
+
+TEST_CASE("a watcher that can't check its watches tells its peers that it does not reach the store") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    REQUIRE(fixture.wait_until([&] { return self.m_store_known_until.has_value(); }));
+    CHECK_FALSE(self.m_store_doubted);
+    self.m_store_known_until = *self.m_store_known_until - max_store_knowledge_age;
+    self.m_change_account = {};
+    self.m_watch_check_active = true;
+    CHECK(fixture.wait_until([&] { return self.m_store_doubted; }));
+    self.m_watch_check_active = false;
+    CHECK(fixture.wait_until([&] { return !self.m_store_doubted; }));
+}
+
+TEST_CASE("a watcher reads the store's version itself if it would be too old before the next probe") {
+    CHECK_FALSE(must_read_version(max_version_age - store_probe_interval));
+    CHECK(must_read_version(max_version_age - store_probe_interval + duration{1}));
+}
+
+// With one read of the version for each watcher, the reads grew with the regions.
+TEST_CASE("a watcher asks the gateway that reads the store's version, and reads it itself without an answer") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    auto answers = true;
+    auto age_ms = 0U;
+    net::bus reader{self.m_loop, "gateway-0", net::bus_limits{},
+                    [&](const std::string_view, const std::string_view bytes) {
+                        wire::fleet::Frame asked{};
+                        REQUIRE(asked.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())));
+                        if (!asked.has_store_version_request() || !answers) {
+                            return;
+                        }
+                        wire::fleet::Frame frame{};
+                        frame.set_protocol(frame_protocol_version);
+                        auto& answer = *frame.mutable_store_version();
+                        answer.set_answers(asked.store_version_request().number());
+                        answer.set_era(self.m_store.era());
+                        answer.set_revision(self.m_server_follower->version().m_revision);
+                        answer.set_age_ms(age_ms);
+                        on_message(self, "gateway-0", frame.SerializeAsString());
+                    }};
+    REQUIRE(reader.listen({"127.0.0.1", 0U}) == code::ok);
+    fleet::member member{};
+    member.m_instance = "gateway-0";
+    member.m_region = "elsewhere";
+    member.m_incarnation = 7U;
+    member.m_caller_address = net::local(9U);
+    member.m_bus_address = net::local(reader.port());
+    update_member(self, member, true);
+    self.m_loop.every(std::chrono::milliseconds{100}, [&] {
+        auto& row = self.m_members["gateway-0"];
+        row.m_last_received = steady_now();
+        row.m_reaches_store = true;
+    });
+    fixture.let_pass(std::chrono::milliseconds{2'500});
+    CHECK_FALSE(is_version_reader(self));
+    const auto reads = [&self] {
+        return self.m_counters.value("store_version_reads_total");
+    };
+    const auto before = reads();
+    fixture.let_pass(std::chrono::milliseconds{3'500});
+    CHECK(reads() == before);
+    REQUIRE(self.m_store_known_until.has_value());
+    CHECK(boot_now() - *self.m_store_known_until < max_version_age);
+    SUBCASE("without an answer") {
+        answers = false;
+    }
+    SUBCASE("if the answer is too old") {
+        age_ms = 1'500U;
+    }
+    const auto since = steady_now();
+    REQUIRE(fixture.wait_until([&] { return reads() > before; }));
+    CHECK(steady_now() - since < 2 * store_probe_interval);
+}
+
+TEST_CASE("an answer to an earlier request for the store's version says nothing, as its age is not known") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    const auto known = self.m_told_version;
+    REQUIRE(known.has_value());
+    wire::fleet::StoreVersion answer{};
+    answer.set_answers(self.m_version_requests - 1U);
+    answer.set_era(self.m_store.era());
+    answer.set_revision(known->m_version.m_revision);
+    internal::on_store_version(self, answer);
+    CHECK(self.m_told_version->m_as_of == known->m_as_of);
+}
+
 TEST_CASE("a server's draining is known in time although only the response to the watch for it was lost") {
     watching_gateway fixture{};
     standin_site::store_faults faults{};
