Report the scripted runner of the site tests, and accept partial orders

The cases of site.broken_answers that register a scripted runner in the store alone failed since gateways use a version only if a loader has reported it as proven. A runner without a loader does not occur on the platform. The scripted site now reports its runner as a loader does; what the cases check is unchanged.

The stand-in runner accepts an order for a part of the layers, as the platform's runners do: it holds no complete version afterwards and refuses requests. Its check of the staged pieces stays as it is for orders of a complete version.

--- a/app/standin-site/runner.cpp
+++ b/app/standin-site/runner.cpp
@@ -225,6 +225,12 @@
         return;
     }
     const auto version = order.at("version").to_number<std::uint64_t>();
+    if (order.contains("to")) {
+        // Layers that are no complete version answer no request, whatever they were loaded from.
+        give_up_version();
+        respond(responder, {internal::accepted, {}, {}});
+        return;
+    }
     for (std::size_t piece = 0U; piece < m_options.m_piece_count; ++piece) {
         if (m_staged_pieces[piece] != piece_bytes(version, piece)) {
             m_observations.m_violations.add("load order received while the staged weights have a wrong piece " +
@@ -243,6 +249,12 @@
     });
 }
 
+auto server::give_up_version() -> void {
+    ++m_accepted_orders;
+    m_options.m_version = 0U;
+    publish_entry();
+}
+
 auto server::on_stage(const net::http_request& request, const responder_ptr& responder) -> void {
     const auto text = adapter::query_value(request.m_target, "chunk-count");
     if (text.empty()) {
--- a/app/standin-site/runner.hpp
+++ b/app/standin-site/runner.hpp
@@ -179,6 +179,8 @@
         -> void;
     auto on_control(const net::http_request& request, const responder_ptr& responder) -> bool;
     auto on_load_order(const net::http_request& request, const responder_ptr& responder) -> void;
+    /*! @brief Accepts an order for a part of the layers, after which no complete version is held. */
+    auto give_up_version() -> void;
     auto handle_load_order(const net::http_request& request, const responder_ptr& responder) -> void;
     auto on_stage(const net::http_request& request, const responder_ptr& responder) -> void;
     auto execute(const net::http_request& request, const responder_ptr& responder) -> void;
--- a/test/soak/fleet.cpp
+++ b/test/soak/fleet.cpp
@@ -96,7 +96,8 @@
     added.m_name = name;
     run_in_proxy_loop([&] { added.m_store_proxy = std::make_unique<proxy>(m_loop, m_site.store_address()); });
     const auto is_gateway = runner.m_port == 0U;
-    std::string listen = json_member("bus", local_address(process::find_free_port())) + ", " +
+    added.m_bus_address = {"127.0.0.1", process::find_free_port()};
+    std::string listen = json_member("bus", net::to_string(added.m_bus_address)) + ", " +
                          json_member("bulk", local_address(process::find_free_port()));
     if (is_gateway) {
         added.m_caller_address = {"127.0.0.1", process::find_free_port()};
--- a/test/soak/fleet.hpp
+++ b/test/soak/fleet.hpp
@@ -27,6 +27,7 @@
     /*! @brief Address for callers; port 0 for a loader. */
     net::endpoint m_caller_address{};
     net::endpoint m_directory_address{};
+    net::endpoint m_bus_address{};
     std::unique_ptr<proxy> m_store_proxy{};
     std::unique_ptr<process::child_process> m_process{};
     /*! @brief Size of the log when the process was last started; later processes append to it. */
--- a/test/soak/scripted_site.hpp
+++ b/test/soak/scripted_site.hpp
@@ -9,8 +9,10 @@
 #include <boost/json/serialize.hpp>
 #include <doctest/doctest.h>
 
+#include <fleet.pb.h>
 #include <net/scripted_server.hpp>
 #include <platform/store.hpp>
+#include <rhubarbwharf/net/bus.hpp>
 #include <soak/site_fixture.hpp>
 
 namespace rhubarbwharf::soak {
@@ -22,6 +24,8 @@
 /*! @brief Bound on what a server can send before its connection is reset: the largest limit of a gateway and what the
  * kernel holds of a connection. */
 inline constexpr std::size_t refused_after_bytes = std::size_t{40} * 1024U * 1024U;
+/*! @brief Interval at which a loader reports an unchanged load. */
+inline constexpr duration report_interval = std::chrono::milliseconds{300};
 /*! @brief Half of the time that the callers of `site_fixture` wait. */
 inline constexpr duration early = std::chrono::milliseconds{1'500};
 inline const std::string seal = std::string{adapter::field::signature} + ": seal\r\n";
@@ -42,13 +46,17 @@
                 entry["models"] =
                     boost::json::array{boost::json::object{{"name", standin_site::model_name}, {"version", 1}}};
                 entry["layers"] = boost::json::object{{"from", 0}, {"to", 4}, {"version", 1}};
+                begin_reports(site.loop());
             }
             site.key_value_store().put("servers/scripted", boost::json::serialize(entry));
         });
     }
 
     ~scripted_site() {
-        m_fixture.m_site.run_in_loop([this](standin_site::site&) { m_server.reset(); });
+        m_fixture.m_site.run_in_loop([this](standin_site::site&) {
+            m_server.reset();
+            m_loader.reset();
+        });
     }
 
     scripted_site(const scripted_site&) = delete;
@@ -98,8 +106,36 @@
         }));
     }
 
+    /*! @brief Reports the scripted runner as its loader does: gateways use no runner of a model without reports. */
+    auto begin_reports(net::loop& loop) -> void {
+        m_loader = std::make_shared<net::bus>(loop, "scripted-loader", net::bus_limits{},
+                                              [](const std::string_view, const std::string_view) {});
+        const auto& gateway = m_fixture.m_fleet.daemons()[0U];
+        m_loader->connect(gateway.m_name, gateway.m_bus_address);
+        loop.every(report_interval,
+                   [sender = std::weak_ptr{m_loader}, gateway = gateway.m_name, address = m_server->address()] {
+                       const auto loader = sender.lock();
+                       if (!loader) {
+                           return;
+                       }
+                       wire::fleet::Frame frame{};
+                       frame.set_protocol(1U);
+                       frame.set_incarnation(1U);
+                       auto& load = *frame.mutable_load();
+                       load.set_address(net::to_string(address));
+                       load.set_started(1U);
+                       load.set_alive(true);
+                       load.set_pace(1.0);
+                       auto& model = *load.add_models();
+                       model.set_name(std::string{standin_site::model_name});
+                       model.set_version(1U);
+                       static_cast<void>(loader->send(gateway, frame.SerializeAsString()));
+                   });
+    }
+
     site_fixture m_fixture{1U};
     std::unique_ptr<scripted_server> m_server{};
+    std::shared_ptr<net::bus> m_loader{};
     duration m_took{};
     unsigned m_number{};
 };
