--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -75,6 +75,7 @@
     }
     ++m_generation;
     m_failures = 0U;
+    m_batch_pending = false;
     if (auto call = std::exchange(m_call, nullptr)) {
         call->cancel();
     }
@@ -86,6 +87,7 @@
         return;
     }
     ++m_generation;
+    m_batch_pending = false;
     if (auto call = std::exchange(m_call, nullptr)) {
         call->cancel();
     }
