--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <utility>
 
 #include <node/boot_clock.hpp>
@@ -7,6 +8,7 @@
 #include <node/core.hpp>
 #include <node/evacuations.hpp>
 #include <node/store_version.hpp>
+#include <node/traffic.hpp>
 #include <platform/decode.hpp>
 #include <platform/encode.hpp>
 #include <platform/names.hpp>
@@ -163,12 +165,21 @@
     }
 }
 
+[[nodiscard]] auto value_bytes(const std::vector<adapter::key_value>& items) -> std::size_t {
+    return std::accumulate(items.begin(), items.end(), std::size_t{0},
+                           [](const std::size_t sum, const auto& each) { return sum + each.m_value.size(); });
+}
+
 /*! @brief Creates a follower whose callbacks refer to the core, which must outlive it. */
 [[nodiscard]] auto make_follower(core& self, const std::string_view prefix, const duration batch_delay,
                                  std::function<void(std::vector<adapter::key_value>, fleet::store_version)> on_list,
                                  std::function<void(adapter::key_value)> on_change) -> std::shared_ptr<follower> {
     follower_handlers handlers{};
-    handlers.m_on_list = std::move(on_list);
+    handlers.m_on_list = [&self, prefix, on_list = std::move(on_list)](std::vector<adapter::key_value> items,
+                                                                       const fleet::store_version version) {
+        count_read(self, prefix, value_bytes(items));
+        on_list(std::move(items), version);
+    };
     handlers.m_on_change = std::move(on_change);
     handlers.m_on_reachability = [&self, prefix](const bool reachable) {
         note_reachability(self, prefix, reachable);
@@ -182,7 +193,8 @@
             {{"prefix", prefix}, {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
         self.m_counters.add("store_watches_replaced_total", 1.0, prefix);
     };
-    handlers.m_on_delivery = [&self](const adapter::page& page) {
+    handlers.m_on_delivery = [&self, prefix](const adapter::page& page) {
+        count_read(self, prefix, value_bytes(page.m_items));
         for (const auto& each : page.m_items) {
             fleet::add_delivered(self.m_change_account, std::array{each.m_version.m_revision});
         }
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -10,6 +10,7 @@
 #include <node/pulse.hpp>
 #include <node/store_version.hpp>
 #include <node/targets.hpp>
+#include <node/traffic.hpp>
 #include <node/wire.hpp>
 
 namespace rhubarbwharf::node {
@@ -70,9 +71,12 @@
 auto send(core& self, const std::string_view peer, wire::fleet::Frame& frame) -> void {
     frame.set_protocol(frame_protocol_version);
     frame.set_incarnation(self.m_incarnation);
-    if (self.m_bus.send(peer, frame.SerializeAsString()) != code::ok) {
+    const auto bytes = frame.SerializeAsString();
+    if (self.m_bus.send(peer, bytes) != code::ok) {
         self.m_counters.add("peer_messages_unsent_total");
+        return;
     }
+    internal::count_sent(self, internal::frame_kind(frame), bytes.size());
 }
 
 auto connect_to_gateway(core& self, const std::string_view name) -> void {
@@ -86,10 +90,13 @@
     frame.set_protocol(frame_protocol_version);
     frame.set_incarnation(self.m_incarnation);
     const auto bytes = frame.SerializeAsString();
+    const auto kind = internal::frame_kind(frame);
     for (const auto& name : peers) {
         connect_to_gateway(self, name);
         if (self.m_bus.send(name, bytes) != code::ok) {
             self.m_counters.add("peer_messages_unsent_total");
+        } else {
+            internal::count_sent(self, kind, bytes.size());
         }
     }
 }
--- a/src/node/pulse.cpp
+++ b/src/node/pulse.cpp
@@ -203,6 +203,17 @@
             has_unknown || loaders_differ};
 }
 
+/*! @brief Counts a request for a state by what it is for. */
+auto count_request(core& self, const peer_status& status, const bool is_behind) -> void {
+    const auto is_newer = status.m_configuration_version > configuration_version(self);
+    const auto* const reason = !is_behind                ? "confirmation"
+                               : is_newer                ? "configuration"
+                               : status.m_servers_differ ? "servers"
+                               : status.m_members_differ ? "members"
+                                                         : "weights";
+    self.m_counters.add("state_requests_total", 1.0, reason);
+}
+
 auto request_state(core& self, const std::string_view from, const peer_status& status, const bool is_behind,
                    const time_point now) -> void {
     self.m_last_state_pull = now;
@@ -212,6 +223,7 @@
         self.m_state_pull_times.erase(self.m_state_pull_times.begin());
     }
     const auto needs_servers = status.m_servers_differ || self.m_servers.m_rows.empty();
+    count_request(self, status, is_behind);
     wire::fleet::Frame request{};
     request.mutable_pull()->set_configuration(configuration_version(self));
     request.mutable_pull()->set_servers(is_behind && self.m_follows_servers && needs_servers);
