Show that a large configuration is sent many times (failing)

Callers got 404 for routes that had been added, as links were full of copies of the configuration. Two tests fail on, x86_64:

- a gateway that eight peers tell of a newer configuration requests it five times in 1.3 s while the first answer is still arriving;
- six gateways of a region are sent 7.9 MB for a configuration of 0.8 MB.

--- /dev/null
+++ b/test/node/configurations.cpp
@@ -0,0 +1,208 @@
+#include <atomic>
+#include <memory>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <fleet.pb.h>
+#include <net/fixture.hpp>
+#include <node/core.hpp>
+#include <node/wire.hpp>
+#include <standin-site/store.hpp>
+
+namespace rhubarbwharf::node {
+
+namespace {
+
+/*! @brief Time for which an answer that keeps arriving is not requested again: a megabyte over a link of a region. */
+constexpr duration arrival_time = std::chrono::milliseconds{1'300};
+constexpr duration heartbeat = std::chrono::milliseconds{300};
+
+[[nodiscard]] auto make_settings(const std::string& name, const net::endpoint& bus) -> config::node_settings {
+    config::node_settings out{};
+    out.m_role = "gateway";
+    out.m_instance = name;
+    out.m_region = "here";
+    out.m_data_centre = "here-a";
+    out.m_listen.m_callers = "127.0.0.1:1";
+    out.m_listen.m_bus = net::to_string(bus);
+    out.m_store.m_address = "127.0.0.1:1";
+    return out;
+}
+
+/*! @brief Returns a local address on which nothing listens. */
+[[nodiscard]] auto free_address() -> net::endpoint {
+    net::loop loop{};
+    net::http_server probe{loop, net::http_limits{},
+                           [](const net::http_request&, const std::shared_ptr<net::responder>&) {
+                           }};
+    net::ensure_listening(probe);
+    return net::local(probe.port());
+}
+
+/*! @brief Configuration with many routes, as operators write it. */
+[[nodiscard]] auto make_configuration(const std::uint64_t version, const std::size_t routes) -> std::string {
+    std::string out = R"({"version":)" + std::to_string(version) + R"(,"services":[],"limits":{},"routes":[)";
+    std::mt19937_64 random{version};
+    for (std::size_t index = 0U; index < routes; ++index) {
+        const auto name = std::to_string(random());
+        out += index == 0U ? "" : ",";
+        out += R"({"name":"r-)" + name + R"(","hostname":"h)" + std::to_string(index % 90U) +
+               R"(.example","prefix":"/)" + name + R"(/","kind":"idempotent","service":"s","timeout-ms":4000,)" +
+               R"("target-latency-ms":400,"max-attempts":2,"priority":1})";
+    }
+    return out + "]}";
+}
+
+/*! @brief Gateway of a test on a thread of its own. */
+struct gateway_process {
+    explicit gateway_process(const config::node_settings& settings) : m_core{settings, true} {}
+
+    gateway_process(const gateway_process&) = delete;
+    gateway_process(gateway_process&&) = delete;
+    auto operator=(const gateway_process&) -> gateway_process& = delete;
+    auto operator=(gateway_process&&) -> gateway_process& = delete;
+
+    ~gateway_process() { stop(); }
+
+    auto run() -> void {
+        m_core.m_loop.every(heartbeat, [this] {
+            send_pulse(m_core);
+            update_store_watch(m_core);
+        });
+        m_core.m_handlers.m_on_configuration = [this] {
+            m_version = m_core.m_configuration->m_version;
+        };
+        m_thread = std::thread{[this] {
+            m_core.m_loop.run();
+        }};
+    }
+
+    auto stop() -> void {
+        m_core.m_loop.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    [[nodiscard]] auto sent(const std::string_view kind) const -> double {
+        return m_core.m_counters.value("peer_bytes_sent_total", kind);
+    }
+
+    core m_core;
+    std::thread m_thread{};
+    /*! @brief Version of the configuration in force. */
+    std::atomic<std::uint64_t> m_version{};
+};
+
+/*! @brief Peer that answers requests for a configuration slowly, as over a link that others use. */
+struct slow_peer {
+    slow_peer(core& self, const std::string& region, const std::string& name)
+        : m_core{self}, m_name{name}, m_server{self.m_loop, net::http_limits{},
+                                               [this](const net::http_request&, std::shared_ptr<net::responder> to) {
+                                                   to->start({200U, {}, {}});
+                                                   m_responders.push_back(std::move(to));
+                                               }} {
+        net::ensure_listening(m_server);
+        m_self.m_instance = name;
+        m_self.m_region = region;
+        m_self.m_data_centre = region + "-a";
+        m_self.m_incarnation = 7U;
+        m_self.m_caller_address = net::local(1U);
+        m_self.m_bus_address = net::local(1U);
+        m_self.m_bulk_address = net::local(m_server.port());
+        self.m_loop.every(std::chrono::milliseconds{50}, [this] {
+            for (const auto& each : m_responders) {
+                each->write(".");
+            }
+        });
+    }
+
+    /*! @brief Sends a heartbeat that states a version of the configuration. */
+    auto beat(const std::uint64_t configuration) -> void {
+        wire::fleet::Frame frame{};
+        frame.set_protocol(frame_protocol_version);
+        frame.set_incarnation(m_self.m_incarnation);
+        auto& pulse = *frame.mutable_pulse();
+        to_wire(m_self, *pulse.mutable_self());
+        pulse.set_ready(true);
+        pulse.set_reaches_store(true);
+        pulse.set_configuration(configuration);
+        on_message(m_core, m_name, frame.SerializeAsString());
+    }
+
+    core& m_core;
+    std::string m_name{};
+    std::vector<std::shared_ptr<net::responder>> m_responders{};
+    net::http_server m_server;
+    fleet::member m_self{};
+};
+
+} // namespace
+
+// A gateway asked each peer that told it of a newer configuration, every 250 ms, while the answers were still arriving:
+// the links between regions were full of copies of the same configuration for ten seconds.
+TEST_CASE("a configuration whose answer keeps arriving is requested once, whoever tells of it") {
+    core self{make_settings("edge-here-9", free_address()), true};
+    std::vector<std::unique_ptr<slow_peer>> peers{};
+    for (const auto* const region : {"here", "there"}) {
+        for (auto index = 1; index <= 4; ++index) {
+            peers.push_back(
+                std::make_unique<slow_peer>(self, region, "edge-" + std::string{region} + "-" + std::to_string(index)));
+        }
+    }
+    for (std::size_t index = 0U; index < peers.size(); ++index) {
+        const auto offset = heartbeat * static_cast<int>(index) / static_cast<int>(peers.size());
+        self.m_loop.after(offset, [&self, &peer = *peers[index]] {
+            peer.beat(5U);
+            self.m_loop.every(heartbeat, [&peer] { peer.beat(5U); });
+        });
+    }
+    const auto begin = steady_now();
+    REQUIRE(net::run_until(self.m_loop, [&] { return steady_now() - begin > arrival_time; }));
+    CHECK(self.m_counters.value("state_requests_total", "configuration") == 1.0);
+}
+
+// Both watchers sent each gateway of their region the whole configuration, and whoever came to watch as well did so
+// too: thirty copies of 0.85 MB left one machine at a time, and heartbeats waited behind them.
+TEST_CASE("each gateway of a region receives a large configuration once") {
+    constexpr std::size_t gateways = 6U;
+    constexpr std::size_t routes = 4'000U;
+    net::loop store_loop{};
+    standin_site::store platform_store{store_loop};
+    const auto address = platform_store.listen();
+    platform_store.put("op/config", make_configuration(1U, 1U));
+    std::vector<std::unique_ptr<gateway_process>> processes{};
+    for (std::size_t index = 0U; index < gateways; ++index) {
+        auto settings = make_settings("edge-here-" + std::to_string(index + 1U), free_address());
+        settings.m_store.m_address = net::to_string(address);
+        processes.push_back(std::make_unique<gateway_process>(settings));
+        REQUIRE(start(processes.back()->m_core));
+    }
+    for (const auto& each : processes) {
+        each->run();
+    }
+    const auto all_have = [&](const std::uint64_t version) {
+        return [&processes, version] {
+            return std::ranges::all_of(processes, [version](const auto& each) { return each->m_version == version; });
+        };
+    };
+    REQUIRE(net::run_until(store_loop, all_have(1U)));
+    const auto settled = steady_now() + std::chrono::seconds{3};
+    REQUIRE(net::run_until(store_loop, [settled] { return steady_now() > settled; }));
+    const auto text = make_configuration(2U, routes);
+    platform_store.put("op/config", text);
+    REQUIRE(net::run_until(store_loop, all_have(2U)));
+    const auto told = steady_now() + 3 * heartbeat;
+    REQUIRE(net::run_until(store_loop, [told] { return steady_now() > told; }));
+    double sent{};
+    for (const auto& each : processes) {
+        each->stop();
+        sent += each->sent("state_with_configuration") + each->sent("configuration");
+    }
+    CHECK(sent <= static_cast<double>(gateways * text.size()));
+}
+
+} // namespace rhubarbwharf::node
