Let each process request a new configuration once, from one gateway

Cause: whoever had a new configuration sent it whole to all others, and whoever heard of one requested it from each peer that told so, every 250 ms, while the former answers were still arriving. Heartbeats waited behind these copies, so that further gateways watched, and sent them too.

Heartbeats and relays now tell versions only. A process requests a newer configuration over a connection of its own, compressed (zlib), from one gateway at a time, and not again while bytes arrive. The gateways of a region relay along a tree by their names, four each; another gateway of the region is asked after 0.3 s, one of another region after 0.9 s, and one that gives no byte for 0.6 s is replaced at once. Loaders get the services only.

It holds for any count and time, as copies are bounded by the number of processes and a link carries four per gateway. At 74 gateways a region (370) three levels reach all. Cost: one relay message and one request a gateway and version, no call of the store; memory of one compressed copy.

--- a/src/gateway/run.cpp
+++ b/src/gateway/run.cpp
@@ -8,6 +8,7 @@
 #include <gateway/limits.hpp>
 #include <gateway/parts.hpp>
 #include <gateway/retries.hpp>
+#include <node/configurations.hpp>
 #include <rhubarbwharf/gateway/run.hpp>
 
 namespace rhubarbwharf::gateway {
@@ -244,7 +245,9 @@
                        }},
       m_bulk_server{m_core.m_loop, internal::small_request_limits(),
                     [this](const net::http_request& incoming, const std::shared_ptr<net::responder>& responder) {
-                        on_weights(*this, incoming, responder);
+                        if (!node::answer_configuration_request(m_core, incoming, responder)) {
+                            on_weights(*this, incoming, responder);
+                        }
                     }} {}
 
 auto run(const config::node_settings& settings, const std::string& file) -> int {
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <node/boot_clock.hpp>
+#include <node/configurations.hpp>
 #include <node/contact.hpp>
 #include <node/core.hpp>
 #include <node/evacuations.hpp>
@@ -87,7 +88,6 @@
         on_evacuation_item(self, item);
     } else if (item.m_key == adapter::key::configuration) {
         accept_configuration(self, item.m_value, "store");
-        schedule_push(self, {});
     } else if (item.m_key.starts_with(adapter::key::weights_targets)) {
         if (auto target = adapter::decode_weights_target(item.m_value)) {
             // Operators write a version again if the store has lost it; its time limit began with the first write.
@@ -490,6 +490,7 @@
                                                   {"source", source}});
     self.m_counters.set("configuration_version", static_cast<double>(version));
     self.m_handlers.m_on_configuration();
+    relay_configuration(self);
 }
 
 } // namespace rhubarbwharf::node
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -15,6 +15,7 @@
 #include <rhubarbwharf/config/node.hpp>
 #include <rhubarbwharf/fleet/change_account.hpp>
 #include <rhubarbwharf/fleet/configuration.hpp>
+#include <rhubarbwharf/fleet/configuration_offers.hpp>
 #include <rhubarbwharf/fleet/evacuation.hpp>
 #include <rhubarbwharf/fleet/limit.hpp>
 #include <rhubarbwharf/fleet/member.hpp>
@@ -82,6 +83,14 @@
     std::uint64_t m_revisions{};
 };
 
+/*! @brief Configuration as it is sent to other processes; each part is empty until it is needed. */
+struct compressed_configuration {
+    std::uint64_t m_version{};
+    std::string m_whole{};
+    /*! @brief Without what only gateways use. */
+    std::string m_for_loaders{};
+};
+
 /*! @brief State common to gateways and loaders; accessed only on the loop's thread. */
 struct core {
     core(const config::node_settings& settings, bool follows_servers);
@@ -100,6 +109,12 @@
 
     fleet::member m_self{};
     fleet::shared_configuration m_configuration{};
+    compressed_configuration m_compressed_configuration{};
+    /*! @brief Gateways that have a newer configuration. */
+    fleet::configuration_offers m_configuration_offers{};
+    /*! @brief Request for it; null if there is none in progress. */
+    std::shared_ptr<net::call> m_configuration_call{};
+    time_point m_last_configuration_request{};
     /*! @brief All targets in the order in which they were learned: the time limit of an older version stays in force
      * next to that of a newer one. */
     std::vector<fleet::weights_target> m_weights_targets{};
@@ -157,8 +172,6 @@
     bool m_watches_store{true};
     /*! @brief Backend servers whose changes have not been pushed yet. */
     std::set<std::string, std::less<>> m_changed_servers{};
-    /*! @brief Version of the configuration that was pushed last. */
-    std::uint64_t m_last_pushed_configuration{};
     /*! @brief Sum of the versions of the weights targets that were last pushed to loaders. */
     std::uint64_t m_last_pushed_weights{};
     /*! @brief Whether this process has begun to follow the store, or left that to others: decided by the first list of
@@ -187,6 +200,9 @@
     std::shared_ptr<follower> m_server_follower{};
     /*! @brief Changes of the store that the watches have delivered. */
     fleet::change_account m_change_account{};
+    /*! @brief Version up to which this process has all changes because a watcher of its region had no others when it
+     * had received them; a watch that begins here continues from it. */
+    fleet::store_version m_delivered_version{};
     /*! @brief Whether both watches are being checked. */
     bool m_watch_check_active{false};
     /*! @brief Whether the last check has failed, so that a change may still be missing. */
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -4,6 +4,7 @@
 
 #include <fleet.pb.h>
 #include <node/boot_clock.hpp>
+#include <node/configurations.hpp>
 #include <node/contact.hpp>
 #include <node/core.hpp>
 #include <node/evacuations.hpp>
@@ -206,10 +207,6 @@
 auto push_changes(core& self) -> void {
     wire::fleet::Frame frame{};
     auto& update = *frame.mutable_state();
-    const auto version = configuration_version(self);
-    if (version > std::exchange(self.m_last_pushed_configuration, version)) {
-        update.set_configuration(self.m_configuration->m_source_text);
-    }
     add_targets(self, update);
     add_evacuations(self, *update.mutable_evacuations());
     for (const auto& id : std::exchange(self.m_changed_servers, {})) {
@@ -258,7 +255,8 @@
     }
     self.m_watches_store = true;
     self.m_store_known_until.reset();
-    self.m_events.write("store.watch", {{"watches", true}});
+    self.m_events.write("store.watch",
+                        {{"watches", true}, {"from", static_cast<std::int64_t>(self.m_delivered_version.m_revision)}});
     for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
         each->resume();
     }
@@ -344,6 +342,9 @@
         accept_configuration(self, state.configuration(), source);
         apply_held_operator_items(self);
     }
+    if (state.relayed_configuration() != 0U) {
+        offer_configuration(self, source, state.relayed_configuration(), fleet::offer_source::relay);
+    }
     for (const auto& each : state.servers()) {
         if (!self.m_follows_servers) {
             break;
--- a/src/node/pulse.cpp
+++ b/src/node/pulse.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <node/boot_clock.hpp>
+#include <node/configurations.hpp>
 #include <node/evacuations.hpp>
 #include <node/pulse.hpp>
 #include <node/targets.hpp>
@@ -16,8 +17,6 @@
 constexpr std::size_t max_remembered_pulls = 16U;
 /*! @brief Minimum time between two requests for a full state, so that one change is not requested from every peer. */
 constexpr duration min_pull_interval = std::chrono::milliseconds{250};
-/*! @brief Minimum time between two requests of a loader for a newer configuration. */
-constexpr duration min_loader_pull_interval = std::chrono::seconds{10};
 /*! @brief Minimum time between two requests for members: while many processes start, each changes the list. */
 constexpr duration min_member_pull_interval = std::chrono::seconds{2};
 /*! @brief Heartbeats of a gateway for each that it sends to the loaders, if it does not represent its region: loaders
@@ -47,18 +46,16 @@
 
 /*! @brief Versions that a pulse states, and differences from the own state. */
 struct peer_status {
-    std::uint64_t m_configuration_version{};
+    /*! @brief Whether it has a newer configuration, which it sends only as part of its state. */
+    bool m_configuration_differs{};
     std::uint64_t m_weights_version_sum{};
     bool m_servers_differ{};
     bool m_members_differ{};
 };
 
 [[nodiscard]] auto is_behind(const core& self, const peer_status& status, const time_point now) -> bool {
-    // Loaders fetch configurations at a low rate, as the parts that they use seldom change.
-    const auto is_throttled =
-        self.m_configuration && !self.m_follows_servers && now - self.m_last_full_pull < min_loader_pull_interval;
-    const auto newer = status.m_configuration_version > configuration_version(self) && !is_throttled;
     const auto members = status.m_members_differ && now - self.m_last_full_pull >= min_member_pull_interval;
+    const auto newer = status.m_configuration_differs && may_request_configuration(self, self.m_last_full_pull, now);
     return newer || status.m_weights_version_sum > weights_version_sum(self) || status.m_servers_differ || members;
 }
 
@@ -98,6 +95,30 @@
     }
 }
 
+/*! @brief Returns the revision up to which this process has received and applied all changes of the store; 0 if it does
+ * not watch, or still holds back some of them. */
+[[nodiscard]] auto delivered_revision(const core& self) -> std::uint64_t {
+    const auto recovery_began = std::max(self.m_store_reachable_since, self.m_store_era_since);
+    const auto is_recovering = steady_now() - recovery_began < store_recovery_window;
+    const auto holds_changes = is_recovering || !self.m_pending_removals.empty() || !self.m_held_servers.empty() ||
+                               !self.m_applies_operator_items;
+    const auto& account = self.m_change_account.m_known;
+    return self.m_watches_store && !holds_changes && account.m_era == self.m_store.era() ? account.m_revision : 0U;
+}
+
+/*! @brief Notes up to which version a watcher of the region has received all changes, if this process knows what it
+ * knows. */
+auto note_delivered_revision(core& self, const wire::fleet::Pulse& message) -> void {
+    const auto is_of_era = message.store_era() == self.m_store.era();
+    const auto knows_the_same = message.configuration() <= configuration_version(self) &&
+                                message.weights() == weights_version_sum(self) &&
+                                message.server_versions() == digests_of_servers(self).m_versions;
+    if (message.delivered_revision() != 0U && is_of_era && knows_the_same) {
+        self.m_delivered_version =
+            std::max(self.m_delivered_version, fleet::store_version{message.store_era(), message.delivered_revision()});
+    }
+}
+
 auto add_leaving_servers(const core& self, wire::fleet::Pulse& out) -> void {
     for (const auto& [id, server] : self.m_leaving_servers) {
         const auto row = self.m_servers.m_rows.find(id);
@@ -199,18 +220,18 @@
     }
     const auto has_unknown = is_local && self.m_follows_servers && note_heard(self, message, now);
     const auto loaders_differ = !self.m_follows_servers && message.loaders() != loaders_digest(self);
-    return {message.configuration(), message.weights(), servers_differ(self, row, message),
-            has_unknown || loaders_differ};
+    const auto has_newer_configuration = message.configuration() > configuration_version(self);
+    return {has_newer_configuration && sends_configuration_in_state(self, from), message.weights(),
+            servers_differ(self, row, message), has_unknown || loaders_differ};
 }
 
 /*! @brief Counts a request for a state by what it is for. */
 auto count_request(core& self, const peer_status& status, const bool is_behind) -> void {
-    const auto is_newer = status.m_configuration_version > configuration_version(self);
-    const auto* const reason = !is_behind                ? "confirmation"
-                               : is_newer                ? "configuration"
-                               : status.m_servers_differ ? "servers"
-                               : status.m_members_differ ? "members"
-                                                         : "weights";
+    const auto* const reason = !is_behind                       ? "confirmation"
+                               : status.m_configuration_differs ? "configuration"
+                               : status.m_servers_differ        ? "servers"
+                               : status.m_members_differ        ? "members"
+                                                                : "weights";
     self.m_counters.add("state_requests_total", 1.0, reason);
 }
 
@@ -225,7 +246,10 @@
     const auto needs_servers = status.m_servers_differ || self.m_servers.m_rows.empty();
     count_request(self, status, is_behind);
     wire::fleet::Frame request{};
-    request.mutable_pull()->set_configuration(configuration_version(self));
+    // A configuration that the peer gives by itself is left out of its state.
+    const auto known =
+        status.m_configuration_differs ? configuration_version(self) : std::numeric_limits<std::uint64_t>::max();
+    request.mutable_pull()->set_configuration(known);
     request.mutable_pull()->set_servers(is_behind && self.m_follows_servers && needs_servers);
     request.mutable_pull()->set_number(self.m_state_pulls);
     request.mutable_pull()->set_weights_only(!is_behind);
@@ -274,6 +298,7 @@
     message.set_server_versions(digests_of_servers(self).m_versions);
     message.set_store_era(self.m_store.era());
     message.set_reaches_store(self.m_store_reachable && !self.m_store_doubted);
+    message.set_delivered_revision(delivered_revision(self));
     message.set_loaders(loaders_digest(self));
     add_leaving_servers(self, message);
     add_server_limits(self, steady_now(), message);
@@ -329,7 +354,13 @@
     accept_server_limits(self, from, message);
     accept_evacuations(self, message.evacuations(), from);
     const auto status = note_sender(self, from, message, now);
+    const auto is_regional = message.self().region() == self.m_self.m_region;
+    offer_configuration(self, from, message.configuration(),
+                        is_regional ? fleet::offer_source::region : fleet::offer_source::other_region);
     check_server_watch(self, message, now);
+    if (is_regional && self.m_follows_servers) {
+        note_delivered_revision(self, message);
+    }
     if (now - self.m_last_state_pull < min_pull_interval) {
         return;
     }
--- a/test/node/configurations.cpp
+++ b/test/node/configurations.cpp
@@ -8,8 +8,14 @@
 
 #include <fleet.pb.h>
 #include <net/fixture.hpp>
+#include <node/boot_clock.hpp>
+#include <node/configurations.hpp>
+#include <node/contact.hpp>
 #include <node/core.hpp>
+#include <node/pulse.hpp>
+#include <node/store_version.hpp>
 #include <node/wire.hpp>
+#include <platform/encode.hpp>
 #include <standin-site/store.hpp>
 
 namespace rhubarbwharf::node {
@@ -58,7 +64,16 @@
 
 /*! @brief Gateway of a test on a thread of its own. */
 struct gateway_process {
-    explicit gateway_process(const config::node_settings& settings) : m_core{settings, true} {}
+    explicit gateway_process(const config::node_settings& settings)
+        : m_core{settings, true}, m_bulk_server{m_core.m_loop, net::http_limits{},
+                                                [this](const net::http_request& incoming,
+                                                       const std::shared_ptr<net::responder>& responder) {
+                                                    ensure(answer_configuration_request(m_core, incoming, responder),
+                                                           "a gateway of a test gets requests for configurations");
+                                                }} {
+        net::ensure_listening(m_bulk_server);
+        m_core.m_self.m_bulk_address = net::local(m_bulk_server.port());
+    }
 
     gateway_process(const gateway_process&) = delete;
     gateway_process(gateway_process&&) = delete;
@@ -92,6 +107,7 @@
     }
 
     core m_core;
+    net::http_server m_bulk_server;
     std::thread m_thread{};
     /*! @brief Version of the configuration in force. */
     std::atomic<std::uint64_t> m_version{};
@@ -120,8 +136,10 @@
         });
     }
 
-    /*! @brief Sends a heartbeat that states a version of the configuration. */
-    auto beat(const std::uint64_t configuration) -> void {
+    /*! @brief Sends a heartbeat that states a version of the configuration.
+     * @param delivered Revision of the store up to which it has received all changes; the rest is as the core knows it.
+     */
+    auto beat(const std::uint64_t configuration, const std::uint64_t delivered = 0U) -> void {
         wire::fleet::Frame frame{};
         frame.set_protocol(frame_protocol_version);
         frame.set_incarnation(m_self.m_incarnation);
@@ -130,6 +148,10 @@
         pulse.set_ready(true);
         pulse.set_reaches_store(true);
         pulse.set_configuration(configuration);
+        pulse.set_store_era(m_core.m_store.era());
+        pulse.set_delivered_revision(delivered);
+        pulse.set_weights(internal::weights_version_sum(m_core));
+        pulse.set_server_versions(fleet::fingerprint(m_core.m_servers));
         on_message(m_core, m_name, frame.SerializeAsString());
     }
 
