Take a change that is arriving for no sign of a lost store

A check of the watches read the same change a second time, and a watch with a short wait was cut off after 2 s and began anew.

A response that arrives now shows that the store answers, until all changes have been unknown for 4 s as before; no second call asks for what arrives; and the time limit of a watch bounds the silence, not the transfer. Watchers state in their heartbeats up to which revision they have applied all changes. A gateway that knew the same when it heard that has them too, so if it comes to watch, it continues from there instead of listing everything; the store's 410 leads to a listing, as ever.

--- a/include/rhubarbwharf/net/http.hpp
+++ b/include/rhubarbwharf/net/http.hpp
@@ -269,6 +269,9 @@
 
     /*! @brief Tells whether the head of the response has been received. */
     [[nodiscard]] virtual auto has_head() const noexcept -> bool = 0;
+
+    /*! @brief Returns when bytes last arrived. @return The epoch if none has. */
+    [[nodiscard]] virtual auto last_received() const noexcept -> time_point = 0;
 };
 
 /*! @brief HTTP/1.1 client with kept connections for each server. */
--- a/src/net/call.cpp
+++ b/src/net/call.cpp
@@ -198,7 +198,8 @@
         end(failure_code());
         return;
     }
-    m_idle_deadline = steady_now() + m_limits.m_idle_time;
+    m_last_received = steady_now();
+    m_idle_deadline = m_last_received + m_limits.m_idle_time;
     on->m_input.commit(count);
     m_read_bytes = next_read_bytes(m_read_bytes, count);
     parse();
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -174,6 +174,8 @@
 
     [[nodiscard]] auto has_head() const noexcept -> bool override { return m_head_seen; }
 
+    [[nodiscard]] auto last_received() const noexcept -> time_point override { return m_last_received; }
+
     /*! @brief Ends the call if a deadline has passed. @param now The time. */
     auto check(time_point now) -> void;
 
@@ -239,6 +241,7 @@
     std::size_t m_read_bytes{first_read_bytes};
     time_point m_total_deadline{};
     time_point m_idle_deadline{};
+    time_point m_last_received{};
     sent m_sent{sent::nothing};
     /*! @brief Failure of a write; no further one is made. */
     boost::system::error_code m_write_failure{};
--- a/src/node/contact.cpp
+++ b/src/node/contact.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <node/boot_clock.hpp>
@@ -26,6 +27,35 @@
     return self.m_store_known_until && now - *self.m_store_known_until > max_store_knowledge_age;
 }
 
+/*! @brief Checks whether a response of the store is arriving: what is slow then is a link, as a change may be large.
+ * Other gateways that came to watch would read the same over that link. */
+[[nodiscard]] auto is_receiving(const core& self) -> bool {
+    const auto now = steady_now();
+    const std::array followers{self.m_operator_follower.get(), self.m_server_follower.get()};
+    return std::ranges::any_of(followers, [now](const auto* each) { return each && each->is_receiving(now); });
+}
+
+/*! @brief Checks whether what this process watches may be outdated. @param probe Number of the last probe. */
+[[nodiscard]] auto is_doubtful(const core& self, const std::uint64_t probe) -> bool {
+    const auto is_outdated = self.m_watches_store && is_knowledge_outdated(self, boot_now());
+    const auto is_answered = self.m_answered_store_probe >= probe;
+    return is_outdated || !(is_answered || is_receiving(self));
+}
+
+/*! @brief Doubts the store some time after a probe that is not answered yet. */
+auto doubt_later(core& self, const std::uint64_t probe) -> void {
+    self.m_loop.after(store_doubt_time, [&self, probe] {
+        if (self.m_answered_store_probe >= probe || self.m_store_probes != probe) {
+            return;
+        }
+        if (is_doubtful(self, probe)) {
+            note_doubt(self, true);
+        } else {
+            doubt_later(self, probe);
+        }
+    });
+}
+
 } // namespace
 
 } // namespace internal
@@ -85,17 +115,12 @@
         if (responds) {
             note_store_version(self, page.m_version, as_of);
         }
-        const auto is_outdated = self.m_watches_store && internal::is_knowledge_outdated(self, boot_now());
-        internal::note_doubt(self, self.m_answered_store_probe < probe || is_outdated);
+        internal::note_doubt(self, internal::is_doubtful(self, probe));
     });
     if (!is_reader) {
         request_store_version(self);
     }
-    self.m_loop.after(store_doubt_time, [&self, probe] {
-        if (self.m_answered_store_probe < probe) {
-            internal::note_doubt(self, true);
-        }
-    });
+    internal::doubt_later(self, probe);
 }
 
 } // namespace rhubarbwharf::node
--- a/src/node/follower.cpp
+++ b/src/node/follower.cpp
@@ -69,6 +69,13 @@
     watch();
 }
 
+auto follower::is_receiving(const time_point now) const noexcept -> bool {
+    const auto arrives = [now](const std::shared_ptr<net::call>& each) {
+        return each && each->has_head() && now - each->last_received() < max_receive_pause;
+    };
+    return arrives(m_call) || arrives(m_listing_call);
+}
+
 auto follower::relist() -> void {
     if (m_stopped || m_paused) {
         return;
@@ -93,13 +100,20 @@
     }
 }
 
-auto follower::resume() -> void {
+auto follower::resume(const fleet::store_version known) -> void {
     if (!std::exchange(m_paused, false) || m_stopped) {
         return;
     }
-    // A listing yields everything at once; a watch from an old revision may first fail as `compacted`.
     m_first_watch_delay = duration::zero();
-    list({});
+    if (known.m_revision == 0U) {
+        list({});
+        return;
+    }
+    m_first_watch_pending = false;
+    m_version = std::max(m_version, known);
+    // What is found first was not seen as it was written, so its time is a bound, as after a failure.
+    m_failures = 1U;
+    watch();
 }
 
 auto follower::note_suspension(const duration suspended) noexcept -> void {
@@ -151,8 +165,9 @@
         m_listing_requested_at = steady_now();
     }
     const auto generation = ++m_generation;
-    m_store.range(m_prefix, after_key, [self = shared_from_this(), generation](adapter::page page) {
+    m_listing_call = m_store.range(m_prefix, after_key, [self = shared_from_this(), generation](adapter::page page) {
         if (!self->m_stopped && self->m_generation == generation) {
+            self->m_listing_call = nullptr;
             self->on_page(std::move(page));
         }
     });
@@ -216,7 +231,8 @@
 }
 
 auto follower::check(check_handler done) -> void {
-    if (m_stopped || m_paused || !(m_call || m_batch_pending)) {
+    const auto is_waiting = m_call && !m_call->has_head();
+    if (m_stopped || m_paused || !(is_waiting || m_batch_pending)) {
         done(std::nullopt);
         return;
     }
--- a/src/node/follower.hpp
+++ b/src/node/follower.hpp
@@ -21,6 +21,9 @@
  * after a second, and gives up after three without an answer. */
 inline constexpr duration max_dead_connection_time = std::chrono::seconds{4};
 
+/*! @brief Time without a byte from which a response does not count as arriving. */
+inline constexpr duration max_receive_pause = std::chrono::milliseconds{300};
+
 /*! @brief Wait of a watch that only asks for the store's revision. */
 inline constexpr duration revision_watch_timeout = std::chrono::milliseconds{50};
 
@@ -44,8 +47,8 @@
  * @brief Follows the keys of one prefix: lists them, then watches for changes from the listing's revision on.
  *
  * While the store does not answer, calls are retried with exponential backoff and jitter, and the known revision is
- * kept. Keys are listed again only after `resume` and `relist`, or if the store has compacted the history that is
- * needed.
+ * kept. Keys are listed again only after `relist`, after a `resume` without a known version, or if the store has
+ * compacted the history that is needed.
  *
  * A watch that waits is not believed without end, as its response may be lost: as long as it does, another call asks
  * from time to time whether there are changes that it should have delivered, unless it is known that there are none.
@@ -81,17 +84,23 @@
     using check_handler = std::function<void(std::optional<fleet::store_version>)>;
 
     /*! @brief Asks for the changes that the watch should have delivered, and takes them.
-     * @param done Called once; without a version if the store gave no answer, or if the watch ended meanwhile. */
+     * @param done Called once; without a version if the store gave no answer, if the watch ended meanwhile, or if its
+     * response is arriving, which the store would send a second time. */
     auto check(check_handler done) -> void;
 
+    /*! @brief Tells whether the response to a listing or a watch is arriving. */
+    [[nodiscard]] auto is_receiving(time_point now) const noexcept -> bool;
+
     /*! @brief Drops the call in progress and lists anew after a random delay. The known revision may fall. */
     auto relist() -> void;
 
     /*! @brief Stops watching until `resume`; the known revision is kept. A listing that is in progress still ends. */
     auto pause() -> void;
 
-    /*! @brief Continues after `pause` with a new listing. */
-    auto resume() -> void;
+    /*! @brief Continues after `pause`.
+     * @param known Version up to which all changes are known by another way; a revision of 0 if none is. Without one,
+     * and if the store has compacted the history since then, all keys are listed. */
+    auto resume(fleet::store_version known) -> void;
 
     /*! @brief Moves the known times back after a suspension of the machine, which the steady clock does not count. */
     auto note_suspension(duration suspended) noexcept -> void;
@@ -129,6 +138,7 @@
     follower_handlers m_handlers{};
     std::vector<adapter::key_value> m_listed_items{};
     std::shared_ptr<net::call> m_call{};
+    std::shared_ptr<net::call> m_listing_call{};
     fleet::store_version m_version{};
     fleet::store_version m_listing_version{};
     /*! @brief Incremented to invalidate callbacks of earlier calls and timers. */
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -257,8 +257,10 @@
     self.m_store_known_until.reset();
     self.m_events.write("store.watch",
                         {{"watches", true}, {"from", static_cast<std::int64_t>(self.m_delivered_version.m_revision)}});
+    const auto is_of_era = self.m_delivered_version.m_era == self.m_store.era();
+    const auto known = is_of_era ? self.m_delivered_version : fleet::store_version{};
     for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
-        each->resume();
+        each->resume(known);
     }
     probe_store(self, boot_now());
 }
--- a/test/node/configurations.cpp
+++ b/test/node/configurations.cpp
@@ -227,4 +227,106 @@
     CHECK(sent <= static_cast<double>(gateways * text.size()));
 }
 
+// What a large change takes to arrive was counted as part of the wait: a watch with a short wait was cut off after 2 s,
+// and began again from the first byte.
+TEST_CASE("a watch whose changes keep arriving is not cut off") {
+    core self{make_settings("edge-here-1", free_address()), true};
+    constexpr std::string_view page = R"({"events":[],"store-revision":7})";
+    net::http_server slow_store{self.m_loop, net::http_limits{},
+                                [&](const net::http_request&, const std::shared_ptr<net::responder>& responder) {
+                                    responder->start({200U, {{"Content-Type", "application/json"}}, {}});
+                                    auto sent = std::make_shared<std::size_t>(0U);
+                                    self.m_loop.every(std::chrono::milliseconds{100}, [responder, sent, page] {
+                                        if (*sent < page.size()) {
+                                            responder->write(page.substr((*sent)++, 1U));
+                                        } else if (*sent == page.size()) {
+                                            ++*sent;
+                                            responder->finish();
+                                        }
+                                    });
+                                }};
+    net::ensure_listening(slow_store);
+    self.m_store.set_address(net::local(slow_store.port()));
+    std::optional<adapter::page> read{};
+    const auto call =
+        self.m_store.watch("op/", 6U, revision_watch_timeout, [&](adapter::page answer) { read = std::move(answer); });
+    REQUIRE(net::run_until(self.m_loop, [&] { return read.has_value(); }));
+    CHECK(read->m_reply == adapter::reply::ok);
+    CHECK(read->m_version.m_revision == 7U);
+}
+
+// A probe that waited behind a large change made other gateways watch as well, and a check of the watches read the same
+// change a second time over the same link.
+TEST_CASE("while a change is arriving, the store is neither doubted nor asked for that change again") {
+    core self{make_settings("edge-here-1", free_address()), true};
+    standin_site::store platform_store{self.m_loop};
+    self.m_store.set_address(platform_store.listen());
+    platform_store.put("op/config", make_configuration(1U, 1U));
+    REQUIRE(start(self));
+    REQUIRE(net::run_until(self.m_loop, [&] { return self.m_configuration && self.m_store_known_until; }));
+    std::shared_ptr<net::responder> change{};
+    unsigned watches{};
+    auto arrives = true;
+    net::http_server slow_store{self.m_loop, net::http_limits{},
+                                [&](const net::http_request& request, std::shared_ptr<net::responder> responder) {
+                                    if (request.m_target.find("kv-watch?prefix=op/") == std::string::npos) {
+                                        return;
+                                    }
+                                    ++watches;
+                                    responder->start({200U, {{"Content-Type", "application/json"}}, {}});
+                                    change = change ? change : std::move(responder);
+                                }};
+    net::ensure_listening(slow_store);
+    self.m_loop.every(std::chrono::milliseconds{50}, [&] {
+        if (change && arrives) {
+            change->write(" ");
+        }
+    });
+    self.m_store.set_address(net::local(slow_store.port()));
+    self.m_operator_follower->replace_watch(steady_now(), std::chrono::seconds{20});
+    REQUIRE(net::run_until(self.m_loop, [&] { return self.m_operator_follower->is_receiving(steady_now()); }));
+    probe_store(self, boot_now());
+    const auto later = self.m_change_account.m_known.m_revision + 1U;
+    note_store_version(self, {self.m_store.era(), later}, std::nullopt);
+    const auto doubtful_at = steady_now() + store_doubt_time + max_delivery_time;
+    REQUIRE(net::run_until(self.m_loop, [&] { return steady_now() > doubtful_at; }));
+    CHECK_FALSE(self.m_store_doubted);
+    CHECK(watches == 1U);
+    arrives = false;
+    CHECK(net::run_until(self.m_loop, [&] { return self.m_store_doubted; }));
+}
+
+// Gateways that came to watch because others were slow listed everything: each read the whole configuration over the
+// link that was slow for the same reason.
+TEST_CASE("a gateway that comes to watch reads only what has changed since a watcher knew everything") {
+    core self{make_settings("edge-here-3", free_address()), true};
+    standin_site::store platform_store{self.m_loop};
+    self.m_store.set_address(platform_store.listen());
+    const auto text = make_configuration(1U, 1'000U);
+    const auto revision = platform_store.put("op/config", text);
+    slow_peer first{self, "here", "edge-here-1"};
+    slow_peer second{self, "here", "edge-here-2"};
+    for (const auto* const peer : {&first, &second}) {
+        platform_store.put("rhubarbwharf/members/gateways/here/" + peer->m_name, adapter::encode_member(peer->m_self));
+    }
+    REQUIRE(start(self));
+    REQUIRE(net::run_until(self.m_loop, [&] { return !self.m_watches_store; }));
+    accept_configuration(self, text, "test");
+    SUBCASE("it knows what the watcher knows") {
+        first.beat(1U, revision);
+        REQUIRE(self.m_delivered_version.m_revision == revision);
+    }
+    SUBCASE("it lacks a version that the watcher knows") {
+        first.beat(2U, revision);
+        REQUIRE(self.m_delivered_version.m_revision == 0U);
+    }
+    platform_store.put("op/version/m", R"({"model":"m","version":2})");
+    REQUIRE(net::run_until(self.m_loop, [&] {
+        update_store_watch(self);
+        return wanted_version(self, "m") == 2U;
+    }));
+    const auto read = self.m_counters.value("store_value_bytes_total", "op/");
+    CHECK((read < static_cast<double>(text.size())) == (self.m_delivered_version.m_revision == revision));
+}
+
 } // namespace rhubarbwharf::node
--- a/test/node/evacuations.cpp
+++ b/test/node/evacuations.cpp
@@ -95,7 +95,7 @@
     fixture.m_core.m_operator_follower->pause();
     fixture.m_store.remove("op/evacuate/dc");
     fixture.m_store.compact();
-    fixture.m_core.m_operator_follower->resume();
+    fixture.m_core.m_operator_follower->resume({});
     CHECK(fixture.wait_until([&] { return !is_evacuated(fixture.m_core); }));
 }
 
--- a/test/node/follower.cpp
+++ b/test/node/follower.cpp
@@ -111,7 +111,7 @@
     fixture.m_platform_store.remove("op/a");
     fixture.m_platform_store.put("op/b", "2");
     fixture.m_platform_store.compact();
-    fixture.m_follower->resume();
+    fixture.m_follower->resume({});
     REQUIRE(fixture.wait_until([&] { return fixture.m_items.contains("op/b"); }));
     CHECK_FALSE(fixture.m_items.contains("op/a"));
 }
