Send the wanted versions with a requested configuration

A loader that starts gets its models with the configuration.

The answer is a state with the weights targets and evacuations, which are applied first, as with all states. Seeds send the configuration compressed as well, to processes that ask so: after a power cut of all, it crossed the links of the regions as plain text for each gateway.

--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -1,5 +1,6 @@
 #include <fleet.pb.h>
 #include <gateway/crash_records.hpp>
+#include <node/configurations.hpp>
 #include <platform/decode.hpp>
 #include <platform/encode.hpp>
 #include <platform/names.hpp>
@@ -141,6 +142,9 @@
     }
     auto state = node::startup_state(self.m_core, adapter::query_value(incoming.m_target, "region"),
                                      adapter::query_value(incoming.m_target, "servers") == "1");
+    if (adapter::query_value(incoming.m_target, "compressed") == "1") {
+        node::compress_configuration(self.m_core, state);
+    }
     if (adapter::query_value(incoming.m_target, "crashes") == "1") {
         add_crash_records(self, state);
     }
--- a/src/node/configurations.cpp
+++ b/src/node/configurations.cpp
@@ -1,8 +1,11 @@
 #include <utility>
 
 #include <fleet.pb.h>
+#include <node/boot_clock.hpp>
 #include <node/configurations.hpp>
+#include <node/evacuations.hpp>
 #include <node/pulse.hpp>
+#include <node/targets.hpp>
 #include <node/traffic.hpp>
 #include <platform/decode.hpp>
 #include <platform/encode.hpp>
@@ -22,8 +25,9 @@
 constexpr duration max_answer_time = std::chrono::seconds{6};
 /*! @brief Most bytes of a configuration: a value of the store has at most 1 MiB. */
 constexpr std::size_t max_configuration_bytes = std::size_t{1024} * 1024U;
-/*! @brief Most bytes of an answer: bytes that do not shrink grow by less than a thousandth. */
-constexpr std::size_t max_answer_bytes = max_configuration_bytes + std::size_t{16} * 1024U;
+/*! @brief Most bytes of an answer: bytes that do not shrink grow by less than a thousandth, and some hundred versions
+ * of weights take a few KiB. */
+constexpr std::size_t max_answer_bytes = max_configuration_bytes + std::size_t{64} * 1024U;
 
 namespace {
 
@@ -53,22 +57,15 @@
     self.m_counters.add("configuration_requests_failed_total");
 }
 
-/*! @brief Applies an answer. */
-auto on_answer(core& self, const std::string& gateway, const net::http_response& response) -> void {
+/*! @brief Applies an answer. @param requested_at When it was requested, of the boot-time clock. */
+auto on_answer(core& self, const std::string& gateway, const time_point requested_at,
+               const net::http_response& response) -> void {
     self.m_configuration_call = nullptr;
-    auto text = response.m_status == status_ok ? inflate(response.m_body, max_configuration_bytes) : std::nullopt;
-    const auto before = configuration_version(self);
-    if (text) {
-        accept_configuration(self, *text, gateway);
+    wire::fleet::State state{};
+    if (response.m_status == status_ok && state.ParseFromString(response.m_body)) {
+        accept_state(self, state, gateway, requested_at);
     }
-    const auto version = configuration_version(self);
-    if (version > before) {
-        if (self.m_follows_servers) {
-            self.m_compressed_configuration = {version, response.m_body, {}};
-        }
-        apply_held_operator_items(self);
-    }
-    fleet::discard_offers(self.m_configuration_offers, version);
+    fleet::discard_offers(self.m_configuration_offers, configuration_version(self));
     if (self.m_configuration_offers.m_by_gateway.contains(gateway)) {
         note_failure(self, gateway, response.m_status);
     }
@@ -122,11 +119,27 @@
     limits.m_connect_time = internal::max_silence;
     limits.m_body_bytes = internal::max_answer_bytes;
     const auto& address = self.m_members.find(*gateway)->second.m_member.m_bulk_address;
-    self.m_configuration_call =
-        self.m_http.fetch(address, std::move(request), limits,
-                          [&self, gateway = *gateway](const net::call_end&, const net::http_response& response) {
-                              internal::on_answer(self, gateway, response);
-                          });
+    self.m_configuration_call = self.m_http.fetch(address, std::move(request), limits,
+                                                  [&self, gateway = *gateway, requested_at = boot_now()](
+                                                      const net::call_end&, const net::http_response& response) {
+                                                      internal::on_answer(self, gateway, requested_at, response);
+                                                  });
+}
+
+auto compress_configuration(core& self, wire::fleet::State& state) -> void {
+    if (!state.configuration().empty()) {
+        state.clear_configuration();
+        state.set_compressed_configuration(internal::compressed_configuration(self, false));
+    }
+}
+
+auto configuration_text(const wire::fleet::State& state) -> std::optional<std::string> {
+    if (!state.configuration().empty()) {
+        return state.configuration();
+    }
+    return state.compressed_configuration().empty()
+               ? std::nullopt
+               : inflate(state.compressed_configuration(), internal::max_configuration_bytes);
 }
 
 auto relay_configuration(core& self) -> void {
@@ -152,9 +165,13 @@
         return true;
     }
     const auto for_loader = adapter::query_value(request.m_target, "for") == "loader";
-    const auto& bytes = internal::compressed_configuration(self, for_loader);
+    wire::fleet::State state{};
+    add_targets(self, state);
+    add_evacuations(self, *state.mutable_evacuations());
+    state.set_compressed_configuration(internal::compressed_configuration(self, for_loader));
+    auto bytes = state.SerializeAsString();
     internal::count_sent(self, for_loader ? "loader_configuration" : "configuration", bytes.size());
-    responder->respond({internal::status_ok, {{"Content-Type", "application/zlib"}}, bytes});
+    responder->respond({internal::status_ok, {{"Content-Type", "application/x-protobuf"}}, std::move(bytes)});
     return true;
 }
 
--- a/src/node/configurations.hpp
+++ b/src/node/configurations.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,7 +30,14 @@
 /*! @brief Tells the gateways to which this one relays that it has a new configuration. */
 auto relay_configuration(core& self) -> void;
 
-/*! @brief Answers a request of another process for a configuration.
+/*! @brief Replaces the text of the configuration in a state by its compressed form, for a process that asks for it. */
+auto compress_configuration(core& self, wire::fleet::State& state) -> void;
+
+/*! @brief Returns the text of the configuration in a state. @return None if there is none, or none that can be read. */
+[[nodiscard]] auto configuration_text(const wire::fleet::State& state) -> std::optional<std::string>;
+
+/*! @brief Answers a request of another process for a configuration. The answer is a state with the weights targets and
+ * evacuations, as a loader must not learn its models before the wanted versions.
  * @return False if the request is for something else; it is not answered then. */
 [[nodiscard]] auto answer_configuration_request(core& self, const net::http_request& request,
                                                 const std::shared_ptr<net::responder>& responder) -> bool;
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -340,8 +340,12 @@
     accept_targets(self, state, source, requested_at);
     accept_evacuations(self, state.evacuations(), source);
     self.m_handlers.m_on_state(source, state);
-    if (!state.configuration().empty()) {
-        accept_configuration(self, state.configuration(), source);
+    if (const auto text = configuration_text(state)) {
+        const auto former = self.m_configuration;
+        accept_configuration(self, *text, source);
+        if (self.m_configuration != former && self.m_follows_servers && !state.compressed_configuration().empty()) {
+            self.m_compressed_configuration = {self.m_configuration->m_version, state.compressed_configuration(), {}};
+        }
         apply_held_operator_items(self);
     }
     if (state.relayed_configuration() != 0U) {
@@ -440,7 +444,7 @@
     const auto reads_store = self.m_watches_store && self.m_seed_requests <= 1U;
     const auto needs_servers = self.m_follows_servers && self.m_servers.m_rows.empty() && !reads_store;
     request.m_target = "/state?region=" + self.m_self.m_region + "&servers=" + (needs_servers ? "1" : "0") +
-                       (self.m_follows_servers ? "&crashes=1" : "");
+                       "&compressed=1" + (self.m_follows_servers ? "&crashes=1" : "");
     self.m_http.fetch(*seed, std::move(request), limits,
                       [&self, requested_at = boot_now()](const net::call_end&, const net::http_response& response) {
                           constexpr std::uint16_t ok = 200U;
--- a/test/node/configurations.cpp
+++ b/test/node/configurations.cpp
@@ -227,6 +227,30 @@
     CHECK(sent <= static_cast<double>(gateways * text.size()));
 }
 
+// A loader that learned its models before the wanted versions took what its runner had staged for the wrong version.
+TEST_CASE("a configuration that is requested comes with the versions that are wanted") {
+    core giver{make_settings("edge-here-1", free_address()), true};
+    accept_configuration(giver, make_configuration(1U, 10U), "test");
+    accept_weights_target(giver, {"m", 3U, steady_now(), true}, "test");
+    core self{make_settings("side-here-1", free_address()), false};
+    net::http_server server{
+        self.m_loop, net::http_limits{},
+        [&giver](const net::http_request& incoming, const std::shared_ptr<net::responder>& responder) {
+            ensure(answer_configuration_request(giver, incoming, responder), "it is for that");
+        }};
+    net::ensure_listening(server);
+    giver.m_self.m_bulk_address = net::local(server.port());
+    update_member(self, giver.m_self, false);
+    std::uint64_t wanted{};
+    self.m_handlers.m_on_configuration = [&] {
+        wanted = wanted_version(self, "m");
+    };
+    offer_configuration(self, "edge-here-1", 1U, fleet::offer_source::region);
+    REQUIRE(net::run_until(self.m_loop, [&] { return self.m_configuration != nullptr; }));
+    CHECK(wanted == 3U);
+    CHECK(self.m_configuration->m_routes.empty());
+}
+
 // What a large change takes to arrive was counted as part of the wait: a watch with a short wait was cut off after 2 s,
 // and began again from the first byte.
 TEST_CASE("a watch whose changes keep arriving is not cut off") {
