--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -36,13 +37,24 @@
     return out;
 }
 
+/*! @brief Returns a local address on which nothing listens. */
+[[nodiscard]] auto free_address() -> net::endpoint {
+    net::loop loop{};
+    net::http_server probe{loop, net::http_limits{},
+                           [](const net::http_request&, const std::shared_ptr<net::responder>&) {
+                           }};
+    net::ensure_listening(probe);
+    return net::local(probe.port());
+}
+
 /*! @brief A gateway that watches a stand-in store, which lists one server. */
 struct watching_gateway {
-    core m_self{gateway_settings(), true};
+    core m_self;
     standin_site::store m_platform_store{m_self.m_loop};
+    net::endpoint m_store_address{m_platform_store.listen()};
 
-    watching_gateway() {
-        m_self.m_store.set_address(m_platform_store.listen());
+    explicit watching_gateway(const config::node_settings& settings = gateway_settings()) : m_self{settings, true} {
+        m_self.m_store.set_address(m_store_address);
         m_platform_store.put(server_key, entry("ready"));
         REQUIRE(start(m_self));
         REQUIRE(wait_until([this] { return is_known() && m_self.m_registered; }));
@@ -313,6 +325,58 @@
     CHECK(fixture.is_draining());
 }
 
+// A gateway that asks the reader of the version just before each of its reads got versions that were a second old, so
+// that a drained server whose notice was lost everywhere got requests for 2.6 s.
+TEST_CASE("a lost response is found in time by a gateway that does not read the store's version itself") {
+    auto settings = gateway_settings();
+    settings.m_listen.m_bus = net::to_string(free_address());
+    settings.m_listen.m_callers = "127.0.0.1:1";
+    watching_gateway fixture{settings};
+    auto& self = fixture.m_self;
+    settings.m_instance = "gateway-0";
+    settings.m_region = "elsewhere";
+    settings.m_listen.m_bus = net::to_string(free_address());
+    core reader{settings, true};
+    reader.m_store.set_address(fixture.m_store_address);
+    update_member(reader, self.m_self, true);
+    update_member(self, reader.m_self, true);
+    self.m_loop.every(std::chrono::milliseconds{100},
+                      [&] { self.m_members["gateway-0"].m_last_received = steady_now(); });
+    reader.m_loop.every(std::chrono::milliseconds{100},
+                        [&] { reader.m_members["gateway-0"].m_last_received = steady_now(); });
+    constexpr auto phase = std::chrono::milliseconds{50};
+    REQUIRE(fixture.wait_until([&] { return (steady_now() - self.m_started) % store_probe_interval < phase; }));
+    fixture.let_pass(phase);
+    REQUIRE(start(reader));
+    std::thread reader_thread{[&reader] {
+        reader.m_loop.run();
+    }};
+    fixture.let_pass(std::chrono::seconds{4});
+    CHECK_FALSE(is_version_reader(self));
+    const auto own_reads = self.m_counters.value("store_version_reads_total");
+    standin_site::store_faults faults{};
+    faults.m_serializable_age = std::chrono::seconds{8};
+    duration longest{};
+    for (auto offset = duration::zero(); offset < store_probe_interval; offset += store_probe_interval / 8) {
+        fixture.m_platform_store.put(server_key, entry("ready"));
+        REQUIRE(fixture.wait_until([&] { return fixture.is_known() && !fixture.is_draining(); }));
+        fixture.let_pass(2 * store_probe_interval + offset);
+        faults.m_lose_changes = true;
+        fixture.m_platform_store.set_faults(faults);
+        fixture.m_platform_store.put(server_key, entry("draining"));
+        faults.m_lose_changes = false;
+        fixture.m_platform_store.set_faults(faults);
+        const auto acknowledged = steady_now();
+        REQUIRE(fixture.wait_until([&] { return fixture.is_draining(); }));
+        longest = std::max(longest, steady_now() - acknowledged);
+    }
+    reader.m_loop.stop();
+    reader_thread.join();
+    MESSAGE("longest time in ms: ", std::chrono::duration_cast<std::chrono::milliseconds>(longest).count());
+    CHECK(self.m_counters.value("store_version_reads_total") == own_reads);
+    CHECK(longest < std::chrono::milliseconds{self.m_settings.m_bounds.m_drain_ms});
+}
+
 TEST_CASE("watches cost no further call while they deliver all changes") {
     watching_gateway fixture{};
     auto& self = fixture.m_self;
