Tell watchers of each read of the store's version

Cause: a watcher that has lost the notice finds out by the version of the store, which one gateway reads each second for all. The others asked for it each second at a phase of their own and got a version up to a second old, so that a loss was found after 1.0 + 1.0 + 0.6 s. Class: a period that adds to another one, in a bound that was worked out for the one who has only one. Besides, a check whose response was lost too was waited for 2 s, and its repetition for the next version.

The reader answers the requests of the last 2 s again as soon as it has read the version. What answers an earlier request may show that a change is missing; it never proves that none is, as its age is not known. So each watcher finds a loss as soon as the reader does: at most one interval, 0.6 s and two calls, 1.7 s.

Cost: one message a second for each watcher, 10 at 370 gateways in 5 regions; no call of the store. No memory that grows: one row a watcher.

--- a/src/node/contact.cpp
+++ b/src/node/contact.cpp
@@ -115,6 +115,9 @@
         if (responds) {
             note_store_version(self, page.m_version, as_of);
         }
+        if (responds && as_of) {
+            tell_version_requesters(self);
+        }
         internal::note_doubt(self, internal::is_doubtful(self, probe));
     });
     if (!is_reader) {
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -76,6 +76,13 @@
     time_point m_as_of{};
 };
 
+/*! @brief Request of a gateway for the version of the store. */
+struct store_version_request {
+    std::uint64_t m_number{};
+    /*! @brief When it arrived; of the boot-time clock. */
+    time_point m_arrived_at{};
+};
+
 /*! @brief Digests of the table of backend servers, computed when it has changed. */
 struct server_digests {
     std::uint64_t m_changes{UINT64_MAX};
@@ -212,6 +219,8 @@
     std::optional<time_point> m_store_known_until{};
     /*! @brief Latest version of the store that was read, here or by another gateway, and when. */
     std::optional<told_store_version> m_told_version{};
+    /*! @brief Last requests of other gateways for it, by name. */
+    std::map<std::string, store_version_request, std::less<>> m_version_requesters{};
     /*! @brief Number of the last request to another gateway for it; begins at random, as an answer to a former process
      * may come. */
     std::uint64_t m_version_requests{};
--- a/src/node/store_version.cpp
+++ b/src/node/store_version.cpp
@@ -15,6 +15,8 @@
 /*! @brief Time after which the answer of another gateway is no longer waited for: several round trips between regions.
  */
 constexpr duration version_answer_time = std::chrono::milliseconds{60};
+/*! @brief Delay before the watches are checked again after a check that failed. */
+constexpr duration check_retry_delay = std::chrono::milliseconds{200};
 
 namespace {
 
@@ -34,6 +36,18 @@
     bool m_failed{false};
 };
 
+auto check_watches(core& self) -> void;
+
+/*! @brief Checks the watches again soon, unless the store does not answer. */
+auto repeat_check(core& self) -> void {
+    self.m_loop.after(check_retry_delay, [&self] {
+        const auto answers = self.m_answered_store_probe == self.m_store_probes;
+        if (answers && self.m_watches_store && self.m_watch_check_failed) {
+            check_watches(self);
+        }
+    });
+}
+
 auto on_watch_checked(core& self, watch_check& check, const std::optional<fleet::store_version> version) -> void {
     check.m_failed = check.m_failed || !version;
     if (version) {
@@ -46,6 +60,7 @@
     self.m_watch_check_failed = check.m_failed;
     if (check.m_failed) {
         self.m_counters.add("store_watch_checks_failed_total");
+        repeat_check(self);
         return;
     }
     fleet::settle(self.m_change_account, *check.m_version);
@@ -87,6 +102,20 @@
     }
 }
 
+/*! @brief Answers a request for the store's version with the last one that was read. */
+auto answer_version_request(core& self, const std::string_view peer, const std::uint64_t number) -> void {
+    const auto& told = *self.m_told_version;
+    wire::fleet::Frame frame{};
+    auto& answer = *frame.mutable_store_version();
+    answer.set_answers(number);
+    answer.set_era(told.m_version.m_era);
+    answer.set_revision(told.m_version.m_revision);
+    const auto age = std::chrono::ceil<std::chrono::milliseconds>(boot_now() - told.m_as_of);
+    answer.set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0)));
+    connect_to_gateway(self, peer);
+    send(self, peer, frame);
+}
+
 /*! @brief Reads the version if it has not been learned from another gateway. In an outage, in which all gateways come
  * to watch, the cheaper probes suffice: a read is sent only if the store has answered one of the last two. */
 auto read_version_if_needed(core& self) -> void {
@@ -108,27 +137,20 @@
 
 auto on_store_version_request(core& self, const std::string_view from, const wire::fleet::StoreVersionRequest& message)
     -> void {
-    if (!self.m_told_version) {
-        return;
+    self.m_version_requesters.insert_or_assign(std::string{from}, store_version_request{message.number(), boot_now()});
+    if (self.m_told_version) {
+        answer_version_request(self, from, message.number());
     }
-    const auto& told = *self.m_told_version;
-    wire::fleet::Frame frame{};
-    auto& answer = *frame.mutable_store_version();
-    answer.set_answers(message.number());
-    answer.set_era(told.m_version.m_era);
-    answer.set_revision(told.m_version.m_revision);
-    const auto age = std::chrono::ceil<std::chrono::milliseconds>(boot_now() - told.m_as_of);
-    answer.set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0)));
-    connect_to_gateway(self, from);
-    send(self, from, frame);
 }
 
 auto on_store_version(core& self, const wire::fleet::StoreVersion& message) -> void {
-    if (message.answers() != self.m_version_requests || message.era() != self.m_store.era()) {
+    if (message.era() != self.m_store.era()) {
         return;
     }
+    const fleet::store_version told{message.era(), message.revision()};
     const auto as_of = self.m_version_requested_at - std::chrono::milliseconds{message.age_ms()};
-    note_store_version(self, {message.era(), message.revision()}, as_of);
+    const auto is_bounded = message.answers() == self.m_version_requests;
+    note_store_version(self, told, is_bounded ? std::optional{as_of} : std::nullopt);
 }
 
 } // namespace internal
@@ -142,6 +164,15 @@
     return reader != nullptr && reader->m_instance == self.m_self.m_instance;
 }
 
+auto tell_version_requesters(core& self) -> void {
+    const auto now = boot_now();
+    std::erase_if(self.m_version_requesters,
+                  [now](const auto& each) { return now - each.second.m_arrived_at > max_version_age; });
+    for (const auto& [name, request] : self.m_version_requesters) {
+        internal::answer_version_request(self, name, request.m_number);
+    }
+}
+
 auto note_store_version(core& self, const fleet::store_version told, const std::optional<time_point> as_of) -> void {
     if (as_of) {
         internal::keep_version(self, told, *as_of);
--- a/src/node/store_version.hpp
+++ b/src/node/store_version.hpp
@@ -14,7 +14,8 @@
  * time covers all changes until then: if the watches have delivered all changes up to that version, none is missing.
  * One gateway reads the version for all watchers, who ask it; whoever gets no answer in time reads it as well. The
  * answer to a request tells a version of a time that the receiver can bound by its own clock, however long the messages
- * took.
+ * took. A request is answered at once with the last version, and again when the next one has been read: so a lost
+ * change is known to be missing as soon at each watcher as at the reader.
  */
 namespace rhubarbwharf::node {
 
@@ -48,6 +49,10 @@
  */
 auto note_store_version(core& self, fleet::store_version told, std::optional<time_point> as_of) -> void;
 
+/*! @brief Tells the gateways that have asked for the store's version lately that it has just been read, as their next
+ * requests may come up to a second later. */
+auto tell_version_requesters(core& self) -> void;
+
 /*! @brief Asks the gateway that reads the store's version for it, and reads it directly if the answer is missing or too
  * old. */
 auto request_store_version(core& self) -> void;
@@ -57,7 +62,8 @@
 auto on_store_version_request(core& self, std::string_view from, const wire::fleet::StoreVersionRequest& message)
     -> void;
 
-/*! @brief Handles an answer; one that does not answer the last request is dropped, as its age is not known. */
+/*! @brief Handles an answer. One that does not answer the last request may show that a change is missing, but not that
+ * none is, as its age is not known. */
 auto on_store_version(core& self, const wire::fleet::StoreVersion& message) -> void;
 
 } // namespace internal
