Answer 503 for what a newer configuration may allow

A caller does not repeat a request after 404 or 401.

A gateway that knows of a newer configuration than its own now answers 503 with a Retry-After of 0.3 s where it would have said that the route or key does not exist; the request has not run. This ends when the version is applied, and after 10 s if nobody gives it. A 404 or 401 is thus said only by what is, to the gateway's knowledge, in force. No message, no call of the store.

--- a/include/rhubarbwharf/fleet/configuration_offers.hpp
+++ b/include/rhubarbwharf/fleet/configuration_offers.hpp
@@ -85,6 +85,15 @@
 [[nodiscard]] auto choose_offer(const configuration_offers& offers, std::uint64_t known, std::uint64_t random,
                                 time_point now) -> std::optional<std::string>;
 
+/*! @brief Longest time for which a process that was told of a newer configuration counts its own as outdated: that of a
+ * request which keeps arriving, and two more. What nobody gives by then may not exist. */
+inline constexpr duration max_outdated_time = std::chrono::seconds{10};
+
+/*! @brief Checks whether a newer configuration is known to exist that this process does not have yet. Then a route or a
+ * key that it does not know may have been added. */
+[[nodiscard]] auto is_outdated(const configuration_offers& offers, std::uint64_t known, time_point now) noexcept
+    -> bool;
+
 /*! @brief Checks whether a gateway has refused to give its configuration by itself. */
 [[nodiscard]] auto has_refused(const configuration_offers& offers, std::string_view gateway) -> bool;
 
--- a/src/fleet/configuration_offers.cpp
+++ b/src/fleet/configuration_offers.cpp
@@ -70,6 +70,14 @@
     return best.empty() ? std::nullopt : std::optional{std::string{best[random % best.size()]}};
 }
 
+auto is_outdated(const configuration_offers& offers, const std::uint64_t known, const time_point now) noexcept -> bool {
+    const auto is_newer = [known](const auto& each) {
+        return each.second.m_version > known;
+    };
+    return offers.m_since && now - *offers.m_since < max_outdated_time &&
+           std::ranges::any_of(offers.m_by_gateway, is_newer);
+}
+
 auto has_refused(const configuration_offers& offers, const std::string_view gateway) -> bool {
     const auto found = offers.m_by_gateway.find(gateway);
     return found != offers.m_by_gateway.end() && found->second.m_refused;
--- a/src/gateway/requests.cpp
+++ b/src/gateway/requests.cpp
@@ -18,6 +18,8 @@
 /*! @brief Fraction of the longest recent timeout below which a request is treated as a retry after a refusal. Timeouts
  * of first attempts differ by up to 15 in 100. */
 constexpr double min_first_attempt_ratio = 0.83;
+/*! @brief `Retry-After` while a newer configuration is being read. */
+constexpr duration outdated_retry_after = std::chrono::milliseconds{300};
 /*! @brief `Retry-After` while no configuration has been received. */
 constexpr duration unconfigured_retry_after = std::chrono::milliseconds{300};
 constexpr std::string_view bearer_prefix = "Bearer ";
@@ -154,6 +156,14 @@
     return {};
 }
 
+/*! @brief Checks whether a newer configuration, which this gateway does not have yet, may allow a request. A caller
+ * does not repeat what is not found or not authorised. */
+[[nodiscard]] auto may_be_outdated(const daemon& self, const code rejected) -> bool {
+    const auto is_unknown = rejected == code::not_found || rejected == code::unauthorised;
+    return is_unknown &&
+           fleet::is_outdated(self.m_core.m_configuration_offers, self.m_core.m_configuration->m_version, steady_now());
+}
+
 [[nodiscard]] auto closing_text(const net::close_reason reason) noexcept -> std::string_view {
     switch (reason) {
     case net::close_reason::slow_reader:
@@ -216,6 +226,12 @@
     const auto rejected = internal::resolve_route(self, incoming, *item);
     if (rejected.m_code != code::ok) {
         internal::log_rejection(self, item->m_attempt_id, rejected.m_detail, version);
+        if (internal::may_be_outdated(self, rejected.m_code)) {
+            self.m_core.m_counters.add("requests_refused_as_outdated_total");
+            responder->respond(
+                refusal_response(503U, "a newer configuration is being read", internal::outdated_retry_after));
+            return;
+        }
         responder->respond(net::problem(rejected.m_code, outcome::not_run, rejected.m_detail, duration::zero()));
         return;
     }
--- a/test/fleet/configuration_offers.cpp
+++ b/test/fleet/configuration_offers.cpp
@@ -72,6 +72,20 @@
     CHECK_FALSE(choose_offer(offers, 6U, 0U, begin + std::chrono::hours{1}));
 }
 
+// A gateway that had heard of a newer version answered 404 for a route that this version had added.
+TEST_CASE("a configuration counts as outdated from the first word of a newer one until that is known, or for a while") {
+    configuration_offers offers{};
+    CHECK_FALSE(is_outdated(offers, 4U, begin));
+    note_offer(offers, "a", 4U, offer_source::region, 4U, begin);
+    CHECK_FALSE(is_outdated(offers, 4U, begin));
+    note_offer(offers, "a", 5U, offer_source::other_region, 4U, begin);
+    CHECK(is_outdated(offers, 4U, begin));
+    CHECK_FALSE(is_outdated(offers, 5U, begin));
+    CHECK_FALSE(is_outdated(offers, 4U, begin + max_outdated_time));
+    discard_offers(offers, 5U);
+    CHECK_FALSE(is_outdated(offers, 4U, begin));
+}
+
 TEST_CASE("the relays of a region of any size reach each gateway once, from few gateways each") {
     for (const std::size_t gateways : {1U, 2U, 3U, 9U, 17U, 74U, 170U}) {
         const auto table = make_region(gateways, "here");
