Hold removals only after a silence in which entries may lapse

Cause: any failed watch counted as an outage, so that the next answer, 0.1 s later, opened the window of 2.3 s in which removals are held. Class: a fixed time in place of what is known. An entry lapses after 2.4 s without a write at least, and the store answers a watcher's probe each second.

The client of the store tells how long no call was served before each response, if calls have failed in that time. Removals are held only after 2.4 s or more; each outage in which an entry can lapse is such a silence, as it is measured from the last response before. No call of the store, no message.

--- a/src/node/contact.cpp
+++ b/src/node/contact.cpp
@@ -64,13 +64,16 @@
     self.m_events.write(
         reachable ? "store.reached" : "store.lost",
         {{"prefix", prefix}, {"revision", static_cast<std::int64_t>(self.m_servers.m_version.m_revision)}});
-    if (reachable && !self.m_store_reachable) {
-        self.m_store_reachable_since = steady_now();
-    }
     self.m_store_reachable = reachable;
     self.m_counters.set("store_reachable", reachable ? 1.0 : 0.0);
 }
 
+auto note_response(core& self, const duration silence) -> void {
+    if (silence >= min_lapse_time) {
+        self.m_store_reachable_since = steady_now();
+    }
+}
+
 auto note_contact(core& self, const bool answers) -> void {
     const auto now = steady_now();
     self.m_events.write(answers ? "store.reached" : "store.lost",
@@ -83,9 +86,7 @@
         }
         return;
     }
-    if (std::exchange(self.m_store_silent, false)) {
-        self.m_store_reachable_since = now;
-    }
+    self.m_store_silent = false;
     const auto watch_timeout = std::chrono::milliseconds{self.m_settings.m_store.m_watch_ms};
     for (const auto& each : {self.m_operator_follower, self.m_server_follower}) {
         if (each) {
--- a/src/node/contact.hpp
+++ b/src/node/contact.hpp
@@ -9,10 +9,18 @@
 /*! @brief Notes whether the calls for a prefix reach the store, which decides who watches it. */
 auto note_reachability(core& self, std::string_view prefix, bool reachable) -> void;
 
+/*! @brief Shortest silence of the store in which the entry of a living server may lapse: it is written each 1.2 s, and
+ * lapses after three intervals without. */
+inline constexpr duration min_lapse_time = std::chrono::milliseconds{2'400};
+
+/*! @brief Notes a response of the store. After a silence in which entries may have lapsed, removals are held for the
+ * time in which living servers write them again; after a shorter one, a removal is one.
+ * @param silence Time without a response before it, in which calls have failed; zero if none has. */
+auto note_response(core& self, duration silence) -> void;
+
 /*! @brief Notes that the store has left a call without a response, or responds again. The watches that began
  * before may have lost their responses meanwhile and would wait in vain, so they are replaced; peers cannot tell what
- * all watchers have lost. One call without a response is no reason to hold the removals of entries; a second one in a
- * row is. */
+ * all watchers have lost. */
 auto note_contact(core& self, bool answers) -> void;
 
 /*! @brief Time without a response to a probe after which a watcher doubts that the store still tells it of changes.
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -427,6 +427,7 @@
     self.m_registered = !self.m_follows_servers;
     self.m_store.set_era_handler(
         [&self](const std::uint64_t former, const std::uint64_t era) { on_store_era(self, former, era); });
+    self.m_store.set_response_handler([&self](const duration silence) { note_response(self, silence); });
     self.m_store.set_contact_handler([&self](const bool answers) { note_contact(self, answers); });
     self.m_loop.after(internal::startup_hold_time, [&self] { apply_held_operator_items(self); });
     internal::follow_store(self);
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -158,7 +158,8 @@
     /*! @brief Whether backend servers are followed; false for loaders. */
     bool m_follows_servers{false};
     bool m_store_reachable{false};
-    /*! @brief When the store last became reachable; the epoch if it never was. */
+    /*! @brief When the store last responded after a silence in which entries may have lapsed; the epoch if it never
+     * did. */
     time_point m_store_reachable_since{};
     /*! @brief When a call of the store last ended without a response, after others had got one. */
     time_point m_store_unanswered_at{};
--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -15,9 +15,7 @@
 
 namespace {
 
-/*! @brief Shortest silence of the store in which the entry of a server can lapse: its heartbeat is 1.2 s, and three may
- * be missed. */
-constexpr duration shortest_outage = std::chrono::milliseconds{2'400};
+constexpr duration shortest_outage = min_lapse_time;
 /*! @brief Time after a disturbance of the store from which the platform's time limits count. */
 constexpr duration stable_window = std::chrono::milliseconds{3'000};
 
@@ -450,6 +448,31 @@
     CHECK(steady_now() - removed < std::chrono::milliseconds{self.m_settings.m_bounds.m_drain_ms});
 }
 
+// Any failed watch counted as an outage in which entries lapse, so that removals were held for 2.3 s after each.
+TEST_CASE("a server that is removed after the watches were cut gets no requests after the time limit") {
+    watching_gateway fixture{};
+    auto& self = fixture.m_self;
+    for (const auto cut_for : {std::chrono::milliseconds{0}, std::chrono::milliseconds{600}}) {
+        CAPTURE(cut_for.count());
+        fixture.m_platform_store.put(server_key, entry("ready"));
+        REQUIRE(fixture.wait_until([&] { return fixture.is_known(); }));
+        fixture.let_pass(std::chrono::milliseconds{3'000});
+        standin_site::store_faults faults{};
+        faults.m_unavailable = true;
+        fixture.m_platform_store.set_faults(faults);
+        self.m_operator_follower->replace_watch(steady_now(), revision_watch_timeout);
+        self.m_server_follower->replace_watch(steady_now(), revision_watch_timeout);
+        REQUIRE(fixture.wait_until([&] { return !self.m_store_reachable; }));
+        fixture.let_pass(cut_for);
+        fixture.m_platform_store.set_faults({});
+        REQUIRE(fixture.wait_until([&] { return self.m_store_reachable; }));
+        fixture.m_platform_store.remove(server_key);
+        const auto removed = steady_now();
+        REQUIRE(fixture.wait_until([&] { return !fixture.is_known(); }));
+        CHECK(steady_now() - removed < std::chrono::milliseconds{self.m_settings.m_bounds.m_drain_ms});
+    }
+}
+
 TEST_CASE("a peer that has listed a later revision makes a watcher ask once, not until a server changes") {
     watching_gateway fixture{};
     auto& self = fixture.m_self;
