Ask another gateway if the one that offers a configuration is not known

A gateway that relays a configuration and is evicted from the table before it is asked would have been chosen again and again, so that callers of this gateway met an old configuration until a heartbeat of another kind came. Found by reading. It is marked now, and the next offer is taken; the new case of test/node/configurations.cpp covers it.

--- a/src/node/configurations.cpp
+++ b/src/node/configurations.cpp
@@ -57,6 +57,17 @@
     self.m_counters.add("configuration_requests_failed_total");
 }
 
+/*! @brief Chooses the gateway to ask. Those that can't be asked for it are marked, so that another one is. */
+[[nodiscard]] auto choose_gateway(core& self, const std::uint64_t known, const time_point now)
+    -> std::optional<std::string> {
+    auto chosen = fleet::choose_offer(self.m_configuration_offers, known, self.m_random(), now);
+    while (chosen && sends_configuration_in_state(self, *chosen)) {
+        fleet::note_failed_offer(self.m_configuration_offers, *chosen, true, now);
+        chosen = fleet::choose_offer(self.m_configuration_offers, known, self.m_random(), now);
+    }
+    return chosen;
+}
+
 /*! @brief Applies an answer. @param requested_at When it was requested, of the boot-time clock. */
 auto on_answer(core& self, const std::string& gateway, const time_point requested_at,
                const net::http_response& response) -> void {
@@ -102,8 +113,8 @@
         !internal::may_request_configuration(self, self.m_last_configuration_request, now)) {
         return;
     }
-    const auto gateway = fleet::choose_offer(self.m_configuration_offers, known, self.m_random(), now);
-    if (!gateway || internal::sends_configuration_in_state(self, *gateway)) {
+    const auto gateway = internal::choose_gateway(self, known, now);
+    if (!gateway) {
         return;
     }
     self.m_last_configuration_request = now;
--- a/test/node/configurations.cpp
+++ b/test/node/configurations.cpp
@@ -227,6 +227,16 @@
     CHECK(sent <= static_cast<double>(gateways * text.size()));
 }
 
+// The gateway that relays may have gone before it is asked.
+TEST_CASE("a configuration is requested from another gateway if the one that offered it is not known any more") {
+    core self{make_settings("edge-here-9", free_address()), true};
+    slow_peer peer{self, "here", "edge-here-1"};
+    offer_configuration(self, "edge-here-0", 5U, fleet::offer_source::relay);
+    CHECK(self.m_configuration_call == nullptr);
+    peer.beat(5U);
+    CHECK(self.m_configuration_call != nullptr);
+}
+
 // A loader that learned its models before the wanted versions took what its runner had staged for the wrong version.
 TEST_CASE("a configuration that is requested comes with the versions that are wanted") {
     core giver{make_settings("edge-here-1", free_address()), true};
