--- a/test/fleet/configuration_offers.cpp
+++ b/test/fleet/configuration_offers.cpp
@@ -14,8 +14,9 @@
 [[nodiscard]] auto make_region(const std::size_t gateways, const std::string& region) -> member_table {
     member_table out{};
     for (std::size_t index = 0U; index < gateways; ++index) {
-        const auto number = std::to_string(index);
-        const auto name = "edge-" + region + "-" + std::string(3U - number.size(), '0') + number;
+        constexpr std::size_t first_number = 100U;
+        std::string name{"edge-"};
+        name.append(region).append("-").append(std::to_string(first_number + index));
         auto& row = out[name];
         row.m_member.m_instance = name;
         row.m_member.m_region = region;
@@ -106,12 +107,12 @@
 TEST_CASE("a watcher that is no root relays to the roots, and gateways that have gone or leave are passed over") {
     auto table = make_region(8U, "here");
     table.merge(make_region(8U, "there"));
-    const auto self = table.at("edge-here-007").m_member;
-    CHECK(list_relay_targets(table, self, true, begin) == std::vector<std::string>{"edge-here-000", "edge-here-001"});
-    table.at("edge-here-000").m_leaving = true;
-    table.at("edge-here-001").m_last_received = begin - 2 * heartbeat_timeout;
-    CHECK(list_relay_targets(table, self, true, begin) == std::vector<std::string>{"edge-here-002", "edge-here-003"});
-    CHECK(list_relay_targets(table, table.at("edge-here-002").m_member, true, begin).front() == "edge-here-004");
+    const auto self = table.at("edge-here-107").m_member;
+    CHECK(list_relay_targets(table, self, true, begin) == std::vector<std::string>{"edge-here-100", "edge-here-101"});
+    table.at("edge-here-100").m_leaving = true;
+    table.at("edge-here-101").m_last_received = begin - 2 * heartbeat_timeout;
+    CHECK(list_relay_targets(table, self, true, begin) == std::vector<std::string>{"edge-here-102", "edge-here-103"});
+    CHECK(list_relay_targets(table, table.at("edge-here-102").m_member, true, begin).front() == "edge-here-104");
 }
 
 } // namespace rhubarbwharf::fleet
--- a/test/node/configurations.cpp
+++ b/test/node/configurations.cpp
@@ -12,7 +12,9 @@
 #include <node/configurations.hpp>
 #include <node/contact.hpp>
 #include <node/core.hpp>
+#include <node/local_address.hpp>
 #include <node/pulse.hpp>
+#include <node/slow_store.hpp>
 #include <node/store_version.hpp>
 #include <node/wire.hpp>
 #include <platform/encode.hpp>
@@ -38,26 +40,16 @@
     return out;
 }
 
-/*! @brief Returns a local address on which nothing listens. */
-[[nodiscard]] auto free_address() -> net::endpoint {
-    net::loop loop{};
-    net::http_server probe{loop, net::http_limits{},
-                           [](const net::http_request&, const std::shared_ptr<net::responder>&) {
-                           }};
-    net::ensure_listening(probe);
-    return net::local(probe.port());
-}
-
 /*! @brief Configuration with many routes, as operators write it. */
 [[nodiscard]] auto make_configuration(const std::uint64_t version, const std::size_t routes) -> std::string {
     std::string out = R"({"version":)" + std::to_string(version) + R"(,"services":[],"limits":{},"routes":[)";
     std::mt19937_64 random{version};
     for (std::size_t index = 0U; index < routes; ++index) {
         const auto name = std::to_string(random());
-        out += index == 0U ? "" : ",";
-        out += R"({"name":"r-)" + name + R"(","hostname":"h)" + std::to_string(index % 90U) +
-               R"(.example","prefix":"/)" + name + R"(/","kind":"idempotent","service":"s","timeout-ms":4000,)" +
-               R"("target-latency-ms":400,"max-attempts":2,"priority":1})";
+        out.append(index == 0U ? "" : ",").append(R"({"name":"r-)").append(name).append(R"(","hostname":"h)");
+        out.append(std::to_string(index % 90U)).append(R"(.example","prefix":"/)").append(name);
+        out.append(R"(/","kind":"idempotent","service":"s","timeout-ms":4000,)");
+        out.append(R"("target-latency-ms":400,"max-attempts":2,"priority":1})");
     }
     return out + "]}";
 }
@@ -267,18 +259,7 @@
     core self{make_settings("edge-here-1", free_address()), true};
     constexpr std::string_view page = R"({"events":[],"store-revision":7})";
     net::http_server slow_store{self.m_loop, net::http_limits{},
-                                [&](const net::http_request&, const std::shared_ptr<net::responder>& responder) {
-                                    responder->start({200U, {{"Content-Type", "application/json"}}, {}});
-                                    auto sent = std::make_shared<std::size_t>(0U);
-                                    self.m_loop.every(std::chrono::milliseconds{100}, [responder, sent, page] {
-                                        if (*sent < page.size()) {
-                                            responder->write(page.substr((*sent)++, 1U));
-                                        } else if (*sent == page.size()) {
-                                            ++*sent;
-                                            responder->finish();
-                                        }
-                                    });
-                                }};
+                                trickle(self.m_loop, page, std::chrono::milliseconds{100})};
     net::ensure_listening(slow_store);
     self.m_store.set_address(net::local(slow_store.port()));
     std::optional<adapter::page> read{};
--- a/test/node/core.cpp
+++ b/test/node/core.cpp
@@ -7,6 +7,7 @@
 #include <net/fixture.hpp>
 #include <node/boot_clock.hpp>
 #include <node/core.hpp>
+#include <node/local_address.hpp>
 #include <node/targets.hpp>
 #include <standin-site/store.hpp>
 
@@ -25,15 +26,6 @@
     return out;
 }
 
-/*! @brief Returns a local address on which nothing listens. */
-[[nodiscard]] auto free_address(net::loop& loop) -> net::endpoint {
-    net::http_server probe{loop, net::http_limits{},
-                           [](const net::http_request&, const std::shared_ptr<net::responder>&) {
-                           }};
-    net::ensure_listening(probe);
-    return net::local(probe.port());
-}
-
 [[nodiscard]] auto make_target(const std::uint64_t version, const time_point learned) -> fleet::weights_target {
     return {"m", version, learned, true};
 }
@@ -362,8 +354,8 @@
     const auto address = platform_store.listen();
     first.m_store.set_address(address);
     second.m_store.set_address(address);
-    first.m_self.m_bus_address = free_address(first.m_loop);
-    second.m_self.m_bus_address = free_address(second.m_loop);
+    first.m_self.m_bus_address = free_address();
+    second.m_self.m_bus_address = free_address();
     REQUIRE(start(first));
     REQUIRE(start(second));
     std::atomic<bool> discovered{false};
--- a/test/node/lost_changes.cpp
+++ b/test/node/lost_changes.cpp
@@ -8,6 +8,7 @@
 #include <node/boot_clock.hpp>
 #include <node/contact.hpp>
 #include <node/core.hpp>
+#include <node/local_address.hpp>
 #include <node/store_version.hpp>
 #include <standin-site/store.hpp>
 
@@ -35,16 +36,6 @@
     return out;
 }
 
-/*! @brief Returns a local address on which nothing listens. */
-[[nodiscard]] auto free_address() -> net::endpoint {
-    net::loop loop{};
-    net::http_server probe{loop, net::http_limits{},
-                           [](const net::http_request&, const std::shared_ptr<net::responder>&) {
-                           }};
-    net::ensure_listening(probe);
-    return net::local(probe.port());
-}
-
 /*! @brief A gateway that watches a stand-in store, which lists one server. */
 struct watching_gateway {
     core m_self;
--- a/test/node/startup.cpp
+++ b/test/node/startup.cpp
@@ -3,6 +3,7 @@
 #include <fleet.pb.h>
 #include <net/fixture.hpp>
 #include <node/core.hpp>
+#include <node/slow_store.hpp>
 #include <platform/encode.hpp>
 #include <standin-site/store.hpp>
 
@@ -150,18 +151,7 @@
     core self{make_settings("gateway", "edge-1"), true};
     constexpr std::string_view page = R"({"items":[],"has-more":false,"store-revision":7})";
     net::http_server slow_store{self.m_loop, net::http_limits{},
-                                [&](const net::http_request&, const std::shared_ptr<net::responder>& responder) {
-                                    responder->start({200U, {{"Content-Type", "application/json"}}, {}});
-                                    auto sent = std::make_shared<std::size_t>(0U);
-                                    self.m_loop.every(std::chrono::milliseconds{40}, [responder, sent, page] {
-                                        if (*sent < page.size()) {
-                                            responder->write(page.substr((*sent)++, 1U));
-                                        } else if (*sent == page.size()) {
-                                            ++*sent;
-                                            responder->finish();
-                                        }
-                                    });
-                                }};
+                                trickle(self.m_loop, page, std::chrono::milliseconds{40})};
     net::ensure_listening(slow_store);
     self.m_store.set_address(net::local(slow_store.port()));
     std::optional<adapter::page> read{};
