Repeat a failed check once, and judge an offered configuration by its own age

- A check of the watches fails at once while a change is arriving, so that its repetition each 0.2 s would have asked the store five times a second for as long as a large change takes.
It is repeated once now; the next version that is told leads to another check.
- In a series of versions one is always newer than the one in force, so that 10 s after the first word of any of them a gateway answered 404 again for what a newer one may allow.
The time counts from each version's own.
- A gateway that refused to give its configuration was not asked by request again until that version was known; its next version ends the verdict.

The cases of test/fleet/configuration_offers.cpp for the last two pass; that they fail before was not run, and the single repetition has no case of its own. Run on this tree, x86_64: fleet and node.configurations pass; of node.lost_changes two cases for failed checks and cut watches pass, the whole file was ended after 130 s without a failure. Linted: the two sources and the test.

--- a/include/rhubarbwharf/fleet/configuration_offers.hpp
+++ b/include/rhubarbwharf/fleet/configuration_offers.hpp
@@ -49,10 +49,12 @@
 struct configuration_offer {
     std::uint64_t m_version{};
     offer_source m_source{};
+    /*! @brief When it was first told of this version. */
+    time_point m_told_at{};
     /*! @brief When the gateway last failed to give it. */
     std::optional<time_point> m_failed_at{};
     /*! @brief Whether the gateway has refused to give it by itself, as a gateway of a former form does; it is part of
-     * the state that such a gateway sends. */
+     * the state that such a gateway sends. Ends with its next version. */
     bool m_refused{false};
 };
 
--- a/src/fleet/configuration_offers.cpp
+++ b/src/fleet/configuration_offers.cpp
@@ -34,7 +34,11 @@
     offers.m_since = offers.m_since ? offers.m_since : now;
     auto& offer = offers.m_by_gateway[std::string{gateway}];
     offer.m_source = offer.m_version == 0U ? source : std::min(offer.m_source, source);
-    offer.m_version = std::max(offer.m_version, version);
+    if (version > offer.m_version) {
+        offer.m_version = version;
+        offer.m_told_at = now;
+        offer.m_refused = false;
+    }
 }
 
 auto note_failed_offer(configuration_offers& offers, const std::string_view gateway, const bool refused,
@@ -71,11 +75,9 @@
 }
 
 auto is_outdated(const configuration_offers& offers, const std::uint64_t known, const time_point now) noexcept -> bool {
-    const auto is_newer = [known](const auto& each) {
-        return each.second.m_version > known;
-    };
-    return offers.m_since && now - *offers.m_since < max_outdated_time &&
-           std::ranges::any_of(offers.m_by_gateway, is_newer);
+    return std::ranges::any_of(offers.m_by_gateway, [known, now](const auto& each) {
+        return each.second.m_version > known && now - each.second.m_told_at < max_outdated_time;
+    });
 }
 
 auto has_refused(const configuration_offers& offers, const std::string_view gateway) -> bool {
--- a/src/node/core.hpp
+++ b/src/node/core.hpp
@@ -163,7 +163,7 @@
     time_point m_store_reachable_since{};
     /*! @brief When a call of the store last ended without a response, after others had got one. */
     time_point m_store_unanswered_at{};
-    /*! @brief Whether a probe that was sent then has got no response either, so that entries may have lapsed. */
+    /*! @brief Whether a probe that was sent then has got no response either; for the log. */
     bool m_store_silent{false};
     /*! @brief Whether the last probe of the store has got no response in time; what is watched may be outdated. */
     bool m_store_doubted{false};
--- a/src/node/store_version.cpp
+++ b/src/node/store_version.cpp
@@ -34,16 +34,18 @@
     /*! @brief Lowest version up to which a watch has delivered all changes; none if one could not be checked. */
     std::optional<fleet::store_version> m_version{};
     bool m_failed{false};
+    /*! @brief Whether it repeats a check that failed; the next version that is told leads to further ones. */
+    bool m_is_repetition{false};
 };
 
-auto check_watches(core& self) -> void;
+auto check_watches(core& self, bool is_repetition) -> void;
 
-/*! @brief Checks the watches again soon, unless the store does not answer. */
+/*! @brief Checks the watches again soon, once, unless the store does not answer. */
 auto repeat_check(core& self) -> void {
     self.m_loop.after(check_retry_delay, [&self] {
         const auto answers = self.m_answered_store_probe == self.m_store_probes;
         if (answers && self.m_watches_store && self.m_watch_check_failed) {
-            check_watches(self);
+            check_watches(self, true);
         }
     });
 }
@@ -60,7 +62,9 @@
     self.m_watch_check_failed = check.m_failed;
     if (check.m_failed) {
         self.m_counters.add("store_watch_checks_failed_total");
-        repeat_check(self);
+        if (!check.m_is_repetition) {
+            repeat_check(self);
+        }
         return;
     }
     fleet::settle(self.m_change_account, *check.m_version);
@@ -68,7 +72,7 @@
 }
 
 /*! @brief Checks both watches. Changes count as known only once both have been answered. */
-auto check_watches(core& self) -> void {
+auto check_watches(core& self, const bool is_repetition) -> void {
     if (std::exchange(self.m_watch_check_active, true)) {
         return;
     }
@@ -76,6 +80,7 @@
     const std::array followers{self.m_operator_follower, self.m_server_follower};
     auto check = std::make_shared<watch_check>();
     check->m_requested_at = boot_now();
+    check->m_is_repetition = is_repetition;
     check->m_pending = static_cast<unsigned>(followers.size());
     for (const auto& each : followers) {
         each->check([&self, check](const std::optional<fleet::store_version> version) {
@@ -183,7 +188,7 @@
     const auto delay = self.m_watch_check_failed ? duration::zero() : max_delivery_time;
     self.m_loop.after(delay, [&self, told, as_of] {
         if (self.m_watches_store && !internal::is_delivered(self, told, as_of)) {
-            internal::check_watches(self);
+            internal::check_watches(self, false);
         }
     });
 }
--- a/test/fleet/configuration_offers.cpp
+++ b/test/fleet/configuration_offers.cpp
@@ -66,6 +66,9 @@
     note_failed_offer(offers, "b", true, begin);
     CHECK(has_refused(offers, "b"));
     CHECK_FALSE(choose_offer(offers, 5U, 0U, begin + std::chrono::hours{1}));
+    note_offer(offers, "b", 7U, offer_source::region, 5U, begin);
+    CHECK_FALSE(has_refused(offers, "b"));
+    note_failed_offer(offers, "b", true, begin);
     note_offer(offers, "b", 6U, offer_source::region, 6U, begin);
     CHECK_FALSE(has_refused(offers, "b"));
     discard_offers(offers, 6U);
@@ -83,7 +86,10 @@
     CHECK(is_outdated(offers, 4U, begin));
     CHECK_FALSE(is_outdated(offers, 5U, begin));
     CHECK_FALSE(is_outdated(offers, 4U, begin + max_outdated_time));
-    discard_offers(offers, 5U);
+    // In a series of versions, one is always newer than the one in force.
+    note_offer(offers, "a", 6U, offer_source::region, 4U, begin + max_outdated_time);
+    CHECK(is_outdated(offers, 4U, begin + max_outdated_time + moment));
+    discard_offers(offers, 6U);
     CHECK_FALSE(is_outdated(offers, 4U, begin));
 }
 
